Add the design, the root package and the libraries shared by both daemons

Cause: the repository was empty; every part needs the same ids, interfaces, clock, logger, peer calls and membership before it can be written on its own.

Conclusion: parts can now be written in parallel. The daemons do nothing yet.

--- /dev/null
+++ b/log_service.go
@@ -0,0 +1,32 @@
+package oleanderline
+
+import (
+	"context"
+	"time"
+)
+
+// LogService is the platform's append-only log. It is the only state that outlives the system's own VMs.
+type LogService interface {
+	// Append adds one entry to the end of stream and returns its offset. An error that matches ErrUncertain means
+	// that the entry may have been stored all the same.
+	Append(ctx context.Context, stream Stream, data []byte) (Offset, error)
+	// Read returns up to limit entries of stream from offset from on, or from the oldest kept offset if that is later.
+	Read(ctx context.Context, stream Stream, from Offset, limit int) (Batch, error)
+}
+
+// Batch is the result of one read of a stream.
+type Batch struct {
+	// Oldest is the offset of the oldest entry that the log service still keeps, or Next if it keeps none.
+	Oldest Offset `json:"oldest"`
+	// Next is the offset that the next append will get. Reading is complete when the last entry is at Next-1.
+	Next Offset `json:"next"`
+	// Entries are in offset order without gaps.
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is one element of a stream.
+type Entry struct {
+	Offset Offset    `json:"offset"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
--- /dev/null
+++ b/pkg/dispatch/types.go
@@ -0,0 +1,78 @@
+// Package dispatch decides which request goes to which minion, waits, or is refused. It is a pure core: the caller passes
+// the time and carries out the returned actions.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+// RequestID identifies a request inside one entry.
+type RequestID uint64
+
+// Request is what the core needs to know about a request.
+type Request struct {
+	ID         RequestID
+	Service    oleanderline.ServiceID
+	Class      string // from the class rules, or "" for the default class
+	Priority   rules.Priority
+	Long       bool // counts against the share of long requests
+	Idempotent bool
+	Arrived    time.Time
+	Deadline   time.Time // zero: none
+}
+
+// Minion is one back end as the VM list or the minion itself describes it.
+type Minion struct {
+	ID      oleanderline.MinionID
+	Service oleanderline.ServiceID
+	Address string // host:port with an IP number
+	Domain  oleanderline.DomainID
+	Slots   int
+	Leaving bool
+}
+
+// ActionKind tells what the caller has to do.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	// ActionSend sends the request to the minion. The core counts one of the minion's slots as taken until Done.
+	ActionSend ActionKind = iota + 1
+	// ActionRefuse answers the caller that the request did not run.
+	ActionRefuse
+	// ActionProbe sends a health probe, which is no caller's request, to an ejected minion.
+	ActionProbe
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of refusals, as they appear in the answer's header, logs and metrics.
+const (
+	ReasonQueueFull Reason = "queue-full"
+	ReasonDeadline  Reason = "deadline" // it cannot be answered before its deadline
+	ReasonNoMinion  Reason = "no-minion"
+	ReasonShed      Reason = "shed" // a rule sheds its class
+	ReasonLimit     Reason = "limit"
+	ReasonStopping  Reason = "stopping"
+)
+
+// Action is one decision.
+type Action struct {
+	Kind       ActionKind
+	Request    RequestID
+	Minion     oleanderline.MinionID
+	Reason     Reason
+	RetryAfter time.Duration // for refusals; zero: not known
+}
+
+// Finish reports the end of an exchange that an ActionSend began.
+type Finish struct {
+	Request RequestID
+	Result  oleanderline.Result
+	Failed  bool // the exchange broke or the minion refused; counts for ejection
+	Latency time.Duration
+}
--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Client calls one peer. It dials on first use, and again after a failure. It is safe for concurrent use.
+type Client struct {
+	address string
+	key     string
+	timeout time.Duration
+
+	mu  sync.Mutex
+	rpc *rpc.Client
+}
+
+// defaultTimeout bounds a call whose context has no deadline.
+const defaultTimeout = 2 * time.Second
+
+// ClientOption changes a Client while it is built.
+type ClientOption func(*Client)
+
+// WithTimeout bounds calls whose context has no earlier deadline.
+func WithTimeout(timeout time.Duration) ClientOption {
+	return func(c *Client) { c.timeout = timeout }
+}
+
+// NewClient returns a client for the peer that listens on address, a host:port with an IP number.
+func NewClient(address, key string, options ...ClientOption) *Client {
+	c := &Client{address: address, key: key, timeout: defaultTimeout}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Call invokes a method such as "Entry.Heartbeat" and waits for the reply or the deadline. net/rpc has no deadlines and
+// cannot tell a silent connection from a slow peer, so a call that times out closes the connection and the next call
+// dials again. Errors match oleanderline.ErrUnavailable if the call was not sent, and oleanderline.ErrUncertain if its
+// reply was lost. An error returned by the method itself is an rpc.ServerError.
+func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	client, err := c.dial(ctx)
+	if err != nil {
+		return fmt.Errorf("dial peer %s: %w: %w", c.address, oleanderline.ErrUnavailable, err)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.finish(client, method, call.Error)
+	case <-ctx.Done():
+		c.drop(client)
+		// Waits for the decoder to let go of reply, which closing the connection causes.
+		<-call.Done
+		return fmt.Errorf("call %s at peer %s: %w: %w", method, c.address, oleanderline.ErrUncertain, ctx.Err())
+	}
+}
+
+func (c *Client) finish(client *rpc.Client, method string, err error) error {
+	var answered rpc.ServerError
+	if err == nil || errors.As(err, &answered) {
+		return err
+	}
+	c.drop(client)
+	if errors.Is(err, rpc.ErrShutdown) {
+		return fmt.Errorf("call %s at peer %s: %w: %w", method, c.address, oleanderline.ErrUnavailable, err)
+	}
+	return fmt.Errorf("call %s at peer %s: %w: %w", method, c.address, oleanderline.ErrUncertain, err)
+}
+
+func (c *Client) dial(ctx context.Context) (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		return c.rpc, nil
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.handshake(ctx, conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	c.rpc = rpc.NewClient(&writeBoundConn{Conn: conn, timeout: c.timeout})
+	return c.rpc, nil
+}
+
+func (c *Client) handshake(ctx context.Context, conn net.Conn) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	request := "CONNECT " + connectPath + " HTTP/1.0\r\nAuthorization: " + keyPrefix + c.key + "\r\n\r\n"
+	if _, err := conn.Write([]byte(request)); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return err
+	}
+	if answer.Status != connectStatus {
+		return fmt.Errorf("peer refused the connection: %s", answer.Status)
+	}
+	return conn.SetDeadline(time.Time{})
+}
+
+func (c *Client) drop(client *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc == client {
+		c.rpc = nil
+	}
+	_ = client.Close()
+}
+
+// Close closes the connection, if any. A later call dials again.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		_ = c.rpc.Close()
+		c.rpc = nil
+	}
+}
--- /dev/null
+++ b/pkg/rules/window.go
@@ -0,0 +1,43 @@
+package rules
+
+import "time"
+
+// Window is the time for which a rule is in force: always, once, or every week. The zero value is always.
+type Window struct {
+	From   time.Time // zero: no start
+	Until  time.Time // zero: no end
+	Weekly *Weekly
+}
+
+// Weekly is a window that returns every week in a time zone.
+type Weekly struct {
+	FromDay, UntilDay   time.Weekday
+	FromTime, UntilTime time.Duration // since local midnight
+	Zone                *time.Location
+}
+
+const day = 24 * time.Hour
+
+// Active reports whether the window is in force at now.
+func (w Window) Active(now time.Time) bool {
+	if !w.From.IsZero() && now.Before(w.From) {
+		return false
+	}
+	if !w.Until.IsZero() && !now.Before(w.Until) {
+		return false
+	}
+	return w.Weekly == nil || w.Weekly.active(now)
+}
+
+func (w *Weekly) active(now time.Time) bool {
+	local := now.In(w.Zone)
+	clock := time.Duration(local.Hour())*time.Hour + time.Duration(local.Minute())*time.Minute +
+		time.Duration(local.Second())*time.Second
+	at := time.Duration(local.Weekday())*day + clock
+	from := time.Duration(w.FromDay)*day + w.FromTime
+	until := time.Duration(w.UntilDay)*day + w.UntilTime
+	if from <= until {
+		return at >= from && at < until
+	}
+	return at >= from || at < until
+}
--- /dev/null
+++ b/vm_list.go
@@ -0,0 +1,41 @@
+package oleanderline
+
+import "context"
+
+// VMList is the platform's list of VMs. It lags behind reality.
+type VMList interface {
+	List(ctx context.Context) ([]VM, error)
+}
+
+// Role tells what a VM is used for.
+type Role string
+
+// Roles of VMs.
+const (
+	RoleWorker Role = "worker"
+	RoleMinion Role = "minion"
+	RoleOwn    Role = "own"
+)
+
+// VMState is the state of a VM in the VM list. A VM that has gone is no longer listed.
+type VMState string
+
+// States of VMs.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one row of the VM list.
+type VM struct {
+	ID      VMID      `json:"id"`
+	Role    Role      `json:"role"`
+	State   VMState   `json:"state"`
+	Address string    `json:"addr"` // host:port with an IP number; for own VMs only the host counts, see pkg/member
+	Region  RegionID  `json:"region"`
+	Domain  DomainID  `json:"domain"`
+	Rack    RackID    `json:"rack,omitempty"`
+	Service ServiceID `json:"service,omitempty"` // minions only
+	Size    Size      `json:"size"`              // workers only
+	Slots   int       `json:"slots,omitempty"`   // minions only: requests that run at the same time
+}
