--- /dev/null
+++ b/pkg/rules/fake_log_test.go
@@ -0,0 +1,55 @@
+package rules
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// fakeLog is a log service in memory with faults that a test switches.
+type fakeLog struct {
+	mu        sync.Mutex
+	entries   []oleanderline.Entry
+	oldest    oleanderline.Offset
+	down      bool // calls have no effect
+	loseReply bool // the next append takes effect and its answer is lost
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{oldest: 1} }
+
+func (l *fakeLog) Append(_ context.Context, _ oleanderline.Stream, data []byte) (oleanderline.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, oleanderline.ErrUnavailable
+	}
+	offset := oleanderline.Offset(len(l.entries) + 1)
+	l.entries = append(l.entries, oleanderline.Entry{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data})
+	if l.loseReply {
+		l.loseReply = false
+		return 0, oleanderline.ErrUncertain
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ oleanderline.Stream, from oleanderline.Offset, limit int) (oleanderline.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return oleanderline.Batch{}, oleanderline.ErrUnavailable
+	}
+	batch := oleanderline.Batch{Oldest: l.oldest, Next: oleanderline.Offset(len(l.entries) + 1)}
+	for o := max(from, l.oldest); o < batch.Next && len(batch.Entries) < limit; o++ {
+		batch.Entries = append(batch.Entries, l.entries[o-1])
+	}
+	return batch, nil
+}
+
+// retain removes the entries before oldest.
+func (l *fakeLog) retain(oldest oleanderline.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.oldest = max(l.oldest, oldest)
+}
