--- /dev/null
+++ b/pkg/standin/handlers.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/platform"
+)
+
+// Handler serves the log in the form that pkg/logservice expects.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		offset, err := l.Append(r.Context(), oleanderline.Stream(r.PathValue("stream")), data)
+		answer(w, map[string]oleanderline.Offset{"offset": offset}, err)
+	})
+	mux.HandleFunc("GET /streams/{stream}", func(w http.ResponseWriter, r *http.Request) {
+		from, errFrom := strconv.ParseInt(r.FormValue("from"), 10, 64)
+		limit, errLimit := strconv.Atoi(r.FormValue("limit"))
+		if err := errors.Join(errFrom, errLimit); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		batch, err := l.Read(r.Context(), oleanderline.Stream(r.PathValue("stream")), oleanderline.Offset(from), limit)
+		answer(w, batch, err)
+	})
+	return mux
+}
+
+// Handler serves the VM list in the form that pkg/vmlist expects.
+func (v *VMs) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
+		rows, err := v.List(r.Context())
+		answer(w, rows, err)
+	})
+	return mux
+}
+
+// Handler serves the worker in the form that pkg/worker expects.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /start", handle(func(r *http.Request, req oleanderline.StartRequest) (struct{}, error) {
+		return struct{}{}, w.Start(r.Context(), req)
+	}))
+	mux.HandleFunc("POST /renew", handle(func(r *http.Request, req oleanderline.RenewRequest) (oleanderline.Inventory, error) {
+		return w.Renew(r.Context(), req)
+	}))
+	mux.HandleFunc("POST /stop", handle(func(r *http.Request, req oleanderline.StopRequest) (oleanderline.StopResult, error) {
+		return w.Stop(r.Context(), req)
+	}))
+	mux.HandleFunc("POST /throttle", handle(func(r *http.Request, req oleanderline.ThrottleRequest) (struct{}, error) {
+		return struct{}{}, w.Throttle(r.Context(), req)
+	}))
+	mux.HandleFunc("GET /inventory", func(out http.ResponseWriter, r *http.Request) {
+		shard, err := strconv.Atoi(r.FormValue("shard"))
+		if err != nil {
+			http.Error(out, err.Error(), http.StatusBadRequest)
+			return
+		}
+		inventory, err := w.Inventory(r.Context(), oleanderline.ShardID(shard))
+		answer(out, inventory, err)
+	})
+	mux.HandleFunc("GET /usage", func(out http.ResponseWriter, r *http.Request) {
+		usage, err := w.Usage(r.Context())
+		answer(out, usage, err)
+	})
+	return mux
+}
+
+// handle decodes the body before it calls the operation.
+func handle[Q, A any](operation func(*http.Request, Q) (A, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request Q
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		value, err := operation(r, request)
+		answer(w, value, err)
+	}
+}
+
+// answer writes the value or the error. A lost answer closes the connection without any.
+func answer(w http.ResponseWriter, value any, err error) {
+	if errors.Is(err, oleanderline.ErrUncertain) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), platform.StatusOf(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/pkg/standin/run.go
@@ -0,0 +1,59 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Run is one execution of an attempt at a worker, kept for checks after the fact.
+type Run struct {
+	oleanderline.AttemptKey
+	Worker oleanderline.WorkerID
+	Begin  time.Time
+	End    time.Time // zero: still running
+	State  oleanderline.OutcomeState
+}
+
+// overlaps reports whether two runs were in progress at the same moment.
+func (r Run) overlaps(other Run) bool {
+	return (other.End.IsZero() || r.Begin.Before(other.End)) && (r.End.IsZero() || other.Begin.Before(r.End))
+}
+
+// Violations returns the faults among the runs of all workers: an attempt that ran twice, a task that ran in two places
+// at once, and a task that was completed twice.
+func Violations(runs []Run) []string {
+	var found []string
+	sorted := slices.Clone(runs)
+	slices.SortStableFunc(sorted, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), a.Begin.Compare(b.Begin), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	for i, run := range sorted {
+		for _, later := range sorted[i+1:] {
+			if later.Task != run.Task {
+				break
+			}
+			if fault := conflict(run, later); fault != "" {
+				found = append(found, fmt.Sprintf("task %s: %s: attempt %d at %s and attempt %d at %s",
+					run.Task, fault, run.Attempt, run.Worker, later.Attempt, later.Worker))
+			}
+		}
+	}
+	return found
+}
+
+func conflict(a, b Run) string {
+	switch {
+	case a.Attempt == b.Attempt:
+		return "attempt ran twice"
+	case a.overlaps(b):
+		return "ran in two places at once"
+	case a.State == oleanderline.OutcomeDone && b.State == oleanderline.OutcomeDone:
+		return "completed twice"
+	default:
+		return ""
+	}
+}
