Add publishing, checks and diffs of rules

publish appends only on the newest revision, looks for its entry by id after a lost answer, and treats an entry that merely repeats its base as no race. check warns about rules that shadow or contradict each other.

--- a/pkg/rules/fake_log_test.go
+++ b/pkg/rules/fake_log_test.go
@@ -15,18 +15,29 @@
 	oldest    oleanderline.Offset
 	down      bool // calls have no effect
 	loseReply bool // the next append takes effect and its answer is lost
+	late      bool // the answer of the next append is lost, and it takes effect with arrive
+	pending   [][]byte
+
+	beforeAppend func()
 }
 
 func newFakeLog() *fakeLog { return &fakeLog{oldest: 1} }
 
 func (l *fakeLog) Append(_ context.Context, _ oleanderline.Stream, data []byte) (oleanderline.Offset, error) {
+	if l.beforeAppend != nil {
+		l.beforeAppend()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
 		return 0, oleanderline.ErrUnavailable
 	}
-	offset := oleanderline.Offset(len(l.entries) + 1)
-	l.entries = append(l.entries, oleanderline.Entry{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data})
+	if l.late {
+		l.late = false
+		l.pending = append(l.pending, data)
+		return 0, oleanderline.ErrUncertain
+	}
+	offset := l.store(data)
 	if l.loseReply {
 		l.loseReply = false
 		return 0, oleanderline.ErrUncertain
@@ -34,6 +45,22 @@
 	return offset, nil
 }
 
+func (l *fakeLog) store(data []byte) oleanderline.Offset {
+	offset := oleanderline.Offset(len(l.entries) + 1)
+	l.entries = append(l.entries, oleanderline.Entry{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data})
+	return offset
+}
+
+// arrive lets the late appends take effect.
+func (l *fakeLog) arrive() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, data := range l.pending {
+		l.store(data)
+	}
+	l.pending = nil
+}
+
 func (l *fakeLog) Read(_ context.Context, _ oleanderline.Stream, from oleanderline.Offset, limit int) (oleanderline.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/rules/follower.go
+++ b/pkg/rules/follower.go
@@ -31,6 +31,7 @@
 	keepBy    string
 	peers     func(context.Context) []Snapshot
 	onChange  func(*Set)
+	observe   func(entry Entry, offset oleanderline.Offset, accepted bool) // for Publisher
 	changed   chan struct{}
 	current   atomic.Pointer[Set]
 	measures  *followerMetrics
@@ -75,6 +76,11 @@
 	}
 }
 
+// withObserver sets a function that sees every entry and its verdict.
+func withObserver(observe func(Entry, oleanderline.Offset, bool)) FollowerOption {
+	return func(f *Follower) { f.observe = observe }
+}
+
 // NewFollower returns a follower that holds an empty set until Run has read the first revision.
 func NewFollower(c *common.Common, log oleanderline.LogService, options ...FollowerOption) *Follower {
 	f := &Follower{common: c, log: log, poll: defaultPoll, changed: make(chan struct{}, 1)}
@@ -207,9 +213,13 @@
 	accepted := f.order.Offer(raw.Offset, entry.Base)
 	current := f.order.Current()
 	if accepted {
+		s.Origin = f.origin(entry, s.Revision)
 		f.hold(s, false)
 	}
 	f.mu.Unlock()
+	if f.observe != nil {
+		f.observe(entry, raw.Offset, accepted)
+	}
 	if !accepted {
 		f.measures.refused.Inc()
 		f.common.Event(common.EventRulesRefused).WithField("offset", raw.Offset).WithField("base", entry.Base).
@@ -219,6 +229,14 @@
 	f.apply(s)
 }
 
+// origin must be called with the lock.
+func (f *Follower) origin(entry Entry, revision oleanderline.Revision) oleanderline.Revision {
+	if entry.Kept() && entry.Base == f.held.Revision {
+		return f.held.Origin
+	}
+	return revision
+}
+
 // hold must be called with the lock that also covers the change of the order, because a snapshot that pairs an old
 // revision with a new position would lead a peer astray.
 func (f *Follower) hold(s Snapshot, fromPeer bool) {
--- a/pkg/rules/follower_test.go
+++ b/pkg/rules/follower_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -15,8 +16,14 @@
 
 var testStart = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 
+// testBase is built once, because an actor system takes longer to build than a schedule to run.
+var testBase = common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+
 func testCommon(clock oleanderline.Clock) *common.Common {
-	return common.New("test", common.WithClock(clock), common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+	c := *testBase
+	c.Clock = clock
+	c.Metrics = metrics.NewSet()
+	return &c
 }
 
 func mustAppend(t require.TestingT, log oleanderline.LogService, e Entry) {
--- /dev/null
+++ b/pkg/rules/lookup.go
@@ -0,0 +1,63 @@
+package rules
+
+import (
+	"strings"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Objective returns the objective of a service. If there are several, the last applies.
+func (s *Set) Objective(service oleanderline.ServiceID) (Objective, bool) {
+	for i := len(s.Objectives) - 1; i >= 0; i-- {
+		if s.Objectives[i].Service == service {
+			return s.Objectives[i], true
+		}
+	}
+	return Objective{}, false
+}
+
+// Quota returns the quota of a team. If there are several, the last applies.
+func (s *Set) Quota(team oleanderline.TeamID) (Quota, bool) {
+	for i := len(s.Quotas) - 1; i >= 0; i-- {
+		if s.Quotas[i].Team == team {
+			return s.Quotas[i], true
+		}
+	}
+	return Quota{}, false
+}
+
+// Limit returns the limit of a service. If there are several, the last applies.
+func (s *Set) Limit(service oleanderline.ServiceID) (Limit, bool) {
+	for i := len(s.Limits) - 1; i >= 0; i-- {
+		if s.Limits[i].Service == service {
+			return s.Limits[i], true
+		}
+	}
+	return Limit{}, false
+}
+
+// RequestClass returns the class of a request: the one of its service with the longest matching path, and the last of
+// equal ones.
+func (s *Set) RequestClass(service oleanderline.ServiceID, path string) (Class, bool) {
+	var best Class
+	found := false
+	for _, c := range s.Classes {
+		if c.Service != service || c.Service == "" || !strings.HasPrefix(path, c.Path) {
+			continue
+		}
+		if !found || len(c.Path) >= len(best.Path) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// JobClass returns the class rule with the name that a job declares. If there are several, the last applies.
+func (s *Set) JobClass(name string) (Class, bool) {
+	for i := len(s.Classes) - 1; i >= 0; i-- {
+		if s.Classes[i].Service == "" && s.Classes[i].Name == name {
+			return s.Classes[i], true
+		}
+	}
+	return Class{}, false
+}
--- a/pkg/rules/order.go
+++ b/pkg/rules/order.go
@@ -13,6 +13,8 @@
 	current oleanderline.Revision
 	next    oleanderline.Offset // the offset to read next; zero is the start of the stream
 	first   oleanderline.Offset // the first offset read after a gap; zero without a gap
+
+	unchecked bool // set only by the test that shows what the check of the base prevents
 }
 
 // Current returns the revision accepted last, as far as it is known. It never falls.
@@ -49,7 +51,10 @@
 }
 
 func (o *Order) accepts(offset oleanderline.Offset, base oleanderline.Revision) bool {
-	if o.Settled() {
+	switch {
+	case o.unchecked:
+		return true
+	case o.Settled():
 		return base == o.current
 	}
 	return oleanderline.Offset(base) >= o.first && oleanderline.Offset(base) < offset
--- /dev/null
+++ b/pkg/rules/publisher_test.go
@@ -0,0 +1,65 @@
+package rules
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against messages of publish that do not say what happened, and against a second revision after a lost answer.
+func TestPublishOutcomes(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := &hastyClock{now: testStart, budget: 20, cancel: cancel}
+	log := newFakeLog()
+	publish := func(r Request) (Receipt, error) {
+		return NewPublisher(testCommon(clock), log).Publish(ctx, r)
+	}
+	log.loseReply = true
+	receipt, err := publish(Request{ID: "a", By: "ana", Text: "quota team=t acc=1 # x\n"})
+	require.NoError(t, err)
+	require.Equal(t, Receipt{Revision: 1}, receipt)
+	require.Len(t, log.entries, 1)
+
+	receipt, err = publish(Request{ID: "a", By: "ana", Text: "quota team=t acc=1 # x\n"})
+	require.NoError(t, err)
+	require.Equal(t, Receipt{Revision: 1, Found: true}, receipt)
+
+	receipt, err = publish(Request{ID: "b", By: "bo", Base: 1, Text: "quota team=t acc=2 # y\n"})
+	require.NoError(t, err)
+	require.Equal(t, Receipt{Revision: 2}, receipt)
+
+	_, err = publish(Request{ID: "c", By: "ana", Base: 1, Text: "quota team=t acc=3 # z\n"})
+	var race *RaceError
+	require.ErrorAs(t, err, &race)
+	require.Equal(t, "bo", race.By)
+	require.True(t, race.BaseKnown)
+	require.Len(t, race.Changes, 1)
+	require.Equal(t, "~ quota team=t acc=1 # x\n  quota team=t acc=2 # y", race.Changes[0].String())
+
+	receipt, err = publish(Request{ID: "d", By: "ana", Base: 1, Text: "quota team=t acc=2 # y\n"})
+	require.NoError(t, err)
+	require.Equal(t, Receipt{Revision: 2, Unchanged: true}, receipt)
+
+	_, err = publish(Request{ID: "e", Base: 2, Text: "quota team=t # y\n"})
+	require.ErrorIs(t, err, ErrInvalid)
+
+	mustAppend(t, log, Entry{ID: keepPrefix + "2", Base: 2, By: "bo", Text: "quota team=t acc=2 # y\n"})
+	receipt, err = publish(Request{ID: "f", By: "ana", Base: 2, Text: "# none\n"})
+	require.NoError(t, err, "a repetition without a change is no race")
+	require.Equal(t, Receipt{Revision: 4}, receipt)
+
+	log.beforeAppend = func() { log.down, log.late = true, true }
+	_, err = publish(Request{ID: "g", By: "ana", Base: 4, Text: "\n"})
+	require.ErrorIs(t, err, oleanderline.ErrUnavailable)
+	log.down, log.late = false, true
+	log.beforeAppend = func() {
+		log.beforeAppend = func() { log.down = true }
+	}
+	clock.budget = 3
+	_, err = publish(Request{ID: "h", By: "ana", Base: 4, Text: "\n"})
+	require.ErrorIs(t, err, ErrOutcomeUnknown)
+}
--- a/pkg/rules/snapshot.go
+++ b/pkg/rules/snapshot.go
@@ -13,8 +13,9 @@
 	By        string
 	Published time.Time
 	Text      string
-	Next      oleanderline.Offset // the offset up to which the stream was read
-	Settled   bool                // no entries lost to retention hide which revision was accepted last
+	Origin    oleanderline.Revision // the revision that Revision repeats without a change, or Revision itself
+	Next      oleanderline.Offset   // the offset up to which the stream was read
+	Settled   bool                  // no entries lost to retention hide which revision was accepted last
 }
 
 // Set returns the parsed rules.
--- a/pkg/rules/window.go
+++ b/pkg/rules/window.go
@@ -41,3 +41,13 @@
 	}
 	return at >= from || at < until
 }
+
+// includes reports whether other is in force only while w is. It answers false when only a calendar could tell.
+func (w Window) includes(other Window) bool {
+	if w.Weekly != nil {
+		return other.Weekly != nil && *w.Weekly == *other.Weekly
+	}
+	starts := w.From.IsZero() || (!other.From.IsZero() && !other.From.Before(w.From))
+	ends := w.Until.IsZero() || (!other.Until.IsZero() && !other.Until.After(w.Until))
+	return starts && ends
+}
--- a/pkg/rules/window_parse.go
+++ b/pkg/rules/window_parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 	// The own VMs may have no time zone database.
 	_ "time/tzdata"
@@ -47,7 +48,7 @@
 	if f == nil {
 		return nil
 	}
-	zone, err := time.LoadLocation(f.value)
+	zone, err := loadZone(f.value)
 	if err != nil || f.value == "Local" {
 		l.badValue(f, allowedZone)
 		return time.UTC
@@ -55,6 +56,22 @@
 	return zone
 }
 
+// zones keeps the loaded time zones, because a load reads the whole zone and returns a new pointer. It is bounded by the
+// number of zones that exist.
+var zones sync.Map
+
+func loadZone(name string) (*time.Location, error) {
+	if zone, ok := zones.Load(name); ok {
+		return zone.(*time.Location), nil
+	}
+	zone, err := time.LoadLocation(name)
+	if err != nil {
+		return nil, err
+	}
+	kept, _ := zones.LoadOrStore(name, zone)
+	return kept.(*time.Location), nil
+}
+
 func (f *field) weekly() bool {
 	return f != nil && strings.Contains(f.value, "/")
 }
