--- a/cmd/oleanderctl/main.go
+++ b/cmd/oleanderctl/main.go
@@ -1,15 +1,23 @@
-// Command oleanderctl is part of oleanderline.
+// Command oleanderctl is the operators' tool: it checks, shows, compares and publishes rules.
 package main
 
 import (
+	"context"
+	"os"
+
 	"github.com/alexflint/go-arg"
 
-	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/ctl"
 )
 
-type settings struct{}
-
 func main() {
-	arg.MustParse(&settings{})
-	common.New("oleanderctl")
+	settings := ctl.DefaultSettings()
+	parser := arg.MustParse(&settings)
+	if parser.Subcommand() == nil {
+		parser.Fail("missing command")
+	}
+	if err := settings.Validate(); err != nil {
+		parser.Fail(err.Error())
+	}
+	os.Exit(ctl.New(settings, ctl.WithStreams(os.Stdin, os.Stdout, os.Stderr)).Run(context.Background()))
 }
--- /dev/null
+++ b/pkg/ctl/file.go
@@ -0,0 +1,76 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+// file is a file of rules as an operator keeps it.
+type file struct {
+	name    string
+	text    string // without the line that show wrote
+	base    oleanderline.Revision
+	hasBase bool
+}
+
+// lineOffset is the difference between lines of the file and lines of the text.
+func (f file) lineOffset() int {
+	if f.hasBase {
+		return 1
+	}
+	return 0
+}
+
+// read reads a file in bounded memory.
+func (t *Tool) read(name string) (file, error) {
+	data, err := t.readBytes(name)
+	if err != nil {
+		return file{}, fmt.Errorf("read rules: %w", err)
+	}
+	f := file{name: name}
+	f.text, f.base, f.hasBase = rules.CutBase(string(data))
+	return f, nil
+}
+
+func (t *Tool) readBytes(name string) ([]byte, error) {
+	// One more line than a file may have, and one byte by which the parser sees that it is too long.
+	const limit = rules.MaxBytes + 100
+	if name == "-" {
+		return io.ReadAll(io.LimitReader(t.in, limit))
+	}
+	in, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	return io.ReadAll(io.LimitReader(in, limit))
+}
+
+// replace writes a file so that a failure leaves the old one whole.
+func replace(name, text string) error {
+	mode := os.FileMode(0o644)
+	if info, err := os.Stat(name); err == nil {
+		mode = info.Mode().Perm()
+	}
+	temp, err := os.CreateTemp(filepath.Dir(name), ".oleanderctl-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(temp.Name()) }()
+	if _, err := temp.WriteString(text); err != nil {
+		_ = temp.Close()
+		return err
+	}
+	if err := temp.Close(); err != nil {
+		return err
+	}
+	if err := os.Chmod(temp.Name(), mode); err != nil {
+		return err
+	}
+	return os.Rename(temp.Name(), name)
+}
--- /dev/null
+++ b/pkg/ctl/publish.go
@@ -0,0 +1,92 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+func (t *Tool) publish(ctx context.Context, c *PublishCommand) int {
+	f, err := t.read(c.File)
+	if err != nil {
+		return t.fail(ExitFailure, "%v", err)
+	}
+	if report := t.report(f); !report.OK() {
+		return t.fail(ExitUsage, "%s has errors; nothing was published", f.name)
+	}
+	request := rules.Request{ID: c.ID, By: c.By, Text: f.text, Base: f.base}
+	switch {
+	case c.Base != nil:
+		request.Base = oleanderline.Revision(*c.Base)
+	case !f.hasBase:
+		return t.fail(ExitUsage, "the base is not known: fetch the file with \"show --out\", or give --base (0 for the first file)")
+	}
+	if request.ID == "" {
+		request.ID = rand.Text()
+	}
+	publisher := rules.NewPublisher(t.common, t.log, rules.WithPeers(t.peers))
+	receipt, err := publisher.Publish(ctx, request)
+	if err != nil {
+		return t.explain(err, request, c.ID != "")
+	}
+	t.tell(receipt)
+	if f.hasBase && f.name != "-" {
+		if err := replace(f.name, rules.AddBase(f.text, receipt.Revision)); err != nil {
+			t.fail(ExitOK, "warning: the first line of %s still names the old revision: %v", f.name, err)
+		}
+	}
+	if c.Wait {
+		return t.wait(ctx, receipt.Revision)
+	}
+	return ExitOK
+}
+
+func (t *Tool) tell(receipt rules.Receipt) {
+	switch {
+	case receipt.Unchanged:
+		t.print("nothing to publish: revision %d has the same text\n", receipt.Revision)
+	case receipt.Found:
+		t.print("the earlier attempt was accepted as revision %d\n", receipt.Revision)
+	default:
+		t.print("published as revision %d\n", receipt.Revision)
+	}
+}
+
+// explain says why a file was not published, and returns the exit code. After an earlier attempt with the same id, a log
+// service that does not answer leaves the outcome unknown.
+func (t *Tool) explain(err error, request rules.Request, earlier bool) int {
+	var race *rules.RaceError
+	switch {
+	case errors.As(err, &race):
+		return t.explainRace(race)
+	case errors.Is(err, rules.ErrOutcomeUnknown), earlier && !errors.Is(err, rules.ErrInvalid):
+		return t.fail(ExitUnknown, "the log service did not confirm the entry: it may be published or not; "+
+			"run the same command again with --id %s to find out", request.ID)
+	case errors.Is(err, rules.ErrInvalid):
+		return t.fail(ExitUsage, "%v; nothing was published", err)
+	case errors.Is(err, rules.ErrUnsettled):
+		return t.fail(ExitFailure, "%v; nothing was published; give --operators", err)
+	default:
+		return t.fail(ExitFailure, "the log service does not answer; nothing was published, the rules in force stay in force: %v", err)
+	}
+}
+
+func (t *Tool) explainRace(race *rules.RaceError) int {
+	if race.Revision < race.Base {
+		return t.fail(ExitRace, "the base is revision %d, but the newest revision is %d; nothing was published", race.Base, race.Revision)
+	}
+	t.fail(ExitRace, "the file changes revision %d, but %s published revision %d at %s; nothing was published",
+		race.Base, race.By, race.Revision, race.Published.UTC().Format(time.RFC3339))
+	if !race.BaseKnown {
+		return t.fail(ExitRace, "what changed is not known, because revision %d is no longer in the stream", race.Base)
+	}
+	t.fail(ExitRace, "changes from revision %d to %d:", race.Base, race.Revision)
+	t.changes(race.Changes)
+	return ExitRace
+}
+
+func (t *Tool) wait(context.Context, oleanderline.Revision) int { return ExitOK }
--- /dev/null
+++ b/pkg/ctl/settings.go
@@ -0,0 +1,123 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oleanderline/oleanderline/pkg/common"
+)
+
+// Settings are the arguments of oleanderctl.
+type Settings struct {
+	Check   *CheckCommand   `arg:"subcommand:check" help:"report all errors and warnings of a file of rules"`
+	Show    *ShowCommand    `arg:"subcommand:show" help:"print the rules in force, with their revision in the first line"`
+	Diff    *DiffCommand    `arg:"subcommand:diff" help:"compare a file with the rules in force, or with another file"`
+	Publish *PublishCommand `arg:"subcommand:publish" help:"put a file of rules in force"`
+
+	Key        string        `arg:"--key,env:OLEANDER_KEY" help:"shared key of the operator listeners" placeholder:"KEY"`
+	Operators  AddressList   `arg:"--operators,env:OLEANDER_OPERATORS" help:"operator listeners of the own VMs, separated by commas" placeholder:"IP:PORT,..."`
+	LogService string        `arg:"--log-service,env:OLEANDER_LOG_SERVICE" help:"base URL of the log service" placeholder:"URL"`
+	Timeout    time.Duration `arg:"--timeout,env:OLEANDER_TIMEOUT" help:"bound of the whole command" placeholder:"TIME"`
+}
+
+// CheckCommand are the arguments of check.
+type CheckCommand struct {
+	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
+}
+
+// ShowCommand are the arguments of show.
+type ShowCommand struct {
+	Out string `arg:"--out" help:"write to this file instead of standard output" placeholder:"FILE"`
+}
+
+// DiffCommand are the arguments of diff.
+type DiffCommand struct {
+	From string `arg:"positional,required" help:"file of rules, or - for standard input"`
+	To   string `arg:"positional" help:"second file; without it, the changes from the rules in force to the file are shown"`
+}
+
+// PublishCommand are the arguments of publish.
+type PublishCommand struct {
+	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
+	Base *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
+	By   string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
+	ID   string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
+	Wait bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
+}
+
+// AddressList is a list of IP:PORT separated by commas.
+type AddressList []string
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (l *AddressList) UnmarshalText(text []byte) error {
+	*l = nil
+	for _, address := range strings.Split(string(text), ",") {
+		if address = strings.TrimSpace(address); address != "" {
+			*l = append(*l, address)
+		}
+	}
+	return nil
+}
+
+// DefaultSettings returns the settings without any argument.
+func DefaultSettings() Settings {
+	return Settings{Timeout: 10 * time.Second}
+}
+
+// Validate reports every setting that is not allowed, or that the command needs and that is missing.
+func (s *Settings) Validate() error {
+	errs := []error{s.validateTimeout(), s.validateLogService()}
+	for i, address := range s.Operators {
+		errs = append(errs, common.CheckAddress("--operators", address))
+		if slices.Contains(s.Operators[:i], address) {
+			errs = append(errs, fmt.Errorf("--operators=%q: is given twice", address))
+		}
+	}
+	if len(s.Operators) > 0 && s.Key == "" {
+		errs = append(errs, errors.New("--key: is empty; the operator listeners need the shared key (or OLEANDER_KEY)"))
+	}
+	if s.Publish != nil {
+		errs = append(errs, s.validatePublish())
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Settings) validateTimeout() error {
+	if s.Timeout <= 0 || s.Timeout > time.Hour {
+		return fmt.Errorf("--timeout=%q: want a time above 0 and up to 1h", s.Timeout)
+	}
+	return nil
+}
+
+func (s *Settings) validateLogService() error {
+	needed := s.Show != nil || s.Publish != nil || (s.Diff != nil && s.Diff.To == "")
+	if s.LogService == "" {
+		if needed {
+			return errors.New("--log-service: is empty; want a base URL, such as http://10.0.0.9:7000 (or OLEANDER_LOG_SERVICE)")
+		}
+		return nil
+	}
+	u, err := url.Parse(s.LogService)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return fmt.Errorf("--log-service=%q: want a base URL, such as http://10.0.0.9:7000", s.LogService)
+	}
+	return nil
+}
+
+func (s *Settings) validatePublish() error {
+	var errs []error
+	if s.Publish.By == "" {
+		errs = append(errs, errors.New("--by: is empty; want the name of who publishes (or USER)"))
+	}
+	if s.Publish.Base != nil && *s.Publish.Base < 0 {
+		errs = append(errs, fmt.Errorf("--base=%d: want a revision, from 0", *s.Publish.Base))
+	}
+	if s.Publish.Wait && len(s.Operators) == 0 {
+		errs = append(errs, errors.New("--operators: is empty; --wait asks the own VMs for their revision"))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/pkg/ctl/tool.go
@@ -0,0 +1,89 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/logservice"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+// Tool runs one command of oleanderctl.
+type Tool struct {
+	common   *common.Common
+	settings Settings
+	log      oleanderline.LogService
+	in       io.Reader
+	out      io.Writer
+	err      io.Writer
+}
+
+// Option changes a Tool while it is built.
+type Option func(*Tool)
+
+// WithStreams replaces the standard streams.
+func WithStreams(in io.Reader, out, err io.Writer) Option {
+	return func(t *Tool) { t.in, t.out, t.err = in, out, err }
+}
+
+// WithLog replaces the client of the log service.
+func WithLog(log oleanderline.LogService) Option {
+	return func(t *Tool) { t.log = log }
+}
+
+// WithClock replaces the system clock.
+func WithClock(clock oleanderline.Clock) Option {
+	return func(t *Tool) { t.common.Clock = clock }
+}
+
+// New returns a tool for settings that Validate accepts.
+func New(settings Settings, options ...Option) *Tool {
+	t := &Tool{settings: settings}
+	// What the follower logs for daemons is said by the commands in other words.
+	t.common = common.New("oleanderctl", common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+	if settings.LogService != "" {
+		t.log = logservice.NewClient(settings.LogService)
+	}
+	for _, option := range options {
+		option(t)
+	}
+	return t
+}
+
+// Run runs the command and returns the exit code.
+func (t *Tool) Run(ctx context.Context) int {
+	ctx, cancel := context.WithTimeout(ctx, t.settings.Timeout)
+	defer cancel()
+	s := &t.settings
+	switch {
+	case s.Check != nil:
+		return t.check(s.Check)
+	case s.Show != nil:
+		return t.show(ctx, s.Show)
+	case s.Diff != nil:
+		return t.diff(ctx, s.Diff)
+	case s.Publish != nil:
+		return t.publish(ctx, s.Publish)
+	default:
+		return t.fail(ExitUsage, "no command; see --help")
+	}
+}
+
+func (t *Tool) fail(code int, format string, args ...any) int {
+	_, _ = fmt.Fprintf(t.err, "oleanderctl: "+format+"\n", args...)
+	return code
+}
+
+func (t *Tool) print(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.out, format, args...)
+}
+
+// peers asks the operator listeners for their rules, for a follower that cannot rely on the log service alone.
+func (t *Tool) peers(context.Context) []rules.Snapshot {
+	return nil
+}
--- a/pkg/rules/publisher.go
+++ b/pkg/rules/publisher.go
@@ -145,7 +145,7 @@
 	for {
 		offset, err := p.append(ctx, data)
 		switch {
-		case err == nil, errors.Is(err, oleanderline.ErrUncertain):
+		case !errors.Is(err, oleanderline.ErrUnavailable):
 			uncertain = true
 		case !uncertain:
 			return Receipt{}, fmt.Errorf("append to the rules stream: %w", err)
