--- a/pkg/ctl/publish.go
+++ b/pkg/ctl/publish.go
@@ -88,5 +88,3 @@
 	t.changes(race.Changes)
 	return ExitRace
 }
-
-func (t *Tool) wait(context.Context, oleanderline.Revision) int { return ExitOK }
--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 )
 
@@ -17,6 +18,9 @@
 	Show    *ShowCommand    `arg:"subcommand:show" help:"print the rules in force, with their revision in the first line"`
 	Diff    *DiffCommand    `arg:"subcommand:diff" help:"compare a file with the rules in force, or with another file"`
 	Publish *PublishCommand `arg:"subcommand:publish" help:"put a file of rules in force"`
+	Status  *StatusCommand  `arg:"subcommand:status" help:"show the own VMs, their shards and workers, the rules and the log service"`
+	Why     *WhyCommand     `arg:"subcommand:why" help:"explain the state of a task"`
+	Burn    *BurnCommand    `arg:"subcommand:burn" help:"show the use of the error budgets of the slo rules"`
 
 	Key        string        `arg:"--key,env:OLEANDER_KEY" help:"shared key of the operator listeners" placeholder:"KEY"`
 	Operators  AddressList   `arg:"--operators,env:OLEANDER_OPERATORS" help:"operator listeners of the own VMs, separated by commas" placeholder:"IP:PORT,..."`
@@ -49,6 +53,20 @@
 	Wait bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
 }
 
+// StatusCommand has no arguments.
+type StatusCommand struct{}
+
+// WhyCommand are the arguments of why.
+type WhyCommand struct {
+	Task oleanderline.TaskID `arg:"positional,required" help:"task, in the form JOB/INDEX"`
+}
+
+// BurnCommand are the arguments of burn.
+type BurnCommand struct {
+	JSON bool   `arg:"--json" help:"print JSON instead of text"`
+	HTML string `arg:"--html" help:"write an HTML page to this file instead" placeholder:"FILE"`
+}
+
 // AddressList is a list of IP:PORT separated by commas.
 type AddressList []string
 
@@ -80,6 +98,12 @@
 	if len(s.Operators) > 0 && s.Key == "" {
 		errs = append(errs, errors.New("--key: is empty; the operator listeners need the shared key (or OLEANDER_KEY)"))
 	}
+	if len(s.Operators) == 0 && (s.Status != nil || s.Why != nil || s.Burn != nil) {
+		errs = append(errs, errors.New("--operators: is empty; want IP:PORT,... of the operator listeners (or OLEANDER_OPERATORS)"))
+	}
+	if s.Burn != nil && s.Burn.JSON && s.Burn.HTML != "" {
+		errs = append(errs, errors.New("--html: is given beside --json; want one of them"))
+	}
 	if s.Publish != nil {
 		errs = append(errs, s.validatePublish())
 	}
--- a/pkg/ctl/tool.go
+++ b/pkg/ctl/tool.go
@@ -10,17 +10,19 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
+	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Tool runs one command of oleanderctl.
 type Tool struct {
-	common   *common.Common
-	settings Settings
-	log      oleanderline.LogService
-	in       io.Reader
-	out      io.Writer
-	err      io.Writer
+	common    *common.Common
+	settings  Settings
+	log       oleanderline.LogService
+	operators *operator.Client
+	in        io.Reader
+	out       io.Writer
+	err       io.Writer
 }
 
 // Option changes a Tool while it is built.
@@ -49,6 +51,7 @@
 	if settings.LogService != "" {
 		t.log = logservice.NewClient(settings.LogService)
 	}
+	t.operators = operator.NewClient(settings.Operators, settings.Key)
 	for _, option := range options {
 		option(t)
 	}
@@ -59,6 +62,7 @@
 func (t *Tool) Run(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, t.settings.Timeout)
 	defer cancel()
+	defer t.operators.Close()
 	s := &t.settings
 	switch {
 	case s.Check != nil:
@@ -69,6 +73,12 @@
 		return t.diff(ctx, s.Diff)
 	case s.Publish != nil:
 		return t.publish(ctx, s.Publish)
+	case s.Status != nil:
+		return t.status(ctx)
+	case s.Why != nil:
+		return t.why(ctx, s.Why)
+	case s.Burn != nil:
+		return t.burn(ctx, s.Burn)
 	default:
 		return t.fail(ExitUsage, "no command; see --help")
 	}
@@ -84,6 +94,12 @@
 }
 
 // peers asks the operator listeners for their rules, for a follower that cannot rely on the log service alone.
-func (t *Tool) peers(context.Context) []rules.Snapshot {
-	return nil
+func (t *Tool) peers(ctx context.Context) []rules.Snapshot {
+	var snapshots []rules.Snapshot
+	for _, a := range t.operators.Rules(ctx) {
+		if a.Err == nil {
+			snapshots = append(snapshots, a.Value)
+		}
+	}
+	return snapshots
 }
--- /dev/null
+++ b/pkg/ctl/tool_test.go
@@ -0,0 +1,268 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/burn"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/operator"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+	"github.com/oleanderline/oleanderline/pkg/standin"
+)
+
+// bench runs commands against a stand-in log and daemons on loopback addresses.
+type bench struct {
+	t         *testing.T
+	common    *common.Common
+	log       *standin.Log
+	operators []string
+	input     string
+}
+
+func newBench(t *testing.T) *bench {
+	c := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+	return &bench{t: t, common: c, log: standin.NewLog(c.Clock)}
+}
+
+func (b *bench) run(s Settings) (code int, out, err string) {
+	s.LogService, s.Key, s.Operators = "http://unused", "secret", b.operators
+	if s.Timeout == 0 {
+		s.Timeout = 10 * time.Second
+	}
+	require.NoError(b.t, s.Validate())
+	var stdout, stderr bytes.Buffer
+	tool := New(s, WithLog(b.log), WithStreams(strings.NewReader(b.input), &stdout, &stderr))
+	return tool.Run(context.Background()), stdout.String(), stderr.String()
+}
+
+func (b *bench) publish(name, by string, base *int64) (code int, out, err string) {
+	return b.run(Settings{Publish: &PublishCommand{File: name, By: by, Base: base}})
+}
+
+func (b *bench) write(name, text string) {
+	require.NoError(b.t, os.WriteFile(name, []byte(text), 0o600))
+}
+
+type fakeDaemon operator.Status
+
+func (d fakeDaemon) Status() operator.Status { return operator.Status(d) }
+
+func (fakeDaemon) Why(task oleanderline.TaskID) operator.Why {
+	return operator.Why{Found: task == "j/1", Task: task, State: "waiting", Reasons: []string{"no worker has 4 accelerators free"}}
+}
+
+// daemon starts an operator listener with a follower, which the caller steps or runs.
+func (b *bench) daemon(service, id string, counter *burn.Counter) *rules.Follower {
+	status := fakeDaemon{Daemon: strings.ToLower(service), ID: oleanderline.VMID(id), Started: b.common.Clock.Now()}
+	follower := rules.NewFollower(b.common, b.log)
+	options := []operator.HandlerOption{operator.WithExplainer(status)}
+	if counter != nil {
+		options = []operator.HandlerOption{operator.WithCounter(counter)}
+	}
+	server := peer.NewServer(b.common, "secret")
+	require.NoError(b.t, operator.NewHandler(b.common, status, follower, options...).Register(server, service))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b.t, err)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	b.t.Cleanup(func() {
+		_ = server.Close()
+		require.NoError(b.t, <-done)
+	})
+	b.operators = append(b.operators, listener.Addr().String())
+	return follower
+}
+
+// Guards against a round trip that changes the file, a stale first line after publish, and wrong exit codes.
+func TestPublishRoundTripAndExitCodes(t *testing.T) {
+	b := newBench(t)
+	name := filepath.Join(t.TempDir(), "rules.txt")
+	text := "\ufeff# head\r\n\nquota team=t acc=1   # x\n# tail"
+	b.write(name, text)
+	code, _, err := b.publish(name, "ana", nil)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, err, "give --base")
+	zero := int64(0)
+	code, out, err := b.publish(name, "ana", &zero)
+	require.Equal(t, ExitOK, code, err)
+	require.Equal(t, "published as revision 1\n", out)
+
+	code, _, _ = b.run(Settings{Show: &ShowCommand{Out: name}})
+	require.Equal(t, ExitOK, code)
+	code, out, _ = b.publish(name, "ana", nil)
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, "nothing to publish: revision 1 has the same text\n", out)
+	stored, readErr := os.ReadFile(name)
+	require.NoError(t, readErr)
+	require.Equal(t, rules.AddBase(text, 1), string(stored))
+
+	mine, theirs := name+".mine", name+".theirs"
+	b.write(mine, rules.AddBase("quota team=t acc=2 # mine\n", 1))
+	b.write(theirs, rules.AddBase("quota team=t acc=3 # theirs\n", 1))
+	code, _, _ = b.publish(theirs, "bo", nil)
+	require.Equal(t, ExitOK, code)
+	rest, base, _ := rules.CutBase(readFile(t, theirs))
+	require.Equal(t, oleanderline.Revision(2), base, "the file can be edited and published again")
+	require.Equal(t, "quota team=t acc=3 # theirs\n", rest)
+	code, out, err = b.publish(mine, "ana", nil)
+	require.Equal(t, ExitRace, code)
+	require.Contains(t, err, "bo published revision 2")
+	require.Contains(t, out, "quota team=t acc=3 # theirs")
+
+	b.write(mine, rules.AddBase("quta team=t acc=2 # mine\n", 2))
+	code, _, err = b.publish(mine, "ana", nil)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, err, `.mine:error: 2:1: unknown verb "quta"`, "lines are counted as in the file")
+}
+
+func readFile(t *testing.T, name string) string {
+	data, err := os.ReadFile(name)
+	require.NoError(t, err)
+	return string(data)
+}
+
+// Guards against an outage or a lost answer that is reported as anything else, and against two revisions for one file.
+func TestPublishInOutage(t *testing.T) {
+	b := newBench(t)
+	name := filepath.Join(t.TempDir(), "rules.txt")
+	b.write(name, rules.AddBase("quota team=t acc=1 # x\n", 0))
+	b.log.SetDown(true)
+	code, _, err := b.publish(name, "ana", nil)
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, err, "the log service does not answer; nothing was published")
+	code, _, err = b.run(Settings{Show: &ShowCommand{}})
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, err, errNoRules.Error())
+	b.log.SetDown(false)
+
+	follower := b.daemon(operator.SchedService, "own-1", nil)
+	code, _, _ = b.publish(name, "ana", nil)
+	require.Equal(t, ExitOK, code)
+	follower.Step(context.Background())
+	b.log.SetDown(true)
+	code, out, err := b.run(Settings{Show: &ShowCommand{}})
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, err, "revision 1 comes from an own VM")
+	require.Equal(t, rules.AddBase("quota team=t acc=1 # x\n", 1), out)
+	code, _, err = b.run(Settings{Publish: &PublishCommand{File: name, By: "ana", ID: "earlier"}})
+	require.Equal(t, ExitUnknown, code)
+	require.Contains(t, err, "--id earlier")
+	b.log.SetDown(false)
+
+	b.log.SetPaused(true)
+	b.write(name, rules.AddBase("quota team=t acc=2 # x\n", 1))
+	code, _, _ = b.run(Settings{Publish: &PublishCommand{File: name, By: "ana"}, Timeout: 50 * time.Millisecond})
+	require.Equal(t, ExitFailure, code, "nothing was sent, because the newest revision is not known")
+	b.log.SetPaused(false)
+	require.Equal(t, 1, b.log.Appends())
+}
+
+// Guards against --wait that returns before every own VM has the revision, or that does not say who is behind.
+func TestPublishWaits(t *testing.T) {
+	b := newBench(t)
+	name := filepath.Join(t.TempDir(), "rules.txt")
+	b.write(name, rules.AddBase("quota team=t acc=1 # x\n", 0))
+	running := b.daemon(operator.EntryService, "own-1", burn.NewCounter())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- running.Run(ctx) }()
+	command := &PublishCommand{File: name, By: "ana", Wait: true}
+	code, out, err := b.run(Settings{Publish: command})
+	require.Equal(t, ExitOK, code, err)
+	require.Contains(t, out, "revision 1 is in force at all 1 daemons")
+	b.daemon(operator.SchedService, "own-2", nil)
+	code, _, err = b.run(Settings{Publish: command, Timeout: time.Second})
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, err, "sched own-2: revision 0")
+	cancel()
+	require.NoError(t, <-done)
+
+	answers := []operator.Answer[operator.Status]{{Value: operator.Status{
+		ID: "own-1", Rules: rules.FollowerStatus{Revision: 7},
+		Members: []operator.Member{{ID: "own-1", Alive: true, Revision: 6}, {ID: "own-3", Alive: true, Revision: 6}, {ID: "own-4"}},
+	}}}
+	require.Equal(t, []string{"own-3, which is not in --operators: revision 6"}, lagging(answers, 7))
+}
+
+// Guards against a daemon that cannot be asked and is left out.
+func TestStatusWhyAndBurnNameEveryDaemon(t *testing.T) {
+	b := newBench(t)
+	counter := burn.NewCounter()
+	counter.SetRules(&rules.Set{Objectives: []rules.Objective{{Service: "s", Latency: time.Second, Target: 0.99}}})
+	counter.Record(burn.Sample{Service: "s", Minion: "m-1", Failed: true}, b.common.Clock.Now())
+	b.daemon(operator.EntryService, "own-1", counter)
+	b.daemon(operator.SchedService, "own-1", nil)
+	code, out, _ := b.run(Settings{Status: &StatusCommand{}})
+	require.Equal(t, ExitOK, code, out)
+	require.Contains(t, out, "0 shards")
+	code, out, _ = b.run(Settings{Why: &WhyCommand{Task: "j/1"}})
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, "task j/1: waiting\n  no worker has 4 accelerators free\n", out)
+	code, out, _ = b.run(Settings{Burn: &BurnCommand{}})
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "minion m-1: 100.0% of the bad requests")
+
+	const gone = "127.0.0.1:1"
+	b.operators = append(b.operators, gone)
+	code, out, _ = b.run(Settings{Status: &StatusCommand{}})
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, out, gone)
+	code, out, err := b.run(Settings{Burn: &BurnCommand{JSON: true}})
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, out, gone)
+	require.Empty(t, err)
+	code, _, err = b.run(Settings{Why: &WhyCommand{Task: "j/2"}})
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, err, gone)
+}
+
+// Guards against input that takes memory without bound or passes as an empty file.
+func TestCheckOfBadInput(t *testing.T) {
+	type scenario struct {
+		name, input, want string
+	}
+	for _, s := range []scenario{
+		{"binary", "\x7fELF\x02\x01\x01\x00\xff\xfe", "-:error: 1:9: the file is not text"},
+		{"10 MB", strings.Repeat("# long\n", 10<<20/7), "the file is too long"},
+		{"100,000 lines", strings.Repeat("drain vm=a\n", 100_000)[:1<<20], "problems are not shown"},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			b := newBench(t)
+			b.input = s.input
+			code, _, err := b.run(Settings{Check: &CheckCommand{File: "-"}})
+			require.Equal(t, ExitUsage, code)
+			require.Contains(t, err, s.want)
+		})
+	}
+	code, _, _ := newBench(t).run(Settings{Check: &CheckCommand{File: "/nonexistent"}})
+	require.Equal(t, ExitFailure, code)
+}
+
+// Guards against settings that are found wrong only after something has been done.
+func TestSettingsNameFlagValueAndWhatIsAllowed(t *testing.T) {
+	s := DefaultSettings()
+	require.NoError(t, s.Operators.UnmarshalText([]byte("10.0.0.5:7300, localhost:7300,10.0.0.5:7300")))
+	s.Timeout = -time.Second
+	s.LogService = "10.0.0.9"
+	s.Publish = &PublishCommand{File: "-"}
+	err := s.Validate()
+	require.ErrorContains(t, err, `--timeout="-1s": want a time above 0 and up to 1h`)
+	require.ErrorContains(t, err, `--log-service="10.0.0.9": want a base URL`)
+	require.ErrorContains(t, err, `--operators="localhost:7300": "localhost" is not an IP number`)
+	require.ErrorContains(t, err, `--operators="10.0.0.5:7300": is given twice`)
+	require.ErrorContains(t, err, "--key: is empty")
+	require.ErrorContains(t, err, "--by: is empty")
+}
