--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -133,7 +133,7 @@
 	})
 }
 
-// replaced warns about rules of which only the last is in force.
+// replaced warns about rules of which only the last is in force, and about classes of which only the first is.
 func (c *checker) replaced(set *Set) {
 	last := map[string]int{}
 	see := func(line int, verb, about string) {
@@ -152,8 +152,17 @@
 	for _, r := range set.Limits {
 		see(r.Line, "limit", "service "+string(r.Service))
 	}
+	first := map[string]int{}
 	for _, r := range set.Classes {
-		see(r.Line, "class", strings.TrimSpace(fmt.Sprintf("%s %s %s", r.Name, r.Service, r.Path)))
+		about := "jobs of class " + r.Name
+		if r.Service != "" {
+			about = strings.TrimSpace(fmt.Sprintf("service %s %s", r.Service, r.Path))
+		}
+		if earlier, ok := first[about]; ok {
+			c.warn(r.Line, "class for %s contradicts line %d, and the earlier rule applies", about, earlier)
+			continue
+		}
+		first[about] = r.Line
 	}
 }
 
--- a/pkg/rules/lookup.go
+++ b/pkg/rules/lookup.go
@@ -36,7 +36,7 @@
 	return Limit{}, false
 }
 
-// RequestClass returns the class of a request: the one of its service with the longest matching path, and the last of
+// RequestClass returns the class of a request: the one of its service with the longest matching path, and the first of
 // equal ones.
 func (s *Set) RequestClass(service oleanderline.ServiceID, path string) (Class, bool) {
 	var best Class
@@ -45,18 +45,18 @@
 		if c.Service != service || c.Service == "" || !strings.HasPrefix(path, c.Path) {
 			continue
 		}
-		if !found || len(c.Path) >= len(best.Path) {
+		if !found || len(c.Path) > len(best.Path) {
 			best, found = c, true
 		}
 	}
 	return best, found
 }
 
-// JobClass returns the class rule with the name that a job declares. If there are several, the last applies.
+// JobClass returns the class rule with the name that a job declares. If there are several, the first applies.
 func (s *Set) JobClass(name string) (Class, bool) {
-	for i := len(s.Classes) - 1; i >= 0; i-- {
-		if s.Classes[i].Service == "" && s.Classes[i].Name == name {
-			return s.Classes[i], true
+	for _, c := range s.Classes {
+		if c.Service == "" && c.Name == name {
+			return c, true
 		}
 	}
 	return Class{}, false
