--- /dev/null
+++ b/pkg/standin/control.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// controlHelp is the answer to GET / at the control endpoint.
+const controlHelp = `POST /fault?target=T&name=N&value=V
+  T log, vms or a worker's id:  down=true|false  delay=500ms  lose=3 (-1: all)  pause=true|false
+  T a worker's id:              failing=true|false  terminate=true
+  T a minion's id:              leaving=true|false  aborting=true|false  silence=true  crash=true|false
+POST /vm?id=ID&state=leaving|gone
+`
+
+// switches are the faults that all parts of the platform share.
+type switches interface {
+	SetDown(down bool)
+	SetDelay(delay time.Duration)
+	LoseAnswers(n int)
+	SetPaused(paused bool)
+}
+
+// ControlHandler serves the fault switches. It calls note, if given, for each switch that was set.
+func (p *Platform) ControlHandler(note func(target, name, value string)) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{$}", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, controlHelp) })
+	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		target, name, value := r.FormValue("target"), r.FormValue("name"), r.FormValue("value")
+		if err := p.SetFault(target, name, value); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if note != nil {
+			note(target, name, value)
+		}
+	})
+	mux.HandleFunc("POST /vm", func(w http.ResponseWriter, r *http.Request) {
+		id := oleanderline.VMID(r.FormValue("id"))
+		switch r.FormValue("state") {
+		case "leaving":
+			p.VMs.Leave(id)
+		case "gone":
+			p.VMs.Gone(id)
+		default:
+			http.Error(w, "state must be leaving or gone", http.StatusBadRequest)
+		}
+	})
+	return mux
+}
+
+// SetFault sets one switch by name, as described at the control endpoint.
+func (p *Platform) SetFault(target, name, value string) error {
+	if m, ok := p.Minions[oleanderline.VMID(target)]; ok {
+		return setMinionFault(m, name, value)
+	}
+	if w, ok := p.Workers[oleanderline.VMID(target)]; ok {
+		return setWorkerFault(w, name, value)
+	}
+	switch target {
+	case "log":
+		return setFault(p.Log, name, value)
+	case "vms":
+		return setFault(p.VMs, name, value)
+	default:
+		return fmt.Errorf("target=%q: want log, vms or the id of a worker or minion", target)
+	}
+}
+
+func setFault(s switches, name, value string) error {
+	switch name {
+	case "down":
+		return setBool(value, s.SetDown)
+	case "pause":
+		return setBool(value, s.SetPaused)
+	case "delay":
+		delay, err := time.ParseDuration(value)
+		if err != nil {
+			return err
+		}
+		s.SetDelay(delay)
+	case "lose":
+		n, err := strconv.Atoi(value)
+		if err != nil {
+			return err
+		}
+		s.LoseAnswers(n)
+	default:
+		return fmt.Errorf("name=%q: no such fault here", name)
+	}
+	return nil
+}
+
+func setWorkerFault(w *Worker, name, value string) error {
+	switch name {
+	case "failing":
+		return setBool(value, w.SetFailing)
+	case "terminate":
+		w.Terminate()
+		return nil
+	default:
+		return setFault(w, name, value)
+	}
+}
+
+func setMinionFault(m *Minion, name, value string) error {
+	switch name {
+	case "leaving":
+		return setBool(value, m.SetLeaving)
+	case "aborting":
+		return setBool(value, m.SetAborting)
+	case "silence":
+		m.Silence()
+		return nil
+	case "crash":
+		crash, err := strconv.ParseBool(value)
+		if err != nil {
+			return err
+		}
+		if crash {
+			m.Crash()
+			return nil
+		}
+		return m.Listen("")
+	default:
+		return fmt.Errorf("name=%q: no such fault here", name)
+	}
+}
+
+func setBool(value string, set func(bool)) error {
+	on, err := strconv.ParseBool(value)
+	if err != nil {
+		return err
+	}
+	set(on)
+	return nil
+}
