--- a/pkg/demo/checks.go
+++ b/pkg/demo/checks.go
@@ -63,18 +63,32 @@
 }
 
 func taskChecks(f Facts) []Check {
-	var lost []string
-	for _, task := range f.Tasks {
-		if !task.Final {
-			lost = append(lost, fmt.Sprintf("%s is %s", task.ID, task.State))
+	submitted, done := 0, 0
+	var lost, failed, unfinished, differ []string
+	for _, job := range f.Jobs {
+		submitted += job.Tasks
+		done += job.Done
+		open := job.Waiting + job.Assigned
+		note := func(cases *[]string, n int) {
+			if n != 0 {
+				*cases = append(*cases, fmt.Sprintf("%d of %s", n, job.ID))
+			}
 		}
+		note(&lost, job.Tasks-job.Done-job.Failed-open)
+		note(&failed, job.Failed)
+		note(&unfinished, open)
+		note(&differ, job.Completed-job.Done)
 	}
 	return []Check{
 		{
-			Name: "tasks submitted / finished", Got: fmt.Sprintf("%d / %d", len(f.Tasks), len(f.Tasks)-len(lost)),
-			Want: "all", OK: len(f.Tasks) > 0 && len(lost) == 0,
+			Name: "tasks submitted / finished", Got: fmt.Sprintf("%d / %d", submitted, done), Want: "all",
+			OK: submitted > 0 && done == submitted,
 		},
+		zero("jobs not accepted or without a state", f.JobErrors),
 		zero("tasks lost", lost),
+		zero("tasks failed", failed),
+		zero("tasks not finished in time", unfinished),
+		zero("tasks counted otherwise than they ran", differ),
 		zero("tasks run twice or in two places", f.TaskFaults),
 		zeroCount("VMs over capacity", f.OverCapacity),
 		zeroCount(fmt.Sprintf("attempts on drained VM %s at the end", f.DrainedVM), f.DrainedTasks),
--- a/pkg/demo/facts.go
+++ b/pkg/demo/facts.go
@@ -14,7 +14,8 @@
 	OverSlots   int            // minions that ran more requests at once than they have slots
 	OverConns   int            // connections above the limit of a minion
 
-	Tasks         []Task
+	Jobs          []Job
+	JobErrors     []string // jobs that were not accepted, or whose state could not be read
 	TaskFaults    []string // runs of tasks that must not happen, see standin.Violations
 	OverCapacity  int      // workers that were asked to run more than they hold
 	DrainedVM     oleanderline.VMID
@@ -43,9 +44,13 @@
 	Latency time.Duration
 }
 
-// Task is one task of an accepted job, as the scheduler reports it at the end.
-type Task struct {
-	ID    oleanderline.TaskID
-	State string
-	Final bool // done or failed for good
+// Job is one accepted job, as the scheduler reports it at the end, beside what its workers did.
+type Job struct {
+	ID        oleanderline.JobID
+	Tasks     int // submitted
+	Done      int
+	Failed    int
+	Waiting   int // for a worker
+	Assigned  int // to a worker
+	Completed int // tasks that ran to their end at a worker
 }
