--- /dev/null
+++ b/pkg/caller/handler.go
@@ -0,0 +1,170 @@
+// Package caller is the HTTP handler for the callers of the request path.
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+)
+
+// Handler serves callers.
+type Handler struct {
+	common    *common.Common
+	settings  Settings
+	exchanger Exchanger
+	buffered  atomic.Int64
+	badLog    *logLimit
+	answered  *metrics.Counter
+	notRun    *metrics.Counter
+	unknown   *metrics.Counter
+	cut       *metrics.Counter
+}
+
+// NewHandler returns a handler that passes valid requests to exchanger.
+func NewHandler(c *common.Common, settings Settings, exchanger Exchanger) *Handler {
+	return &Handler{
+		common:    c,
+		settings:  settings,
+		exchanger: exchanger,
+		badLog:    newLogLimit(badRequestsLogged, time.Second),
+		answered:  c.Metrics.NewCounter("oleander_caller_answered_total"),
+		notRun:    c.Metrics.NewCounter("oleander_caller_not_run_total"),
+		unknown:   c.Metrics.NewCounter("oleander_caller_unknown_total"),
+		cut:       c.Metrics.NewCounter("oleander_caller_cut_answers_total"),
+	}
+}
+
+// badRequestsLogged bounds the log lines a second about requests refused for what they say.
+const badRequestsLogged = 5
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call, problem := h.parse(r, h.common.Clock.Now())
+	if problem == nil {
+		reserved := h.reserve(r)
+		defer h.buffered.Add(-reserved)
+		problem = h.admitBody(w, r, call, reserved)
+	}
+	if problem != nil {
+		h.refuse(w, r, problem)
+		return
+	}
+	defer call.Body.close()
+	reply, err := h.exchanger.Exchange(r.Context(), call)
+	if err != nil {
+		if !errors.As(err, &problem) {
+			problem = &Problem{Status: http.StatusBadGateway, Reason: "internal", Detail: err.Error()}
+		}
+		h.refuse(w, r, problem)
+		return
+	}
+	defer reply.Body.Close() //nolint:errcheck // the body was read to its end, or the answer is aborted
+	h.writeReply(w, r, reply)
+}
+
+// reserve counts the memory that the kept part of the body may take.
+func (h *Handler) reserve(r *http.Request) int64 {
+	size := int64(h.settings.HeadBytes)
+	if r.ContentLength >= 0 && r.ContentLength < size {
+		size = r.ContentLength
+	}
+	h.buffered.Add(size)
+	return size
+}
+
+func (h *Handler) admitBody(w http.ResponseWriter, r *http.Request, call *Call, reserved int64) (problem *Problem) {
+	if reserved > 0 && h.buffered.Load() > h.settings.MaxBuffered {
+		return &Problem{
+			Result:     oleanderline.ResultNotRun,
+			Status:     http.StatusServiceUnavailable,
+			Reason:     ReasonMemory,
+			Detail:     "too many bodies are being received",
+			RetryAfter: time.Second,
+		}
+	}
+	call.Body, problem = h.readBody(w, r)
+	return problem
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, problem *Problem) {
+	if problem.Result == oleanderline.ResultNotRun {
+		h.notRun.Inc()
+	} else {
+		h.unknown.Inc()
+	}
+	if problem.Status < http.StatusInternalServerError && h.badLog.allow(h.common.Clock.Now()) {
+		h.common.Event(common.EventBadRequest).WithField("from", r.RemoteAddr).WithField("reason", string(problem.Reason)).
+			WithField("detail", problem.Detail).Info("bad request refused")
+	}
+	switch problem.Reason {
+	case ReasonBodySize, ReasonSlowBody, ReasonBadBody:
+		// The rest of the body is not read, so the connection cannot carry another request.
+		w.Header().Set("Connection", "close")
+	}
+	problem.write(w)
+}
+
+// copyBuffers avoids an allocation for each answer.
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+func (h *Handler) writeReply(w http.ResponseWriter, r *http.Request, reply *Reply) {
+	header := w.Header()
+	endToEnd(header, reply.Header)
+	header[HeaderResult] = answeredValue
+	if reply.ContentLength >= 0 && header["Content-Length"] == nil && r.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.FormatInt(reply.ContentLength, 10))
+	}
+	w.WriteHeader(reply.Status)
+	if err := copyBody(w, reply); err != nil {
+		h.cut.Inc()
+		if h.badLog.allow(h.common.Clock.Now()) {
+			h.common.Event(common.EventAnswerCut).WithError(err).Warn("answer could not be passed on whole, connection to the caller closed")
+		}
+		// A short answer must never look complete: aborting closes the connection before the end of the body.
+		panic(http.ErrAbortHandler)
+	}
+	if reply.Trailer != nil {
+		for name, values := range reply.Trailer() {
+			header[http.TrailerPrefix+name] = values
+		}
+	}
+	h.answered.Inc()
+}
+
+var answeredValue = []string{oleanderline.ResultAnswered.String()}
+
+// copyBody copies the body. It flushes after each piece but the last, so that streams are not held up.
+func copyBody(w http.ResponseWriter, reply *Reply) error {
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	control := http.NewResponseController(w)
+	left := reply.ContentLength
+	for {
+		n, err := reply.Body.Read(*buffer)
+		left -= int64(n)
+		if n > 0 {
+			if _, werr := w.Write((*buffer)[:n]); werr != nil {
+				return werr
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		case left != 0 && n < len(*buffer):
+			if ferr := control.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/entry/dispatcher.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+)
+
+// dispatcher serializes the calls of the decision core and passes its decisions to the goroutines of the requests. The
+// core's calls take about a microsecond, so a mutex costs less than a mailbox would.
+type dispatcher struct {
+	clock oleanderline.Clock
+	// probe is called with the mutex held; it must not block.
+	probe func(oleanderline.MinionID)
+
+	mu      sync.Mutex
+	core    *dispatch.Core
+	tickets map[dispatch.RequestID]*ticket
+	last    dispatch.RequestID
+	actions []dispatch.Action
+	refused map[dispatch.Reason]*metrics.Counter
+}
+
+// ticket stands for one request that waits for a decision.
+type ticket struct {
+	id       dispatch.RequestID
+	decision chan dispatch.Action
+}
+
+func newDispatcher(c *common.Common, core *dispatch.Core, probe func(oleanderline.MinionID)) *dispatcher {
+	return &dispatcher{
+		clock:   c.Clock,
+		probe:   probe,
+		core:    core,
+		tickets: map[dispatch.RequestID]*ticket{},
+		refused: refusalCounters(c.Metrics),
+	}
+}
+
+func refusalCounters(set *metrics.Set) map[dispatch.Reason]*metrics.Counter {
+	return map[dispatch.Reason]*metrics.Counter{
+		dispatch.ReasonQueueFull: set.NewCounter(`oleander_entry_refused_total{reason="queue-full"}`),
+		dispatch.ReasonDeadline:  set.NewCounter(`oleander_entry_refused_total{reason="deadline"}`),
+		dispatch.ReasonNoMinion:  set.NewCounter(`oleander_entry_refused_total{reason="no-minion"}`),
+		dispatch.ReasonShed:      set.NewCounter(`oleander_entry_refused_total{reason="shed"}`),
+		dispatch.ReasonLimit:     set.NewCounter(`oleander_entry_refused_total{reason="limit"}`),
+		dispatch.ReasonStopping:  set.NewCounter(`oleander_entry_refused_total{reason="stopping"}`),
+		dispatch.ReasonBudget:    set.NewCounter(`oleander_entry_refused_total{reason="retry-budget"}`),
+	}
+}
+
+// update runs one change of the core and carries out what it decides.
+func (d *dispatcher) update(change func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.actions = change(d.core, d.clock.Now(), d.actions[:0])
+	d.deliverLocked(d.actions)
+}
+
+func (d *dispatcher) deliverLocked(actions []dispatch.Action) {
+	for _, action := range actions {
+		if action.Kind == dispatch.ActionProbe {
+			d.probe(action.Minion)
+			continue
+		}
+		t, ok := d.tickets[action.Request]
+		if !ok {
+			continue
+		}
+		if action.Kind == dispatch.ActionRefuse {
+			delete(d.tickets, action.Request)
+			if counter, ok := d.refused[action.Reason]; ok {
+				counter.Inc()
+			}
+		}
+		// The channel has room, because the core decides once for each Arrive, Retry or Hedge.
+		t.decision <- action
+	}
+}
+
+// arrive passes a new request to the core. The request's id is set.
+func (d *dispatcher) arrive(request dispatch.Request) *ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	request.ID = d.last
+	t := &ticket{id: request.ID, decision: make(chan dispatch.Action, 1)}
+	d.tickets[t.id] = t
+	d.actions = d.core.Arrive(request, d.clock.Now(), d.actions[:0])
+	d.deliverLocked(d.actions)
+	return t
+}
+
+// wait returns the decision about a request. If the context ends first, the request is withdrawn and ok is false.
+func (d *dispatcher) wait(ctx context.Context, t *ticket) (action dispatch.Action, ok bool) {
+	select {
+	case action = <-t.decision:
+		return action, true
+	default:
+	}
+	select {
+	case action = <-t.decision:
+		return action, true
+	case <-ctx.Done():
+		return dispatch.Action{}, d.withdraw(t)
+	}
+}
+
+// withdraw ends a request that waits. A decision to send that was taken meanwhile is undone.
+func (d *dispatcher) withdraw(t *ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	d.actions = d.actions[:0]
+	select {
+	case action := <-t.decision:
+		if action.Kind == dispatch.ActionSend {
+			finish := dispatch.Finish{Request: t.id, Minion: action.Minion, Result: oleanderline.ResultNotRun}
+			d.actions = d.core.Done(finish, now, d.actions)
+		}
+	default:
+	}
+	delete(d.tickets, t.id)
+	d.actions = d.core.Cancel(t.id, now, d.actions)
+	d.deliverLocked(d.actions)
+	return false
+}
+
+// done reports the end of an exchange. With again set, the request is kept for retry.
+func (d *dispatcher) done(finish dispatch.Finish, again bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if again {
+		// To the core, "not run" means that the request may be sent again.
+		finish.Result = oleanderline.ResultNotRun
+	}
+	now := d.clock.Now()
+	d.actions = d.core.Done(finish, now, d.actions[:0])
+	if !again {
+		delete(d.tickets, finish.Request)
+		if finish.Result == oleanderline.ResultNotRun {
+			d.actions = d.core.Cancel(finish.Request, now, d.actions)
+		}
+	}
+	d.deliverLocked(d.actions)
+}
+
+// retry asks for another decision about a request after done.
+func (d *dispatcher) retry(t *ticket) {
+	d.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
+		return core.Retry(t.id, now, actions)
+	})
+}
+
+// hedge asks for a second minion for a request in flight.
+func (d *dispatcher) hedge(t *ticket) (minion oleanderline.MinionID, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.actions = d.core.Hedge(t.id, d.clock.Now(), d.actions[:0])
+	for _, action := range d.actions {
+		if action.Kind == dispatch.ActionSend && action.Hedge {
+			minion, ok = action.Minion, true
+			continue
+		}
+		d.deliverLocked([]dispatch.Action{action})
+	}
+	return minion, ok
+}
