--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -16,7 +16,8 @@
 type Request struct {
 	ID         RequestID
 	Service    oleanderline.ServiceID
-	Class      string // from the class rules, or "" for the default class
+	Class      string // from the class rules, or "" if no rule matches
+	Group      string // without Class: requests that probably run alike, such as the method and the first path segment
 	Priority   rules.Priority
 	Long       bool // counts against the share of long requests
 	Idempotent bool
@@ -30,6 +31,7 @@
 	Service oleanderline.ServiceID
 	Address string // host:port with an IP number
 	Domain  oleanderline.DomainID
+	Rack    oleanderline.RackID
 	Slots   int
 	Leaving bool
 }
@@ -41,7 +43,7 @@
 const (
 	// ActionSend sends the request to the minion. The core counts one of the minion's slots as taken until Done.
 	ActionSend ActionKind = iota + 1
-	// ActionRefuse answers the caller that the request did not run.
+	// ActionRefuse answers the caller that the request did not run. The core forgets the request.
 	ActionRefuse
 	// ActionProbe sends a health probe, which is no caller's request, to an ejected minion.
 	ActionProbe
@@ -58,21 +60,34 @@
 	ReasonShed      Reason = "shed" // a rule sheds its class
 	ReasonLimit     Reason = "limit"
 	ReasonStopping  Reason = "stopping"
+	ReasonBudget    Reason = "retry-budget"
 )
 
 // Action is one decision.
 type Action struct {
 	Kind       ActionKind
 	Request    RequestID
+	Hedge      bool // for sends: a second copy of a request in flight
 	Minion     oleanderline.MinionID
 	Reason     Reason
 	RetryAfter time.Duration // for refusals; zero: not known
 }
 
 // Finish reports the end of an exchange that an ActionSend began.
+//
+// After ResultNotRun the core keeps the request until Retry or Cancel is called for it. Otherwise it forgets the request
+// with the end of its last copy.
 type Finish struct {
 	Request RequestID
+	Minion  oleanderline.MinionID // of the ActionSend, because a hedged request has two
 	Result  oleanderline.Result
 	Failed  bool // the exchange broke or the minion refused; counts for ejection
 	Latency time.Duration
 }
+
+// Want asks a peer for loans of idle slots of a service.
+type Want struct {
+	Peer    oleanderline.VMID
+	Service oleanderline.ServiceID
+	Count   int
+}
