--- a/pkg/standin/minion.go
+++ b/pkg/standin/minion.go
@@ -166,6 +166,13 @@
 	return m.listener.Peak()
 }
 
+// RefusedConns returns the number of connections above the limit since the minion last began to listen.
+func (m *Minion) RefusedConns() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listener.Refused()
+}
+
 // ServeHTTP implements http.Handler.
 func (m *Minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
