Assemble the entry daemon around the decision core

Requests cross one mutex around the core and no mailbox. Heartbeats, the VM list, loans of slots, probes and results of keyed requests run in goroutines with bounded queues. Connections to minions are http.ClientConn objects in a pool of our own, so that net/http has no second connection on which to send a request again.

--- /dev/null
+++ b/pkg/entry/daemon.go
@@ -0,0 +1,227 @@
+// Package entry assembles the entry daemon: callers' requests come in by HTTP, and go to minions by HTTP.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/caller"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+	"github.com/oleanderline/oleanderline/pkg/idempotency"
+	"github.com/oleanderline/oleanderline/pkg/logservice"
+	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/minion"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+	"github.com/oleanderline/oleanderline/pkg/vmlist"
+)
+
+// Daemon is one entry.
+type Daemon struct {
+	common   *common.Common
+	settings Settings
+	parts    parts
+
+	dispatcher *dispatcher
+	minions    *minions
+	prober     *prober
+	members    *members
+	membership *membership
+	peers      *peers
+	loans      *loans
+	poller     *vmPoller
+	follower   *rules.Follower
+	classifier *classifier
+	exchanger  *exchanger
+	home       *keyHome
+	settler    *settler
+	handler    http.Handler
+
+	callerServer   *http.Server
+	peerServer     *peer.Server
+	operatorServer *peer.Server
+	listeners      [3]net.Listener
+
+	started    time.Time
+	draining   atomic.Bool
+	failed     chan error
+	life       context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+}
+
+// New assembles a daemon. The settings must be valid.
+func New(c *common.Common, settings Settings, options ...Option) (*Daemon, error) {
+	d := &Daemon{
+		common:   c,
+		settings: settings,
+		parts:    parts{caller: caller.DefaultSettings(), minion: minion.DefaultSettings(), core: dispatch.DefaultSettings()},
+		failed:   make(chan error, 3),
+		started:  c.Clock.Now(),
+	}
+	d.life, d.cancel = context.WithCancel(context.Background())
+	for _, option := range options {
+		option(&d.parts)
+	}
+	if d.parts.vmList == nil {
+		d.parts.vmList = vmlist.NewClient(settings.VMList)
+	}
+	if d.parts.log == nil {
+		d.parts.log = logservice.NewClient(settings.LogService)
+	}
+	d.assembleRequests()
+	d.assembleMembers()
+	d.assembleKeys()
+	return d, d.assembleServers()
+}
+
+func (d *Daemon) assembleRequests() {
+	c := d.common
+	seed := uint64(d.started.UnixNano())
+	core := dispatch.New(dispatch.WithSettings(d.parts.core), dispatch.WithRand(rand.New(rand.NewPCG(seed, 0))))
+	d.minions = newMinions(c, d.parts.minion, connectionBound(1, false))
+	d.classifier = newClassifier()
+	d.exchanger = &exchanger{
+		common:     c,
+		minions:    d.minions,
+		classifier: d.classifier,
+		delays:     newDelays(),
+		switches:   d.parts.switches,
+	}
+	d.prober = newProber(c, d.minions, d.exchanger.noteLeaving)
+	d.dispatcher = newDispatcher(c, core, d.probe)
+	d.exchanger.prober, d.exchanger.dispatcher = d.prober, d.dispatcher
+	d.follower = rules.NewFollower(c, d.parts.log, rules.WithOnChange(d.setRules), rules.WithPeers(d.askRules))
+}
+
+func (d *Daemon) assembleMembers() {
+	s := d.settings
+	self := member.Member{
+		ID:          s.vmID(),
+		Domain:      oleanderline.DomainID(s.Domain),
+		Address:     s.PeerListen,
+		Incarnation: d.started.UnixNano(),
+	}
+	d.members = newMembers(d.common, self, s.heartbeatTimeout(), s.KeyKeep)
+	d.peers = newPeers(d.common, s.Key, s.heartbeatTimeout(), d.members)
+	d.loans = newLoans(d.common, d.dispatcher, d.members, d.peers)
+	d.membership = &membership{
+		common:     d.common,
+		members:    d.members,
+		peers:      d.peers,
+		dispatcher: d.dispatcher,
+		minions:    d.minions,
+		interval:   s.Heartbeat,
+		port:       portOf(s.PeerListen),
+		switches:   d.parts.switches,
+		asking:     map[string]bool{},
+		now:        make(chan struct{}, 1),
+	}
+	d.poller = newVMPoller(d.common, d.parts.vmList, s.VMListPoll)
+	d.poller.minions, d.poller.members, d.poller.dispatcher = d.minions, d.members, d.dispatcher
+	d.poller.applied = d.membership.apply
+}
+
+func (d *Daemon) assembleKeys() {
+	keySettings := idempotency.DefaultSettings()
+	keySettings.Keep = d.settings.KeyKeep
+	self := idempotency.Executor{ID: d.settings.vmID(), Incarnation: d.started.UnixNano()}
+	d.home = newKeyHome(d.common, self, keySettings, d.members, d.peers)
+	d.home.switches = d.parts.switches
+	d.membership.home = d.home
+	d.settler = newSettler(d.common, d.home)
+	keyed := &keyedExchanger{
+		common:   d.common,
+		inner:    d.exchanger,
+		home:     d.home,
+		settler:  d.settler,
+		settings: keySettings,
+		patience: 2 * d.settings.heartbeatTimeout(),
+		life:     d.life,
+		switches: d.parts.switches,
+	}
+	d.handler = caller.NewHandler(d.common, d.parts.caller, keyed)
+}
+
+func (d *Daemon) assembleServers() error {
+	d.callerServer = newCallerServer(d.parts.caller, d.callerMux(), d.common.Log)
+	d.peerServer = peer.NewServer(d.common, d.settings.Key)
+	if err := d.peerServer.Register("Entry", &peerService{daemon: d}); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	d.operatorServer = peer.NewServer(d.common, d.settings.Key)
+	d.operatorServer.HandleOpen("/healthz", http.HandlerFunc(d.serveHealth))
+	d.operatorServer.HandleOpen("/readyz", http.HandlerFunc(d.serveReady))
+	d.operatorServer.HandleOpen("/metrics", http.HandlerFunc(d.serveMetrics))
+	return nil
+}
+
+// OperatorServer returns the server for operators, to add services before Start.
+func (d *Daemon) OperatorServer() *peer.Server { return d.operatorServer }
+
+// Rules returns the source of the rules in force.
+func (d *Daemon) Rules() rules.Source { return d.follower }
+
+// CallerAddress returns the address on which callers are served, after Start.
+func (d *Daemon) CallerAddress() string { return d.listeners[0].Addr().String() }
+
+// OperatorAddress returns the address on which operators are served, after Start.
+func (d *Daemon) OperatorAddress() string { return d.listeners[2].Addr().String() }
+
+// Failed returns a channel that receives the error of a listener that ended unexpectedly.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// Start listens and begins to serve.
+func (d *Daemon) Start() error {
+	if err := d.listen(); err != nil {
+		return err
+	}
+	ctx := d.life
+	d.prober.start()
+	d.settler.start()
+	d.poller.poll(ctx)
+	for _, run := range []func(context.Context){d.poller.run, d.membership.run, d.loans.run, d.follow, d.sweep} {
+		d.background.Go(func() { run(ctx) })
+	}
+	callers := &limitListener{Listener: d.listeners[0], limit: maxCallers}
+	d.serve("callers", func() error { return d.callerServer.Serve(callers) })
+	d.serve("peers", func() error { return d.peerServer.Serve(d.listeners[1]) })
+	d.serve("operators", func() error { return d.operatorServer.Serve(d.listeners[2]) })
+	d.common.Event(common.EventStarted).WithField("listen", d.CallerAddress()).Info("serving")
+	return nil
+}
+
+func (d *Daemon) listen() (err error) {
+	addresses := []struct{ flag, address string }{
+		{"--listen", d.settings.Listen},
+		{"--peer-listen", d.settings.PeerListen},
+		{"--operator-listen", d.settings.OperatorListen},
+	}
+	for i, a := range addresses {
+		if d.listeners[i], err = listen(a.flag, a.address); err != nil {
+			for _, opened := range d.listeners[:i] {
+				_ = opened.Close()
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) serve(name string, serve func() error) {
+	d.background.Go(func() {
+		if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			d.common.Event(common.EventListenerFailed).WithField("listener", name).WithError(err).Error("listener ended")
+			d.failed <- fmt.Errorf("listener for %s: %w", name, err)
+		}
+	})
+}
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -73,13 +73,13 @@
 		if !ok {
 			continue
 		}
+		delete(d.tickets, action.Request)
 		if action.Kind == dispatch.ActionRefuse {
-			delete(d.tickets, action.Request)
 			if counter, ok := d.refused[action.Reason]; ok {
 				counter.Inc()
 			}
 		}
-		// The channel has room, because the core decides once for each Arrive, Retry or Hedge.
+		// The channel has room, because the core decides once for each Arrive or Retry.
 		t.decision <- action
 	}
 }
@@ -142,20 +142,19 @@
 	}
 	now := d.clock.Now()
 	d.actions = d.core.Done(finish, now, d.actions[:0])
-	if !again {
-		delete(d.tickets, finish.Request)
-		if finish.Result == oleanderline.ResultNotRun {
-			d.actions = d.core.Cancel(finish.Request, now, d.actions)
-		}
+	if !again && finish.Result == oleanderline.ResultNotRun {
+		d.actions = d.core.Cancel(finish.Request, now, d.actions)
 	}
 	d.deliverLocked(d.actions)
 }
 
 // retry asks for another decision about a request after done.
 func (d *dispatcher) retry(t *ticket) {
-	d.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
-		return core.Retry(t.id, now, actions)
-	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tickets[t.id] = t
+	d.actions = d.core.Retry(t.id, d.clock.Now(), d.actions[:0])
+	d.deliverLocked(d.actions)
 }
 
 // hedge asks for a second minion for a request in flight.
--- /dev/null
+++ b/pkg/entry/harness_test.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/standin"
+)
+
+const (
+	testService = "reservations"
+	// waitLimit bounds waits for conditions; it is long because it is reached only by a failure.
+	waitLimit = 20 * time.Second
+	waitStep  = 5 * time.Millisecond
+)
+
+// fakeVMs is a VM list without lag.
+type fakeVMs struct {
+	mu   sync.Mutex
+	rows []oleanderline.VM
+}
+
+func (f *fakeVMs) List(context.Context) ([]oleanderline.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]oleanderline.VM{}, f.rows...), nil
+}
+
+func (f *fakeVMs) change(apply func(rows []oleanderline.VM) []oleanderline.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rows = apply(f.rows)
+}
+
+// cluster is a set of entries on loopback addresses with a VM list and an empty rules stream.
+type cluster struct {
+	tb      testing.TB
+	vms     *fakeVMs
+	log     *standin.Log
+	port    string
+	hosts   int
+	adjust  func(*Settings)
+	options []Option
+}
+
+func newCluster(tb testing.TB, options ...Option) *cluster {
+	return &cluster{
+		tb:      tb,
+		vms:     &fakeVMs{},
+		log:     standin.NewLog(common.NewSystemClock()),
+		port:    freePort(tb),
+		adjust:  func(*Settings) {},
+		options: options,
+	}
+}
+
+func freePort(tb testing.TB) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	defer func() { require.NoError(tb, listener.Close()) }()
+	return portOf(listener.Addr().String())
+}
+
+// addMinion lists a minion with a handler of its own.
+func (c *cluster) addMinion(id string, handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(handler)
+	c.tb.Cleanup(server.Close)
+	c.listMinion(id, server.Listener.Addr().String())
+	return server
+}
+
+func (c *cluster) listMinion(id, address string) {
+	c.vms.change(func(rows []oleanderline.VM) []oleanderline.VM {
+		return append(rows, oleanderline.VM{
+			ID: oleanderline.VMID(id), Role: oleanderline.RoleMinion, State: oleanderline.VMLive, Address: address,
+			Service: testService, Slots: 8,
+		})
+	})
+}
+
+// addEntry lists and starts an entry on the next loopback address.
+func (c *cluster) addEntry(id string, options ...Option) *Daemon {
+	c.hosts++
+	host := fmt.Sprintf("127.0.7.%d", c.hosts)
+	c.vms.change(func(rows []oleanderline.VM) []oleanderline.VM {
+		row := oleanderline.VM{
+			ID: oleanderline.VMID(id), Role: oleanderline.RoleOwn, State: oleanderline.VMLive, Address: net.JoinHostPort(host, "1"),
+		}
+		return append(withoutVM(rows, id), row)
+	})
+	settings := DefaultSettings()
+	settings.ID, settings.Region, settings.Domain = id, "r", "d"
+	settings.Listen, settings.OperatorListen = host+":0", host+":0"
+	settings.PeerListen = net.JoinHostPort(host, c.port)
+	settings.Key = "a key of tests only"
+	settings.LogService, settings.VMList = "http://127.0.0.1:1", "http://127.0.0.1:1"
+	settings.Heartbeat, settings.VMListPoll, settings.DrainDelay = 50*time.Millisecond, 20*time.Millisecond, 0
+	c.adjust(&settings)
+	require.NoError(c.tb, settings.Validate())
+	quiet := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.InfoLevel)))
+	all := append([]Option{WithVMList(c.vms), WithLogService(c.log)}, c.options...)
+	d, err := New(quiet, settings, append(all, options...)...)
+	require.NoError(c.tb, err)
+	require.NoError(c.tb, d.Start())
+	c.tb.Cleanup(d.Kill)
+	return d
+}
+
+func withoutVM(rows []oleanderline.VM, id string) []oleanderline.VM {
+	var kept []oleanderline.VM
+	for _, row := range rows {
+		if row.ID != oleanderline.VMID(id) {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+// addEntries starts entries and waits until each is ready and sees all others.
+func (c *cluster) addEntries(ids ...string) []*Daemon {
+	var entries []*Daemon
+	for _, id := range ids {
+		entries = append(entries, c.addEntry(id))
+	}
+	waitReady(c.tb, entries...)
+	return entries
+}
+
+func waitReady(tb testing.TB, entries ...*Daemon) {
+	for _, d := range entries {
+		require.Eventually(tb, func() bool {
+			return d.notReady() == "" && len(d.members.serving(time.Now())) >= len(entries)
+		}, waitLimit, waitStep, "entry %s: %s", d.settings.ID, d.notReady())
+	}
+}
+
+// result is what a caller saw.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the header or of the body
+}
+
+type requestOption func(*http.Request)
+
+func withHeader(name, value string) requestOption {
+	return func(r *http.Request) { r.Header[name] = []string{value} }
+}
+
+// send sends one request on a connection of its own, so that the client never replays it.
+func send(d *Daemon, method, path, body string, options ...requestOption) result {
+	request, err := http.NewRequest(method, "http://"+d.CallerAddress()+"/s/"+testService+path, strings.NewReader(body))
+	if err != nil {
+		return result{err: err}
+	}
+	request.Close = true
+	for _, option := range options {
+		option(request)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close() //nolint:errcheck // read only
+	content, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// requireOutcome checks the typed outcome of a request.
+func requireOutcome(t *testing.T, r result, status int, outcome oleanderline.Result, reason string) {
+	t.Helper()
+	require.NoError(t, r.err)
+	require.Equal(t, status, r.status, "%v %s", r.header, r.body)
+	require.Equal(t, outcome.String(), r.header.Get("Oleander-Result"), r.body)
+	require.Equal(t, reason, r.header.Get("Oleander-Reason"), r.body)
+}
--- /dev/null
+++ b/pkg/entry/members.go
@@ -0,0 +1,255 @@
+package entry
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/idempotency"
+	"github.com/oleanderline/oleanderline/pkg/member"
+)
+
+// members is this entry's view of the own VMs, guarded for concurrent use. It knows in addition which members have died
+// recently and which are new, because their idempotency keys need care.
+type members struct {
+	common  *common.Common
+	timeout time.Duration
+	keep    time.Duration // how long keys are kept
+
+	mu       sync.Mutex
+	view     *member.View
+	peers    map[oleanderline.VMID]peerState
+	lost     map[oleanderline.VMID]loss
+	listed   []oleanderline.VM // own VMs in the VM list
+	since    time.Time         // start, or end of the last pause
+	lastTick time.Time
+	settled  bool // every listed own VM was asked since since
+	refusing bool
+	counted  int
+	known    bool // every peer has counted this entry
+}
+
+type peerState struct {
+	incarnation int64
+	since       time.Time
+	refusing    bool
+	counted     int
+}
+
+type loss struct {
+	incarnation int64
+	until       time.Time
+}
+
+func newMembers(c *common.Common, self member.Member, timeout, keep time.Duration) *members {
+	now := c.Clock.Now()
+	return &members{
+		common:   c,
+		timeout:  timeout,
+		keep:     keep,
+		view:     member.NewView(self, timeout),
+		peers:    map[oleanderline.VMID]peerState{},
+		lost:     map[oleanderline.VMID]loss{},
+		since:    now,
+		lastTick: now,
+		counted:  1,
+	}
+}
+
+// tick notes that the process is running, and reports whether it stood still for longer than the timeout before.
+func (m *members) tick(now time.Time) (paused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	paused = now.Sub(m.lastTick) > m.timeout
+	m.lastTick = now
+	if paused {
+		m.since, m.settled = now, false
+	}
+	return paused
+}
+
+// settle notes that a round of heartbeats that began at start has reached or missed every listed own VM.
+func (m *members) settle(start time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if start.After(m.since) {
+		m.settled = true
+	}
+}
+
+// setListed replaces the own VMs of the VM list.
+func (m *members) setListed(rows []oleanderline.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = m.listed[:0]
+	for _, row := range rows {
+		if row.Role == oleanderline.RoleOwn {
+			m.listed = append(m.listed, row)
+		}
+	}
+}
+
+// hear takes in a heartbeat. It reports whether the peer joined, and the incarnation of the same name that it replaces.
+func (m *members) hear(b Beat, now time.Time) (joined bool, replaced *idempotency.Executor) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := b.Member.ID
+	if id == m.view.Self().ID {
+		return false, nil
+	}
+	old, known := m.peers[id]
+	if known && b.Member.Incarnation < old.incarnation {
+		return false, nil
+	}
+	if known && b.Member.Incarnation > old.incarnation {
+		m.loseLocked(id, old.incarnation, now)
+		replaced = &idempotency.Executor{ID: id, Incarnation: old.incarnation}
+	}
+	if l, ok := m.lost[id]; ok && l.incarnation == b.Member.Incarnation {
+		// It was only out of reach and still has its keys.
+		delete(m.lost, id)
+	}
+	m.peers[id] = peerState{
+		incarnation: b.Member.Incarnation,
+		since:       now.Add(-b.Age),
+		refusing:    b.Refusing,
+		counted:     b.Counted,
+	}
+	for _, l := range b.Lost {
+		m.mergeLocked(l, now)
+	}
+	return m.view.Heard(b.Member, now), replaced
+}
+
+func (m *members) mergeLocked(l Loss, now time.Time) {
+	self := m.view.Self()
+	if l.ID == self.ID && l.Incarnation == self.Incarnation {
+		return
+	}
+	if p, ok := m.peers[l.ID]; ok && p.incarnation == l.Incarnation {
+		return
+	}
+	until := now.Add(min(l.For, m.keep))
+	if known, ok := m.lost[l.ID]; !ok || until.After(known.until) {
+		m.lost[l.ID] = loss{incarnation: l.Incarnation, until: until}
+	}
+}
+
+func (m *members) loseLocked(id oleanderline.VMID, incarnation int64, now time.Time) {
+	m.lost[id] = loss{incarnation: incarnation, until: now.Add(m.keep)}
+}
+
+// expire forgets silent peers and returns them.
+func (m *members) expire(now time.Time) []member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	gone := m.view.Expire(now)
+	for _, g := range gone {
+		delete(m.peers, g.ID)
+		m.loseLocked(g.ID, g.Incarnation, now)
+	}
+	for id, l := range m.lost {
+		if now.After(l.until) {
+			delete(m.lost, id)
+		}
+	}
+	return gone
+}
+
+// left removes a peer that has handed over its keys.
+func (m *members) left(id oleanderline.VMID, incarnation int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[id]; ok && p.incarnation == incarnation {
+		delete(m.peers, id)
+		m.view.Forget(id)
+	}
+}
+
+// beat returns the state for the next heartbeat, without the slots.
+func (m *members) beat(now time.Time) Beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := Beat{Member: m.view.Self(), Age: now.Sub(m.since), Refusing: m.refusing, Counted: m.counted}
+	for id, l := range m.lost {
+		b.Lost = append(b.Lost, Loss{ID: id, Incarnation: l.incarnation, For: l.until.Sub(now)})
+	}
+	return b
+}
+
+// change applies a change to the own row and state.
+func (m *members) change(apply func(self *member.Member, refusing *bool)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.view.Self()
+	apply(&self, &m.refusing)
+	m.view.SetSelf(self)
+}
+
+// serving returns the members that take requests, in id order.
+func (m *members) serving(now time.Time) []oleanderline.VMID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []oleanderline.VMID
+	self := m.view.Self().ID
+	for _, other := range m.view.Alive(now) {
+		refusing := m.peers[other.ID].refusing
+		if other.ID == self {
+			refusing = m.refusing
+		}
+		if !refusing {
+			ids = append(ids, other.ID)
+		}
+	}
+	return ids
+}
+
+// addresses returns the peer addresses of the alive peers by id.
+func (m *members) addresses(now time.Time) map[oleanderline.VMID]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found := map[oleanderline.VMID]string{}
+	for _, other := range m.view.Alive(now) {
+		if other.ID != m.view.Self().ID {
+			found[other.ID] = other.Address
+		}
+	}
+	return found
+}
+
+// targets returns the addresses that get heartbeats: of the listed own VMs, and of the peers that are alive although
+// the VM list does not have them yet.
+func (m *members) targets(port string, now time.Time) []string {
+	m.mu.Lock()
+	self := m.view.Self().Address
+	var found []string
+	for _, row := range m.listed {
+		if host, _, err := net.SplitHostPort(row.Address); err == nil {
+			found = append(found, net.JoinHostPort(host, port))
+		}
+	}
+	m.mu.Unlock()
+	for _, address := range m.addresses(now) {
+		found = append(found, address)
+	}
+	slices.Sort(found)
+	found = slices.Compact(found)
+	return slices.DeleteFunc(found, func(address string) bool { return address == self })
+}
+
+// self returns the own id.
+func (m *members) self() oleanderline.VMID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Self().ID
+}
+
+// isSettled reports whether every listed own VM was asked since the start or the last pause.
+func (m *members) isSettled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.settled
+}
--- /dev/null
+++ b/pkg/entry/minions.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+	"github.com/oleanderline/oleanderline/pkg/minion"
+)
+
+// minions holds the clients of all minions. Lookups take no lock.
+type minions struct {
+	common   *common.Common
+	settings minion.Settings
+	clients  atomic.Pointer[map[oleanderline.MinionID]*minion.Client]
+
+	mu      sync.Mutex
+	rows    []oleanderline.VM
+	leaving map[oleanderline.MinionID]bool // by the minion's own word
+	limit   int
+}
+
+func newMinions(c *common.Common, settings minion.Settings, limit int) *minions {
+	m := &minions{common: c, settings: settings, leaving: map[oleanderline.MinionID]bool{}, limit: limit}
+	m.clients.Store(&map[oleanderline.MinionID]*minion.Client{})
+	c.Metrics.NewGauge("oleander_entry_minion_connections", func() float64 { return float64(m.connections()) })
+	return m
+}
+
+// get returns the client of a minion, or nil if it is no longer listed.
+func (m *minions) get(id oleanderline.MinionID) *minion.Client {
+	return (*m.clients.Load())[id]
+}
+
+// setRows replaces the rows of the VM list, and returns the minions for the core.
+func (m *minions) setRows(rows []oleanderline.VM) []dispatch.Minion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rows = m.rows[:0]
+	old := *m.clients.Load()
+	clients := make(map[oleanderline.MinionID]*minion.Client, len(old))
+	for _, row := range rows {
+		if row.Role != oleanderline.RoleMinion {
+			continue
+		}
+		m.rows = append(m.rows, row)
+		id := oleanderline.MinionID(row.ID)
+		client, ok := old[id]
+		if !ok || client.Address() != row.Address {
+			client = minion.NewClient(m.common, id, row.Address, m.limit, m.settings)
+			delete(m.leaving, id)
+		}
+		clients[id] = client
+	}
+	m.clients.Store(&clients)
+	for id, client := range old {
+		if clients[id] != client {
+			client.Close()
+		}
+	}
+	return m.listLocked()
+}
+
+func (m *minions) listLocked() []dispatch.Minion {
+	list := make([]dispatch.Minion, 0, len(m.rows))
+	for _, row := range m.rows {
+		id := oleanderline.MinionID(row.ID)
+		list = append(list, dispatch.Minion{
+			ID:      id,
+			Service: row.Service,
+			Address: row.Address,
+			Domain:  row.Domain,
+			Rack:    row.Rack,
+			Slots:   row.Slots,
+			Leaving: row.State == oleanderline.VMLeaving || m.leaving[id],
+		})
+	}
+	return list
+}
+
+// setLeaving records a minion's own word, and returns the minions for the core if that is news.
+func (m *minions) setLeaving(id oleanderline.MinionID, leaving bool) []dispatch.Minion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving[id] == leaving {
+		return nil
+	}
+	if leaving {
+		m.leaving[id] = true
+	} else {
+		delete(m.leaving, id)
+	}
+	return m.listLocked()
+}
+
+// saidLeaving returns the minions that leave by their own word.
+func (m *minions) saidLeaving() []oleanderline.MinionID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []oleanderline.MinionID
+	for id := range m.leaving {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// serves reports whether the VM list has a minion of the service.
+func (m *minions) serves(service oleanderline.ServiceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range m.rows {
+		if m.rows[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// setLimit changes the number of connections to each minion.
+func (m *minions) setLimit(limit int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.limit == limit {
+		return
+	}
+	m.limit = limit
+	for _, client := range *m.clients.Load() {
+		client.SetLimit(limit)
+	}
+}
+
+// within reports whether no minion has more than limit connections.
+func (m *minions) within(limit int) bool {
+	for _, client := range *m.clients.Load() {
+		if client.Connections() > limit {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *minions) connections() int {
+	sum := 0
+	for _, client := range *m.clients.Load() {
+		sum += client.Connections()
+	}
+	return sum
+}
+
+func (m *minions) sweep() {
+	for _, client := range *m.clients.Load() {
+		client.Sweep()
+	}
+}
+
+func (m *minions) close() {
+	for _, client := range *m.clients.Load() {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/pkg/entry/reply_body.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"io"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+)
+
+// replyBody streams an answer, and ends the exchange when the answer ends.
+type replyBody struct {
+	exchanger *exchanger
+	attempt   *attempt
+	failed    bool
+	closed    bool
+}
+
+// Read implements io.Reader. An error other than io.EOF means that the answer is truncated.
+func (b *replyBody) Read(p []byte) (int, error) {
+	n, err := b.attempt.answer.Read(p)
+	if err != nil {
+		b.failed = err != io.EOF
+		_ = b.Close()
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *replyBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	a := b.attempt
+	a.answer.Close()
+	finish := dispatch.Finish{
+		Request: a.ticket.id,
+		Minion:  a.minion,
+		Result:  oleanderline.ResultUnknown,
+		Failed:  b.failed,
+		Latency: b.exchanger.common.Clock.Now().Sub(a.started),
+	}
+	if a.answer.Whole() {
+		finish.Result = oleanderline.ResultAnswered
+	}
+	b.exchanger.dispatcher.done(finish, false)
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/switches.go
@@ -0,0 +1,9 @@
+package entry
+
+// switches turn single mechanisms off, so that tests can show that they fail without them.
+type switches struct {
+	noHedge     bool // never send a second copy
+	noJoin      bool // ignore idempotency keys
+	noLossCheck bool // grant keys whose home has died
+	noBound     bool // ignore the bound on connections
+}
--- /dev/null
+++ b/pkg/entry/vm_poller.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+)
+
+// vmPoller reads the VM list at an interval. When it cannot, the last list is kept.
+type vmPoller struct {
+	common     *common.Common
+	list       oleanderline.VMList
+	interval   time.Duration
+	minions    *minions
+	members    *members
+	dispatcher *dispatcher
+	applied    func()
+	read       atomic.Int64 // time of the last read in nanoseconds; zero: none
+	failing    bool
+}
+
+func newVMPoller(c *common.Common, list oleanderline.VMList, interval time.Duration) *vmPoller {
+	p := &vmPoller{common: c, list: list, interval: interval}
+	c.Metrics.NewGauge("oleander_entry_vm_list_age_seconds", func() float64 {
+		read := p.read.Load()
+		if read == 0 {
+			return -1
+		}
+		return c.Clock.Now().Sub(time.Unix(0, read)).Seconds()
+	})
+	return p
+}
+
+func (p *vmPoller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.poll(ctx)
+		timer := p.common.Clock.NewTimer(p.interval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C():
+		}
+		timer.Stop()
+	}
+}
+
+func (p *vmPoller) poll(ctx context.Context) {
+	// A read that takes longer is given up, so that a leaving minion is known in time when the list answers again.
+	call, cancel := context.WithTimeout(ctx, max(p.interval, time.Second))
+	defer cancel()
+	rows, err := p.list.List(call)
+	if err != nil {
+		if !p.failing && ctx.Err() == nil {
+			p.common.Event(common.EventVMListFailed).WithError(err).Warn("VM list cannot be read, the last one is kept")
+		}
+		p.failing = true
+		return
+	}
+	p.failing = false
+	p.read.Store(p.common.Clock.Now().UnixNano())
+	p.members.setListed(rows)
+	list := p.minions.setRows(rows)
+	p.dispatcher.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
+		return core.SetMinions(list, now, actions)
+	})
+	p.applied()
+}
+
+// hasRead reports whether the VM list was read at least once.
+func (p *vmPoller) hasRead() bool { return p.read.Load() != 0 }
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -101,3 +101,6 @@
 		return 0
 	}
 }
+
+// Forget removes a peer that has left on purpose.
+func (v *View) Forget(id oleanderline.VMID) { delete(v.peers, id) }
