--- /dev/null
+++ b/pkg/shard/apply.go
@@ -0,0 +1,200 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+func (c *Core) applySubmit(record journal.Record, at time.Time) {
+	if record.Job == nil {
+		return
+	}
+	if c.jobs[record.Job.ID] == nil {
+		j := c.addJob(*record.Job)
+		for index := range j.Count {
+			c.addTask(j, index, at)
+		}
+	}
+	c.answerSubmits(record.Job.ID)
+}
+
+func (c *Core) addJob(spec journal.Job) *job {
+	j := &job{Job: spec, tasks: make(map[int]*task, spec.Count)}
+	c.jobs[spec.ID] = j
+	c.jobOrder = append(c.jobOrder, j)
+	return j
+}
+
+func (c *Core) addTask(j *job, index int, at time.Time) *task {
+	t := &task{job: j, id: taskID(j.ID, index), index: index, since: at, keptAt: at}
+	j.tasks[index] = t
+	if c.owning {
+		c.queue.push(t)
+	}
+	return t
+}
+
+func (c *Core) applyAssign(record journal.Record, at time.Time) {
+	t := c.find(record.Task)
+	if t == nil || t.state != taskWaiting || record.Attempt != t.attempt+1 {
+		return
+	}
+	t.state, t.attempt, t.worker, t.since = taskAssigned, record.Attempt, record.Worker, at
+	t.pending = ""
+	c.workers.assign(t)
+}
+
+// applyFree handles the end of an attempt that did not complete the task.
+func (c *Core) applyFree(record journal.Record, at time.Time) {
+	t := c.current(record)
+	if t == nil {
+		return
+	}
+	c.workers.release(t)
+	if record.Checkpoint != "" {
+		t.checkpoint = record.Checkpoint
+	}
+	t.job.reason = record.Reason
+	t.state, t.worker, t.since = taskWaiting, "", at
+	if record.Kind == journal.KindFail {
+		t.failures++
+	}
+	t.owned = owned{}
+	switch {
+	case t.cancelled:
+		t.job.counts.Cancelled++
+		c.remove(t, at)
+	case record.Kind == journal.KindFail && record.Final:
+		t.job.counts.Failed++
+		c.remove(t, at)
+	case c.owning:
+		t.notBefore = c.now.Add(backoff(t.failures))
+		c.queue.pushFront(t)
+	}
+	c.counters.Freed++
+}
+
+func (c *Core) applyDone(record journal.Record, at time.Time) {
+	t := c.current(record)
+	if t == nil {
+		return
+	}
+	c.workers.release(t)
+	t.job.counts.Done++
+	c.counters.Done++
+	c.remove(t, at)
+}
+
+// current returns the task if the record is about its assigned attempt.
+func (c *Core) current(record journal.Record) *task {
+	t := c.find(record.Task)
+	if t == nil || t.state != taskAssigned || record.Attempt != t.attempt {
+		return nil
+	}
+	return t
+}
+
+func (c *Core) applyCancel(record journal.Record, at time.Time) {
+	for _, id := range record.Jobs {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		j.cancelPending = false
+		for index := range j.Count {
+			if t := j.tasks[index]; t != nil {
+				c.cancelTask(t, at)
+			}
+		}
+		c.answerCancels(id)
+	}
+}
+
+func (c *Core) cancelTask(t *task, at time.Time) {
+	t.cancelled = true
+	if t.state == taskWaiting {
+		c.workers.release(t)
+		t.job.counts.Cancelled++
+		c.remove(t, at)
+	}
+}
+
+// remove forgets a finished task.
+func (c *Core) remove(t *task, at time.Time) {
+	delete(t.job.tasks, t.index)
+	c.queue.drop(t)
+	if len(t.job.tasks) == 0 {
+		t.job.finishedAt = at
+	}
+}
+
+// applyKeep adds what is not yet known. What is known is at least as new, because the record was written when no other
+// record about these tasks was on its way.
+func (c *Core) applyKeep(record journal.Record, at time.Time) {
+	if record.Job == nil {
+		return
+	}
+	j := c.jobs[record.Job.ID]
+	created := j == nil
+	if created {
+		j = c.addJob(*record.Job)
+	}
+	if record.Counts != nil && (created || j.rebuilt) {
+		j.counts, j.rebuilt = *record.Counts, true
+	}
+	for _, kept := range record.Tasks {
+		c.applyKeptTask(j, kept, at)
+	}
+}
+
+func (c *Core) applyKeptTask(j *job, kept journal.KeptTask, at time.Time) {
+	if t := j.tasks[kept.Index]; t != nil {
+		t.keptAt = at
+		return
+	}
+	if !j.rebuilt {
+		return
+	}
+	t := c.addTask(j, kept.Index, at)
+	t.attempt, t.checkpoint, t.cancelled, t.failures = kept.Attempt, kept.Checkpoint, kept.Cancelled, kept.Failures
+	if kept.Worker != "" {
+		t.state, t.worker = taskAssigned, kept.Worker
+		c.queue.drop(t)
+		c.workers.assign(t)
+	}
+}
+
+// forgetFinished drops jobs that finished long ago. Their keys may be used again.
+func (c *Core) forgetFinished() {
+	for len(c.jobOrder) > 0 && c.forgettable(c.jobOrder[0]) {
+		delete(c.jobs, c.jobOrder[0].ID)
+		c.jobOrder = c.jobOrder[1:]
+	}
+	if c.now.Sub(c.sweptAt) < c.cfg.Limits.Keep/4 {
+		return
+	}
+	c.sweptAt = c.now
+	kept := make([]*job, 0, len(c.jobOrder))
+	for _, j := range c.jobOrder {
+		if c.forgettable(j) {
+			delete(c.jobs, j.ID)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	c.jobOrder = kept
+}
+
+func (c *Core) forgettable(j *job) bool {
+	return len(j.tasks) == 0 && !j.finishedAt.IsZero() && c.now.Sub(j.finishedAt) > c.cfg.Limits.Keep
+}
+
+// backoff is the wait before the next attempt of a task that has failed n times.
+func backoff(n int) time.Duration {
+	const first, most = time.Second, time.Minute
+	if n == 0 {
+		return 0
+	}
+	return min(first<<min(n-1, 10), most)
+}
--- /dev/null
+++ b/pkg/shard/core.go
@@ -0,0 +1,157 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+// Times that are not worth a setting.
+const (
+	ownerPoll    = time.Second            // between two reads of an idle owner
+	followerPoll = 500 * time.Millisecond // between two reads of a follower
+	readRetry    = 200 * time.Millisecond // after a failed read
+	readLimit    = 500                    // entries of one read
+	// beat is how often an owner writes to its stream even if nothing happens, and silence is how long it may be quiet
+	// before the follower takes over although the owner still answers heartbeats: it may be cut off from the log.
+	beat    = 10 * time.Second
+	silence = 40 * time.Second
+	// settleTime is how long another VM must have been first in rendezvous order before the owner hands over to it.
+	settleTime = 20 * time.Second
+	// handover is how long an owner that has released its shard waits for the successor before it goes on.
+	handover = 5 * time.Second
+)
+
+// Core is the state of one shard at one process. It is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	now time.Time
+	out []Action
+
+	journalState
+	stream
+	ownership
+
+	jobs     map[oleanderline.JobID]*job
+	jobOrder []*job
+	workers  workerTable
+	queue    queue
+	waiters  waiters
+	largest  []oleanderline.Size
+	callID   uint64
+	keepNext int
+	sweptAt  time.Time // when finished jobs were last looked for
+	sweepAt  time.Time // when live records were last looked for
+	counters Counters
+}
+
+// journalState is the writer and the readers' order of the stream.
+type journalState struct {
+	order  *journal.Order
+	writer *journal.Writer
+}
+
+// Counters are totals since the process started.
+type Counters struct {
+	Starts, Done, Failed, Freed, Cancelled, Lapsed int
+	Claims, Lost, Gaps, Rebuilt                    int
+	Refused                                        int
+}
+
+// New returns a core that knows nothing and owns nothing.
+func New(cfg Config) *Core {
+	c := &Core{cfg: cfg}
+	c.writer = journal.NewWriter(cfg.Writer)
+	c.waiters = newWaiters()
+	c.workers = newWorkerTable()
+	c.forget(1)
+	return c
+}
+
+// Step handles one event and returns what the process must do. The clock must be monotonic.
+func (c *Core) Step(event Event, now time.Time) []Action {
+	c.noticePause(now)
+	c.now = now
+	switch e := event.(type) {
+	case Members:
+		c.setMembers(e)
+	case VMs:
+		c.setVMs(e)
+	case Drains:
+		c.workers.drains = e.Workers
+	case ReadDone:
+		c.readDone(e)
+	case AppendDone:
+		c.appendDone(e)
+	case CallDone:
+		c.callDone(e)
+	case Submit:
+		c.submit(e)
+	case Cancel:
+		c.cancel(e)
+	case Leave:
+		c.leaving = true
+	}
+	c.advance()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// advance does everything that is due.
+func (c *Core) advance() {
+	c.maintainOwnership()
+	c.requestRead()
+	if c.mayAct() {
+		c.operateWorkers()
+		c.place()
+		c.keepLive()
+	}
+	c.expireWaiters()
+	c.forgetFinished()
+	if c.mayAppend() {
+		if group, ok := c.writer.Next(c.order.Term(), c.now); ok {
+			c.emit(Append{Group: group})
+		}
+	}
+}
+
+func (c *Core) emit(action Action) { c.out = append(c.out, action) }
+
+func (c *Core) record(urgent bool, records ...journal.Record) {
+	c.writer.Add(c.now, urgent, records...)
+}
+
+func (c *Core) appendDone(e AppendDone) {
+	c.writer.Answered(e.Seq, e.Err, c.now)
+	if e.Err == nil {
+		c.readSoon = true
+	}
+}
+
+// forget drops everything that the stream says, to read it again from an offset on.
+func (c *Core) forget(from oleanderline.Offset) {
+	c.order = journal.NewOrder(c.cfg.Without.Journal)
+	c.jobs = map[oleanderline.JobID]*job{}
+	c.jobOrder = nil
+	c.queue = queue{}
+	c.workers.dropTasks()
+	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
+}
+
+// find returns an unfinished task.
+func (c *Core) find(id oleanderline.TaskID) *task {
+	name, index, err := splitTaskID(id)
+	if err != nil {
+		return nil
+	}
+	j := c.jobs[name]
+	if j == nil {
+		return nil
+	}
+	return j.tasks[index]
+}
+
+// Counters returns the totals so far.
+func (c *Core) Counters() Counters { return c.counters }
--- /dev/null
+++ b/pkg/shard/event.go
@@ -0,0 +1,89 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+// Event is an input of a Core: one of the types in this file.
+type Event any
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Members is the newest view of the own VMs that take shards, in rendezvous order for this shard.
+type Members struct {
+	Ranked []Candidate
+}
+
+// Candidate is an own VM that can own a shard.
+type Candidate struct {
+	ID     oleanderline.VMID
+	Domain oleanderline.DomainID
+}
+
+// VMs is a VM list with the workers of this shard, and the largest workers of the region.
+type VMs struct {
+	Workers []oleanderline.VM
+	Asked   time.Time           // when the list was asked for
+	Largest []oleanderline.Size // sizes of workers of the region that no other exceeds
+}
+
+// Drains is the set of the workers of this shard that operators want empty.
+type Drains struct {
+	Workers map[oleanderline.WorkerID]bool
+}
+
+// ReadDone answers a Read. Its entries are decoded.
+type ReadDone struct {
+	Asked  time.Time // when the read was sent
+	From   oleanderline.Offset
+	Oldest oleanderline.Offset
+	Next   oleanderline.Offset
+	Groups []Located
+	Err    error
+}
+
+// Located is a group with its place in the stream.
+type Located struct {
+	Offset oleanderline.Offset
+	Time   time.Time
+	Group  journal.Group
+}
+
+// AppendDone answers an Append.
+type AppendDone struct {
+	Seq    journal.Seq
+	Offset oleanderline.Offset
+	Err    error
+}
+
+// CallDone answers a Call.
+type CallDone struct {
+	Worker    oleanderline.WorkerID
+	ID        uint64
+	Sent      bool // false if the call was dropped because it had expired
+	Inventory oleanderline.Inventory
+	Stop      oleanderline.StopResult
+	Err       error
+}
+
+// Token identifies the caller of a Submit or Cancel.
+type Token uint64
+
+// Submit asks for a job to be recorded.
+type Submit struct {
+	Token Token
+	Job   journal.Job
+}
+
+// Cancel asks for jobs to be cancelled.
+type Cancel struct {
+	Token Token
+	Jobs  []oleanderline.JobID
+}
+
+// Leave asks the owner to hand the shard over, because its process stops.
+type Leave struct{}
--- /dev/null
+++ b/pkg/shard/inventory.go
@@ -0,0 +1,94 @@
+package shard
+
+import (
+	"slices"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+// takeInventory compares what a worker runs with what the stream says.
+func (c *Core) takeInventory(w *worker, inventory oleanderline.Inventory) {
+	w.outcomes = inventory.Outcomes
+	leased := make(map[oleanderline.AttemptKey]bool, len(inventory.Leases))
+	var ghosts []ghost
+	for _, lease := range inventory.Leases {
+		leased[lease.AttemptKey] = true
+		t := c.assignedTo(w, lease.AttemptKey)
+		if t == nil {
+			ghosts = append(ghosts, w.ghost(lease))
+			continue
+		}
+		t.running = true
+		if t.pending == "" && !t.ended {
+			c.workers.reserve(t, w)
+		}
+	}
+	c.replaceGhosts(w, ghosts)
+	for _, outcome := range inventory.Outcomes {
+		leased[outcome.AttemptKey] = true
+		if t := c.assignedTo(w, outcome.AttemptKey); t != nil && t.pending == "" && !t.ended {
+			c.finish(t, outcome)
+		}
+	}
+	for _, t := range w.tasks {
+		if t.running && !t.ended && t.pending == "" && !leased[t.key()] {
+			// The worker has lost the attempt, for example because it was restarted.
+			t.stop = true
+		}
+	}
+}
+
+func (w *worker) ghost(lease oleanderline.Lease) ghost {
+	for _, g := range w.ghosts {
+		if g.AttemptKey == lease.AttemptKey {
+			return g
+		}
+	}
+	return ghost{AttemptKey: lease.AttemptKey, size: lease.Size}
+}
+
+func (c *Core) replaceGhosts(w *worker, ghosts []ghost) {
+	for _, g := range w.ghosts {
+		w.committed = w.committed.Sub(g.size)
+	}
+	for _, g := range ghosts {
+		w.committed = w.committed.Add(g.size)
+	}
+	w.ghosts = ghosts
+}
+
+func (c *Core) ghostStopped(w *worker, key oleanderline.AttemptKey, stopped bool) {
+	for i := range w.ghosts {
+		g := &w.ghosts[i]
+		if g.AttemptKey != key {
+			continue
+		}
+		if stopped {
+			w.committed = w.committed.Sub(g.size)
+			w.ghosts = slices.Delete(w.ghosts, i, i+1)
+			return
+		}
+		g.tries++
+		g.retryAt = c.now.Add(min(stopRetryFirst<<min(g.tries-1, 8), stopRetryMost))
+		return
+	}
+}
+
+// finish queues the record of an outcome. The worker keeps the outcome until the record is read back.
+func (c *Core) finish(t *task, outcome oleanderline.Outcome) {
+	c.workers.unreserve(t)
+	t.ended = true
+	record := journal.Record{Task: t.id, Attempt: t.attempt, Reason: outcome.Reason}
+	switch outcome.State {
+	case oleanderline.OutcomeDone:
+		record.Kind, record.Ran = journal.KindDone, outcome.Ran
+	case oleanderline.OutcomeFailed:
+		record.Kind, record.Final = journal.KindFail, t.failures+1 >= c.cfg.Limits.Failures
+		c.counters.Failed++
+	default:
+		record.Kind, record.Checkpoint = journal.KindFree, outcome.Checkpoint
+	}
+	t.pending = record.Kind
+	c.record(t.job.Urgent, record)
+}
--- /dev/null
+++ b/pkg/shard/operate.go
@@ -0,0 +1,285 @@
+package shard
+
+import (
+	"errors"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+// Bounds of repeated calls.
+const (
+	callRetryFirst = 100 * time.Millisecond
+	callRetryMost  = 2 * time.Second
+	stopRetryFirst = 500 * time.Millisecond
+	stopRetryMost  = 10 * time.Second
+	// lostAfter is the number of failed calls after which assignments that were never sent leave the worker.
+	lostAfter = 3
+)
+
+// operateWorkers makes the next call to each worker that has none outstanding.
+func (c *Core) operateWorkers() {
+	for _, w := range c.workers.order {
+		c.dismiss(w)
+		if c.leaseOver(w) {
+			c.expireLeases(w)
+		}
+		if !w.busy && w.vm.Address != "" && !w.absent && !c.now.Before(w.retryAt) {
+			c.operate(w)
+		}
+	}
+}
+
+func (c *Core) operate(w *worker) {
+	switch {
+	case w.failures > 0:
+		// A renewal that may arrive would restart the wait for the lease to end, an inventory does not.
+		c.send(w, Call{Kind: CallInventory})
+	case !w.fenced || c.now.Sub(w.renewedAt) >= c.cfg.Limits.Lease/3:
+		c.renew(w)
+	case c.sendStop(w):
+	case c.sendStart(w):
+	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.ghosts) > 0):
+		c.renew(w)
+	}
+}
+
+func (c *Core) send(w *worker, call Call) {
+	c.callID++
+	call.ID, call.Worker, call.Address = c.callID, w.id, w.vm.Address
+	call.Before = c.now.Add(c.cfg.Limits.Lease / 3)
+	if horizon := c.readAt.Add(c.cfg.Limits.Horizon); horizon.Before(call.Before) {
+		call.Before = horizon
+	}
+	w.busy, w.callID, w.call = true, call.ID, call
+	c.emit(call)
+}
+
+func (c *Core) renew(w *worker) {
+	request := oleanderline.RenewRequest{Shard: c.cfg.Shard, Term: c.term, Lease: c.cfg.Limits.Lease}
+	for _, outcome := range w.outcomes {
+		if c.settled(w, outcome.AttemptKey) {
+			request.Acked = append(request.Acked, outcome.AttemptKey)
+		}
+	}
+	c.send(w, Call{Kind: CallRenew, Renew: request})
+}
+
+// settled reports whether the stream no longer needs the outcome of an attempt.
+func (c *Core) settled(w *worker, key oleanderline.AttemptKey) bool {
+	return c.assignedTo(w, key) == nil
+}
+
+// assignedTo returns the task if this attempt is assigned to the worker.
+func (c *Core) assignedTo(w *worker, key oleanderline.AttemptKey) *task {
+	t := c.find(key.Task)
+	if t == nil || t.state != taskAssigned || t.worker != w.id || t.attempt != key.Attempt {
+		return nil
+	}
+	return t
+}
+
+// dismiss marks the tasks that must leave the worker, and frees those that were never sent to it.
+func (c *Core) dismiss(w *worker) {
+	draining := c.workers.draining(w)
+	for _, t := range w.tasks {
+		if t.pending != "" || t.ended {
+			continue
+		}
+		leave := t.cancelled || (draining && t.job.Kind == oleanderline.KindBatch)
+		if leave {
+			t.stop = true
+		}
+		lost := w.failures >= lostAfter || w.absent
+		if (t.stop || lost) && c.neverRan(w, t) {
+			c.free(t, "not started", "")
+		}
+	}
+}
+
+// neverRan reports whether the attempt is known not to run and not to start later: the worker refuses earlier owners,
+// its inventory lacked the attempt, and no start was sent under the own term.
+func (c *Core) neverRan(w *worker, t *task) bool { return w.fenced && !t.sent && !t.running }
+
+// leaseOver reports whether every lease at a worker that does not answer has run out by its own clock.
+func (c *Core) leaseOver(w *worker) bool {
+	if len(w.tasks) == 0 || w.busy || (w.reachable() && !w.absent && w.vm.Address != "") {
+		return false
+	}
+	if c.cfg.Without.LeaseWait {
+		return true
+	}
+	since := w.sentAt
+	if !w.fenced {
+		earlier := c.claimedAt
+		if !w.absent {
+			earlier = earlier.Add(c.cfg.Limits.Horizon)
+		}
+		if earlier.After(since) {
+			since = earlier
+		}
+	}
+	return c.now.Sub(since) > c.cfg.Limits.Lease+c.cfg.Limits.Margin
+}
+
+func (c *Core) expireLeases(w *worker) {
+	for _, t := range w.tasks {
+		if t.pending == "" {
+			c.counters.Lapsed++
+			c.free(t, "lease expired at a worker that does not answer", "")
+		}
+	}
+}
+
+// free queues the record that an attempt does not run any more.
+func (c *Core) free(t *task, reason, checkpoint string) {
+	c.workers.unreserve(t)
+	t.pending = journal.KindFree
+	c.record(t.job.Urgent, journal.Record{
+		Kind: journal.KindFree, Task: t.id, Attempt: t.attempt, Reason: reason, Checkpoint: checkpoint,
+	})
+}
+
+func (c *Core) sendStop(w *worker) bool {
+	for _, t := range w.tasks {
+		if t.stop && t.pending == "" && !t.ended && !c.now.Before(t.retryAt) {
+			c.send(w, Call{Kind: CallStop, Stop: oleanderline.StopRequest{
+				Shard: c.cfg.Shard, Term: c.term, Task: t.id, Attempt: t.attempt, Checkpoint: !t.cancelled,
+			}})
+			return true
+		}
+	}
+	for i := range w.ghosts {
+		if g := &w.ghosts[i]; !c.now.Before(g.retryAt) {
+			c.send(w, Call{Kind: CallStop, Stop: oleanderline.StopRequest{
+				Shard: c.cfg.Shard, Term: c.term, Task: g.Task, Attempt: g.Attempt,
+			}})
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) sendStart(w *worker) bool {
+	// A worker that failed a call may have lost its memory of newer terms, so this owner must first see that there is none.
+	if c.releasing || !c.readAt.After(w.failedAt) {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.running || t.ended || t.stop || t.pending != "" || c.now.Before(t.retryAt) {
+			continue
+		}
+		if !t.reserved && !t.size().Fits(w.free()) {
+			continue
+		}
+		c.workers.reserve(t, w)
+		t.sent = true
+		c.send(w, Call{Kind: CallStart, Start: c.startRequest(t)})
+		return true
+	}
+	return false
+}
+
+func (c *Core) startRequest(t *task) oleanderline.StartRequest {
+	return oleanderline.StartRequest{
+		Shard: c.cfg.Shard, Term: c.term, Task: t.id, Attempt: t.attempt, Kind: t.job.Kind, Class: t.job.Class,
+		Command: t.job.Command, Size: t.size(), Lease: c.cfg.Limits.Lease, Checkpoint: t.checkpoint,
+	}
+}
+
+// callDone handles the answer of a worker.
+func (c *Core) callDone(e CallDone) {
+	w := c.workers.byID[e.Worker]
+	if w == nil || !w.busy || w.callID != e.ID {
+		return
+	}
+	w.busy = false
+	call := w.call
+	if !c.owning || call.term() != 0 && call.term() != c.term {
+		return
+	}
+	if e.Sent && (call.Kind == CallRenew || call.Kind == CallStart) {
+		w.sentAt = c.now
+	}
+	if !e.Sent || failed(e.Err) {
+		c.callFailed(w)
+		return
+	}
+	if errors.Is(e.Err, oleanderline.ErrFenced) && call.Kind != CallStart {
+		c.suspect(c.now)
+		w.retryAt = c.now.Add(callRetryMost)
+		return
+	}
+	c.answered(w, call, e)
+}
+
+func (c *Core) answered(w *worker, call Call, e CallDone) {
+	w.failures = 0
+	switch call.Kind {
+	case CallInventory:
+		w.renewedAt = time.Time{} // renew at once
+	case CallRenew:
+		w.fenced, w.renewedAt = true, c.now
+		c.takeInventory(w, e.Inventory)
+	case CallStart:
+		c.startAnswered(w, call.Start, e.Err)
+	case CallStop:
+		c.stopAnswered(w, call.Stop, e.Stop)
+	}
+}
+
+func (call *Call) term() oleanderline.Term {
+	return max(call.Start.Term, call.Renew.Term, call.Stop.Term)
+}
+
+func failed(err error) bool {
+	return err != nil && !errors.Is(err, oleanderline.ErrFenced) && !errors.Is(err, oleanderline.ErrCapacity)
+}
+
+func (c *Core) callFailed(w *worker) {
+	w.failures++
+	w.failedAt = c.now
+	w.retryAt = c.now.Add(min(callRetryFirst<<min(w.failures-1, 8), callRetryMost))
+}
+
+func (c *Core) startAnswered(w *worker, request oleanderline.StartRequest, err error) {
+	t := c.assignedTo(w, oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt})
+	if t == nil {
+		return
+	}
+	if err == nil {
+		t.running = true
+		c.counters.Starts++
+		return
+	}
+	// Either a newer owner exists, which the next read shows, or the attempt was stopped before. A confirmed stop
+	// settles the second case.
+	t.stop = true
+	if errors.Is(err, oleanderline.ErrFenced) {
+		c.suspect(c.now)
+	}
+}
+
+func (c *Core) stopAnswered(w *worker, request oleanderline.StopRequest, result oleanderline.StopResult) {
+	key := oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt}
+	t := c.assignedTo(w, key)
+	switch {
+	case t != nil && t.pending == "" && !t.ended:
+		c.taskStopped(t, result)
+	case t == nil:
+		c.ghostStopped(w, key, result.Stopped)
+	}
+}
+
+func (c *Core) taskStopped(t *task, result oleanderline.StopResult) {
+	switch {
+	case !result.Stopped:
+		t.stopTries++
+		t.retryAt = c.now.Add(min(stopRetryFirst<<min(t.stopTries-1, 8), stopRetryMost))
+	case result.Outcome != nil:
+		c.finish(t, *result.Outcome)
+	default:
+		c.free(t, "stopped", result.Checkpoint)
+	}
+}
