Add the scheduler daemon and the job interface

Three schedulers on loopback share their shards, forward jobs to the owner, take over from a lost or stopping one and finish its work (daemon_test.go).

--- /dev/null
+++ b/pkg/sched/peer_service.go
@@ -0,0 +1,89 @@
+package sched
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+	"github.com/oleanderline/oleanderline/pkg/shard"
+)
+
+// serviceName is the name of the net/rpc services of the scheduler on the peer and the operator listener.
+const serviceName = "Sched"
+
+// SubmitArgs forwards a job to the owner of its shard.
+type SubmitArgs struct {
+	Job journal.Job
+}
+
+// JobArgs names a job.
+type JobArgs struct {
+	Job oleanderline.JobID
+}
+
+// peerService answers other schedulers. Every call is idempotent. It never forwards a call itself.
+type peerService struct {
+	daemon *Daemon
+}
+
+var errStopping = errors.New("the scheduler is stopping")
+
+// Heartbeat takes the caller's row and returns the own one.
+func (p *peerService) Heartbeat(caller member.Member, reply *member.Member) error {
+	p.daemon.roster.heard(caller)
+	*reply = p.daemon.roster.me()
+	return nil
+}
+
+// Rules returns the rules in force here.
+func (p *peerService) Rules(_ struct{}, reply *rules.Snapshot) error {
+	*reply = p.daemon.rules.Snapshot()
+	return nil
+}
+
+// Submit records a job if this process owns its shard.
+func (p *peerService) Submit(args SubmitArgs, reply *shard.Answer) error {
+	return p.ask(args.Job.ID, reply, func(ctx context.Context, s *shardDuty) (shard.Answer, error) {
+		return s.ask(ctx, func(token shard.Token) shard.Event { return shard.Submit{Token: token, Job: args.Job} })
+	})
+}
+
+// Cancel records a cancellation if this process owns the job's shard.
+func (p *peerService) Cancel(args JobArgs, reply *shard.Answer) error {
+	return p.ask(args.Job, reply, func(ctx context.Context, s *shardDuty) (shard.Answer, error) {
+		return s.ask(ctx, func(token shard.Token) shard.Event {
+			return shard.Cancel{Token: token, Jobs: []oleanderline.JobID{args.Job}}
+		})
+	})
+}
+
+// Job returns the status of a job if this process owns its shard.
+func (p *peerService) Job(args JobArgs, reply *shard.Answer) error {
+	return p.ask(args.Job, reply, func(ctx context.Context, s *shardDuty) (shard.Answer, error) {
+		return s.jobStatus(ctx, args.Job)
+	})
+}
+
+func (p *peerService) ask(
+	job oleanderline.JobID, reply *shard.Answer, local func(context.Context, *shardDuty) (shard.Answer, error),
+) error {
+	d := p.daemon
+	id, err := d.shardOf(job)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, d.settings.Hold+callTimeout)
+	defer cancel()
+	answer, err := local(ctx, d.shards[id])
+	switch {
+	case errors.Is(err, errBusy):
+		answer = shard.Answer{Verdict: shard.NotRun, Reason: err.Error()}
+	case err != nil:
+		return errStopping
+	}
+	*reply = answer
+	return nil
+}
--- /dev/null
+++ b/pkg/sched/roster.go
@@ -0,0 +1,187 @@
+package sched
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+	"github.com/oleanderline/oleanderline/pkg/shard"
+)
+
+// roster knows which other schedulers answer, and holds the connections to them.
+type roster struct {
+	daemon *Daemon
+	self   member.Member
+
+	mu      sync.Mutex
+	view    *member.View
+	clients map[string]*peer.Client // by address
+	asking  map[string]bool         // a heartbeat is on its way to this address
+}
+
+func newRoster(d *Daemon, self member.Member) *roster {
+	return &roster{
+		daemon:  d,
+		self:    self,
+		view:    member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
+		clients: map[string]*peer.Client{},
+		asking:  map[string]bool{},
+	}
+}
+
+// beat sends a heartbeat to every own VM of the region and passes the members to the shards.
+func (r *roster) beat() {
+	d := r.daemon
+	for _, vm := range d.workers.get() {
+		if vm.Role == oleanderline.RoleOwn && vm.ID != r.self.ID {
+			r.greet(d.settings.peerAddress(vm.Address))
+		}
+	}
+	r.mu.Lock()
+	lost := r.view.Expire(d.common.Clock.Now())
+	r.mu.Unlock()
+	for _, m := range lost {
+		d.common.Event(common.EventPeerLost).WithField("peer", m.ID).Warn("scheduler has missed its heartbeats")
+	}
+	for i, s := range d.shards {
+		s.deliver(shard.Members{Ranked: r.ranked(oleanderline.ShardID(i))})
+	}
+}
+
+func (r *roster) greet(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asking[address] {
+		return
+	}
+	r.asking[address] = true
+	client := r.client(address)
+	r.daemon.loops.Go(func() {
+		ctx, cancel := context.WithTimeout(r.daemon.ctx, heartbeatsMissed*r.daemon.settings.Heartbeat)
+		defer cancel()
+		var reply member.Member
+		if err := client.Call(ctx, serviceName+".Heartbeat", r.me(), &reply); err == nil {
+			r.heard(reply)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.asking, address)
+	})
+}
+
+// client returns the connection to an address. The caller holds mu.
+func (r *roster) client(address string) *peer.Client {
+	client := r.clients[address]
+	if client == nil {
+		client = peer.NewClient(address, r.daemon.settings.Key, peer.WithTimeout(r.daemon.settings.Hold+callTimeout))
+		r.clients[address] = client
+	}
+	return client
+}
+
+// connect returns the connection to an address.
+func (r *roster) connect(address string) *peer.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.client(address)
+}
+
+func (r *roster) heard(m member.Member) {
+	r.mu.Lock()
+	joined := r.view.Heard(m, r.daemon.common.Clock.Now())
+	r.mu.Unlock()
+	if joined {
+		r.daemon.common.Event(common.EventPeerJoined).WithField("peer", m.ID).Info("scheduler answers")
+	}
+}
+
+func (r *roster) me() member.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.view.Self()
+	self.Revision = r.daemon.rules.Current().Revision
+	return self
+}
+
+// ranked returns the members that take shards, in rendezvous order for a shard.
+func (r *roster) ranked(id oleanderline.ShardID) []shard.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	domains := map[oleanderline.VMID]oleanderline.DomainID{}
+	var ids []oleanderline.VMID
+	for _, m := range r.view.Alive(r.daemon.common.Clock.Now()) {
+		if !m.Draining {
+			ids = append(ids, m.ID)
+			domains[m.ID] = m.Domain
+		}
+	}
+	var candidates []shard.Candidate
+	for _, vm := range member.Rank(shardKey(id), ids) {
+		candidates = append(candidates, shard.Candidate{ID: vm, Domain: domains[vm]})
+	}
+	return candidates
+}
+
+func shardKey(id oleanderline.ShardID) string { return "shard/" + strconv.Itoa(int(id)) }
+
+// first returns the peer address of the member that should own a shard, or "" if that is this process.
+func (r *roster) first(id oleanderline.ShardID) string {
+	ranked := r.ranked(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.view.Alive(r.daemon.common.Clock.Now()) {
+		if len(ranked) > 0 && m.ID == ranked[0].ID && m.ID != r.self.ID {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// drain tells the peers with the next heartbeat that this process takes no shards any more.
+func (r *roster) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.view.Self()
+	self.Draining = true
+	r.view.SetSelf(self)
+}
+
+// others reports whether another member takes shards.
+func (r *roster) others() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	eligible := r.view.Eligible(r.daemon.common.Clock.Now())
+	return slices.ContainsFunc(eligible, func(id oleanderline.VMID) bool { return id != r.self.ID })
+}
+
+// askRules collects the rules of the peers, for a process that cannot read the log service.
+func (r *roster) askRules(ctx context.Context) []rules.Snapshot {
+	r.mu.Lock()
+	alive := r.view.Alive(r.daemon.common.Clock.Now())
+	r.mu.Unlock()
+	var snapshots []rules.Snapshot
+	for _, m := range alive {
+		if m.ID == r.self.ID {
+			continue
+		}
+		var snapshot rules.Snapshot
+		if err := r.connect(m.Address).Call(ctx, serviceName+".Rules", struct{}{}, &snapshot); err == nil {
+			snapshots = append(snapshots, snapshot)
+		}
+	}
+	return snapshots
+}
+
+func (r *roster) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, client := range r.clients {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/pkg/sched/worker_list.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+	"github.com/oleanderline/oleanderline/pkg/shard"
+)
+
+// workerList is the newest VM list of the region.
+type workerList struct {
+	mu     sync.Mutex
+	rows   []oleanderline.VM
+	read   bool
+	failed bool
+}
+
+func (l *workerList) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.read
+}
+
+func (l *workerList) get() []oleanderline.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rows
+}
+
+// pollVMs reads the VM list and passes the workers to their shards. If that fails, the last list is kept.
+func (d *Daemon) pollVMs() {
+	asked := d.common.Clock.Now()
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	rows, err := d.vms.List(ctx)
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.workers.mu.Lock()
+	if err != nil && !d.workers.failed {
+		d.common.Event(common.EventVMListFailed).WithError(err).Warn("VM list cannot be read, the last one is kept")
+	}
+	d.workers.failed = err != nil
+	if err == nil {
+		rows = slices.DeleteFunc(rows, func(vm oleanderline.VM) bool { return vm.Region != d.settings.region() })
+		d.workers.rows, d.workers.read = rows, true
+	}
+	d.workers.mu.Unlock()
+	if err == nil {
+		d.passVMs(rows, asked)
+	}
+}
+
+func (d *Daemon) passVMs(rows []oleanderline.VM, asked time.Time) {
+	byShard := make([][]oleanderline.VM, len(d.shards))
+	var largest []oleanderline.Size
+	for _, vm := range rows {
+		if vm.Role != oleanderline.RoleWorker {
+			continue
+		}
+		id := shard.ForWorker(vm, len(d.shards))
+		byShard[id] = append(byShard[id], vm)
+		largest = addLargest(largest, vm.Size)
+	}
+	for i, s := range d.shards {
+		s.deliver(shard.VMs{Workers: byShard[i], Asked: asked, Largest: largest})
+	}
+}
+
+// addLargest keeps the sizes that no other exceeds in every resource.
+func addLargest(sizes []oleanderline.Size, size oleanderline.Size) []oleanderline.Size {
+	if slices.ContainsFunc(sizes, size.Fits) {
+		return sizes
+	}
+	sizes = slices.DeleteFunc(sizes, func(other oleanderline.Size) bool { return other.Fits(size) })
+	return append(sizes, size)
+}
+
+// applyRules passes the drains in force to the shards.
+func (d *Daemon) applyRules() {
+	now := d.common.Clock.Now()
+	drains := make([]map[oleanderline.WorkerID]bool, len(d.shards))
+	for i := range drains {
+		drains[i] = map[oleanderline.WorkerID]bool{}
+	}
+	set := d.rules.Current()
+	for _, vm := range d.workers.get() {
+		if vm.Role == oleanderline.RoleWorker && drained(set, vm, now) {
+			drains[shard.ForWorker(vm, len(d.shards))][oleanderline.WorkerID(vm.ID)] = true
+		}
+	}
+	for i, s := range d.shards {
+		s.deliver(shard.Drains{Workers: drains[i]})
+	}
+}
+
+func drained(set *rules.Set, vm oleanderline.VM, now time.Time) bool {
+	return slices.ContainsFunc(set.Drains, func(drain rules.Drain) bool {
+		return drain.Active(now) && matches(drain.Target, vm)
+	})
+}
+
+// matches reports whether a target selects the VM. Services and teams select no worker.
+func matches(target rules.Target, vm oleanderline.VM) bool {
+	if target.Service != "" || target.Team != "" {
+		return false
+	}
+	return (target.VM == "" || target.VM == vm.ID) &&
+		(target.Rack == "" || target.Rack == vm.Rack) &&
+		(target.Domain == "" || target.Domain == vm.Domain)
+}
--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -72,7 +72,9 @@
 		t.notBefore = c.now.Add(backoff(t.failures))
 		c.queue.pushFront(t)
 	}
-	c.counters.Freed++
+	if c.owning {
+		c.counters.Freed++
+	}
 }
 
 func (c *Core) applyDone(record journal.Record, at time.Time) {
@@ -82,7 +84,9 @@
 	}
 	c.workers.release(t)
 	t.job.counts.Done++
-	c.counters.Done++
+	if c.owning {
+		c.counters.Done++
+	}
 	c.remove(t, at)
 }
 
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -3,6 +3,7 @@
 package shard
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strconv"
 	"strings"
@@ -96,6 +97,13 @@
 	return n, err == nil
 }
 
+// NewJobID returns the id of the job with an idempotency key. It names the shard, so that every process can find the
+// owner from the id alone.
+func NewJobID(key string, shards int) oleanderline.JobID {
+	sum := sha256.Sum256([]byte(key))
+	return oleanderline.JobID(fmt.Sprintf("%d-%x", ForKey(key, shards), sum[:12]))
+}
+
 // ParseJobID returns the shard that is part of a job id.
 func ParseJobID(id oleanderline.JobID) (oleanderline.ShardID, error) {
 	shard, _, found := strings.Cut(string(id), "-")
--- a/pkg/shard/status.go
+++ b/pkg/shard/status.go
@@ -129,3 +129,6 @@
 	s.Waiting -= s.Assigned
 	return s
 }
+
+// LogStalled reports whether an append has been without an answer for so long that placement pauses.
+func (c *Core) LogStalled() bool { return c.writer.Stalled(c.now) > stalledFor }
