--- a/pkg/demo/checks.go
+++ b/pkg/demo/checks.go
@@ -118,6 +118,7 @@
 			Name: "rules revision by daemon", Got: strings.Join(names, ", "), Want: fmt.Sprintf("%d on all", f.Published),
 			OK: f.Published > 0 && len(f.Revisions) > 0 && len(old) == 0,
 		},
+		zero("steps that failed", f.StepErrors),
 		zero("planned stops that failed", f.StopErrors),
 		{
 			Name: "elapsed", Got: f.Elapsed.Round(100 * time.Millisecond).String(), Want: "at most " + maxElapsed.String(),
--- a/pkg/demo/checks_test.go
+++ b/pkg/demo/checks_test.go
@@ -54,6 +54,7 @@
 		{"attempts on drained VM w-1 at the end", func(f *Facts) { f.DrainedTasks = 1 }},
 		{"attempts begun on w-1 after the drain", func(f *Facts) { f.DrainedStarts = 1 }},
 		{"rules revision by daemon", func(f *Facts) { f.Revisions["own-2"] = 1 }},
+		{"steps that failed", func(f *Facts) { f.StepErrors = []string{"publish"} }},
 		{"planned stops that failed", func(f *Facts) { f.StopErrors = []string{"own-1"} }},
 		{"elapsed", func(f *Facts) { f.Elapsed = 46 * time.Second }},
 	}
--- a/pkg/demo/collect.go
+++ b/pkg/demo/collect.go
@@ -39,8 +39,9 @@
 			d.facts.OverCapacity++
 		}
 	}
-	runs = d.platform.Workers[d.facts.DrainedVM].Runs()
-	d.facts.DrainedTasks, d.facts.DrainedStarts = drained(runs, d.inForce)
+	if worker, ok := d.platform.Workers[d.facts.DrainedVM]; ok {
+		d.facts.DrainedTasks, d.facts.DrainedStarts = drained(worker.Runs(), d.inForce)
+	}
 }
 
 // drained counts the runs that have not ended, and those that began after the drain was in force.
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -9,28 +9,17 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/examples"
 	"github.com/oleanderline/oleanderline/pkg/common"
-	"github.com/oleanderline/oleanderline/pkg/journal"
-	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/standin"
 )
 
-// Times of the sequence. Together with the limits on waiting they stay within maxElapsed.
+// Limits on waiting.
 const (
-	readyLimit  = 10 * time.Second
-	rulesLimit  = 5 * time.Second // from the design's targets
-	jobsLimit   = 14 * time.Second
-	stopLimit   = 5 * time.Second
-	beforeDrain = 3 * time.Second
-	beforeKill  = 3 * time.Second
-	afterKill   = 6 * time.Second
+	sequenceLimit = maxElapsed - stopLimit - maxWait // from the start to the last planned stop
+	readyLimit    = 10 * time.Second
+	stopLimit     = 8 * time.Second
 )
 
-// killedOwner is a shard whose owner is killed, so that it must be taken over.
-const killedOwner oleanderline.ShardID = 0
-
 // Demo is the whole system in one process.
 type Demo struct {
 	out      io.Writer
@@ -66,30 +55,29 @@
 	return d
 }
 
-// Run goes through the sequence, prints the table and reports whether every check passed.
+// Run goes through the sequence, prints the table and reports whether every check passed. It ends within maxElapsed,
+// unless it is told to stay.
 func (d *Demo) Run(ctx context.Context) (bool, error) {
 	start := time.Now()
-	if err := d.up(ctx); err != nil {
+	bound, cancel := context.WithTimeout(ctx, sequenceLimit)
+	defer cancel()
+	if err := d.up(bound); err != nil {
 		return false, errors.Join(err, d.down())
 	}
-	err := d.sequence(ctx)
-	if err == nil {
-		d.collect(ctx)
+	if err := d.sequence(bound); err != nil {
+		d.facts.StepErrors = append(d.facts.StepErrors, err.Error())
 	}
+	d.collect(ctx)
 	d.facts.Elapsed = time.Since(start)
-	if err == nil && d.stay != nil {
+	if d.stay != nil {
 		// The checks end here: what the user tries afterwards, such as an outage of the log, may let planned stops fail.
 		passed := WriteTable(d.out, Checks(d.facts))
 		d.remain()
 		return passed, d.down()
 	}
 	stopping := time.Now()
-	stopped := d.down()
-	if err != nil {
-		return false, errors.Join(err, stopped)
-	}
-	if stopped != nil {
-		d.facts.StopErrors = append(d.facts.StopErrors, stopped.Error())
+	if err := d.down(); err != nil {
+		d.facts.StopErrors = append(d.facts.StopErrors, err.Error())
 	}
 	d.facts.Elapsed += time.Since(stopping)
 	return WriteTable(d.out, Checks(d.facts)), nil
@@ -159,182 +147,6 @@
 	d.jobs = newJobs(newBalancer(scheds))
 }
 
-func (d *Demo) sequence(ctx context.Context) error {
-	if err := d.publish(ctx, examples.Rules); err != nil {
-		return err
-	}
-	d.say("sending requests from %d callers, and jobs", callers)
-	loadCtx, endLoad := context.WithCancel(ctx)
-	loadDone := make(chan struct{})
-	go func() {
-		defer close(loadDone)
-		d.load.run(loadCtx, d.layout.Seed)
-	}()
-	defer func() {
-		endLoad()
-		<-loadDone
-	}()
-	d.jobs.submit(ctx, firstJobs...)
-	if err := sleep(ctx, beforeDrain); err != nil {
-		return err
-	}
-	d.facts.DrainedVM = d.busiest()
-	d.facts.DrainedBefore = d.running(d.facts.DrainedVM)
-	d.say("draining %s by a rule, %d tasks run there", d.facts.DrainedVM, d.facts.DrainedBefore)
-	drain := fmt.Sprintf("drain vm=%s   # shown by the demo\n", d.facts.DrainedVM)
-	if err := d.publish(ctx, examples.Rules+drain); err != nil {
-		return err
-	}
-	d.inForce = time.Now()
-	d.jobs.submit(ctx, secondJobs...)
-	if err := sleep(ctx, beforeKill); err != nil {
-		return err
-	}
-	d.kill(d.ownerOf(killedOwner))
-	d.jobs.submit(ctx, thirdJobs...)
-	if err := sleep(ctx, afterKill); err != nil {
-		return err
-	}
-	revisions, err := d.revisions(ctx)
-	if err != nil {
-		return err
-	}
-	d.facts.Revisions = revisions
-	if d.stay == nil {
-		if err := d.stopOne(ctx); err != nil {
-			return err
-		}
-	}
-	d.say("waiting for the tasks to finish")
-	// A failure shows in the checks with the state of each job.
-	_ = until(ctx, jobsLimit, d.jobs.finished)
-	return nil
-}
-
-// publish publishes a revision of the rules and waits until it is in force on all daemons.
-func (d *Demo) publish(ctx context.Context, text string) error {
-	publisher := rules.NewPublisher(d.common, d.platform.Log)
-	ctx, cancel := context.WithTimeout(ctx, rulesLimit)
-	defer cancel()
-	receipt, err := publisher.Publish(ctx, rules.Request{
-		ID: fmt.Sprintf("demo-%d", time.Now().UnixNano()), Base: d.facts.Published, By: "demo", Text: text,
-	})
-	if err != nil {
-		return fmt.Errorf("publish rules: %w", err)
-	}
-	d.facts.Published = receipt.Revision
-	start := time.Now()
-	err = until(ctx, rulesLimit, func(ctx context.Context) error {
-		revisions, err := d.revisions(ctx)
-		if err != nil {
-			return err
-		}
-		for name, revision := range revisions {
-			if revision != receipt.Revision {
-				return fmt.Errorf("%s has revision %d", name, revision)
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		return fmt.Errorf("rules revision %d is not in force everywhere within %s: %w", receipt.Revision, rulesLimit, err)
-	}
-	d.say("rules revision %d in force on all own VMs after %s", receipt.Revision, time.Since(start).Round(time.Millisecond))
-	return nil
-}
-
-func (d *Demo) revisions(ctx context.Context) (map[string]oleanderline.Revision, error) {
-	all := map[string]oleanderline.Revision{}
-	for _, vm := range d.alive() {
-		revisions, err := vm.revisions(ctx)
-		if err != nil {
-			return nil, err
-		}
-		for name, revision := range revisions {
-			all[name] = revision
-		}
-	}
-	return all, nil
-}
-
-func (d *Demo) kill(vm *ownVM) {
-	tasks := 0
-	for id := range d.platform.Workers {
-		tasks += d.running(id)
-	}
-	d.say("killing %s, the owner of shard %d; %d tasks run on all workers", vm.id, killedOwner, tasks)
-	d.load.noteKill(vm.id)
-	vm.kill()
-	d.load.balancer.remove(vm.id)
-	d.jobs.balancer.remove(vm.id)
-	d.platform.VMs.Gone(vm.id)
-}
-
-// busiest returns the worker that runs the most tasks.
-func (d *Demo) busiest() oleanderline.VMID {
-	var busiest oleanderline.VMID
-	for id := range d.platform.Workers {
-		if busiest == "" || d.running(id) > d.running(busiest) {
-			busiest = id
-		}
-	}
-	return busiest
-}
-
-// running returns the number of tasks that run on a worker.
-func (d *Demo) running(id oleanderline.VMID) int {
-	running, _ := drained(d.platform.Workers[id].Runs(), time.Time{})
-	return running
-}
-
-// ownerOf returns the own VM that owns a shard, as its stream tells it, or the first one.
-func (d *Demo) ownerOf(id oleanderline.ShardID) *ownVM {
-	owner := d.vms[0]
-	const all = 100_000
-	batch, err := d.platform.Log.Read(context.Background(), journal.StreamName(d.layout.Region, id), 1, all)
-	if err != nil {
-		return owner
-	}
-	for _, e := range batch.Entries {
-		group, err := journal.Decode(e.Data)
-		if err != nil {
-			continue
-		}
-		for _, record := range group.List {
-			for _, vm := range d.vms {
-				if record.Kind == journal.KindClaim && record.Owner == vm.id {
-					owner = vm
-				}
-			}
-		}
-	}
-	return owner
-}
-
-// stopOne makes a planned stop of one own VM while requests go on.
-func (d *Demo) stopOne(ctx context.Context) error {
-	vm := d.alive()[0]
-	d.say("planned stop of %s", vm.id)
-	stopped := make(chan error, 1)
-	go func() { stopped <- vm.stop(ctx) }()
-	err := until(ctx, stopLimit, func(ctx context.Context) error {
-		if vm.ready(ctx) == nil {
-			return fmt.Errorf("%s is still ready", vm.id)
-		}
-		return nil
-	})
-	if err != nil {
-		return err
-	}
-	d.load.balancer.remove(vm.id)
-	d.jobs.balancer.remove(vm.id)
-	if err := <-stopped; err != nil {
-		d.facts.StopErrors = append(d.facts.StopErrors, fmt.Sprintf("%s: %v", vm.id, err))
-	}
-	vm.ended = true
-	return nil
-}
-
 // alive returns the own VMs that run.
 func (d *Demo) alive() []*ownVM {
 	var vms []*ownVM
@@ -349,12 +161,12 @@
 // down stops the daemons as planned stops, one VM after the other as an operator would, and the platform.
 func (d *Demo) down() error {
 	var errs []error
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
 	for _, vm := range d.alive() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 		if err := vm.stop(ctx); err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w", vm.id, err))
 		}
-		cancel()
 		vm.ended = true
 	}
 	if d.platform != nil {
@@ -366,12 +178,3 @@
 func (d *Demo) say(format string, args ...any) {
 	_, _ = fmt.Fprintf(d.out, "- "+format+"\n", args...)
 }
-
-func sleep(ctx context.Context, length time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(length):
-		return nil
-	}
-}
--- a/pkg/demo/facts.go
+++ b/pkg/demo/facts.go
@@ -26,6 +26,7 @@
 	Published oleanderline.Revision
 	Revisions map[string]oleanderline.Revision // by daemon still alive
 
+	StepErrors []string // steps of the sequence that failed
 	StopErrors []string // planned stops that failed
 	Elapsed    time.Duration
 }
--- a/pkg/demo/jobs.go
+++ b/pkg/demo/jobs.go
@@ -39,7 +39,7 @@
 )
 
 // submitLimit bounds the time until a job is accepted, with all repetitions.
-const submitLimit = 12 * time.Second
+const submitLimit = 10 * time.Second
 
 func newJob(key string, team oleanderline.TeamID, count int, cpu oleanderline.Millicores, command string) journal.Job {
 	return journal.Job{
--- a/pkg/demo/load.go
+++ b/pkg/demo/load.go
@@ -17,7 +17,7 @@
 	thinkTime   = 30 * time.Millisecond
 	smallAnswer = 200     // bytes
 	largeAnswer = 1 << 20 // bytes
-	maxWait     = 10 * time.Second
+	maxWait     = 5 * time.Second
 )
 
 // load sends requests as callers do, and keeps what came of each.
