--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -132,7 +132,7 @@
 	return nil, 0, false
 }
 
-func (s *service) send(r *request, m *minion, slot int, hedge bool, now time.Time, actions []Action) []Action {
+func (s *service) send(r *request, m *minion, slot int, hedge bool, _ time.Time, actions []Action) []Action {
 	for i := range r.flights {
 		if r.flights[i].minion == nil {
 			r.flights[i] = flight{minion: m, slot: slot}
