Hand slot shares over by statements, and lend idle ones

Cause: entries see joins, leaves and crashes at different times, so that rendezvous hashing alone gives a slot two users. Change: every heartbeat carries an absolute statement of the members, the slots in use outside the own share and the sequence numbers heard. A new holder uses a slot only after each peer has stated that it does not use it, or was lost for the drain time. Conclusion: a share moves within about two heartbeats after its last request has ended.

--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -55,9 +55,9 @@
 	s := r.service
 	switch s.gate.Admit(&r.Item, s.room(), now) {
 	case admit.VerdictFull:
-		return c.refuse(r, ReasonQueueFull, now, actions)
+		return c.refuse(r, ReasonQueueFull, actions)
 	case admit.VerdictLate:
-		return c.refuse(r, ReasonDeadline, now, actions)
+		return c.refuse(r, ReasonDeadline, actions)
 	default:
 		s.gate.Push(&r.Item)
 		return s.serve(now, actions)
@@ -65,7 +65,7 @@
 }
 
 // refuse answers a request that did not run and forgets it.
-func (c *Core) refuse(r *request, reason Reason, _ time.Time, actions []Action) []Action {
+func (c *Core) refuse(r *request, reason Reason, actions []Action) []Action {
 	s := r.service
 	after := s.gate.Wait(&r.Item, s.room())
 	id := r.Request.ID
@@ -141,7 +141,7 @@
 	}
 	r.parked = time.Time{}
 	if !r.service.retries.Take() {
-		return c.refuse(r, ReasonBudget, now, actions)
+		return c.refuse(r, ReasonBudget, actions)
 	}
 	return c.enqueue(r, now, actions)
 }
@@ -168,5 +168,5 @@
 		s.update(m)
 		return actions
 	}
-	return s.send(r, m, slot, true, now, actions)
+	return s.send(r, m, slot, true, actions)
 }
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -78,7 +78,7 @@
 func (s *service) tick(fade bool, now time.Time, actions []Action) []Action {
 	s.gate.Expire(now, func(i *admit.Item) {
 		r := s.core.requests[RequestID(i.ID)]
-		actions = s.core.refuse(r, ReasonDeadline, now, actions)
+		actions = s.core.refuse(r, ReasonDeadline, actions)
 	})
 	s.rules.observeLoad(s.busyShare(), now)
 	for _, m := range s.minions {
@@ -110,7 +110,7 @@
 			break
 		}
 		s.gate.Remove(item)
-		actions = s.send(r, m, slot, false, now, actions)
+		actions = s.send(r, m, slot, false, actions)
 	}
 	return actions
 }
@@ -132,7 +132,7 @@
 	return nil, 0, false
 }
 
-func (s *service) send(r *request, m *minion, slot int, hedge bool, now time.Time, actions []Action) []Action {
+func (s *service) send(r *request, m *minion, slot int, hedge bool, actions []Action) []Action {
 	for i := range r.flights {
 		if r.flights[i].minion == nil {
 			r.flights[i] = flight{minion: m, slot: slot}
--- a/pkg/slots/lending.go
+++ b/pkg/slots/lending.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		t.serial++
-		s.borrower, s.serial, s.lentUntil = to, t.serial, now.Add(t.settings.Loan)
+		s.borrower, s.serial, s.lentUntil, s.fence = to, t.serial, now.Add(t.settings.Loan), 0
 		m.recount(now)
 		return Loan{Ref: Ref{Minion: m.ID, Slot: i}, Serial: t.serial, For: t.settings.Loan}, true
 	}
@@ -40,6 +40,10 @@
 func (t *Table) Borrowed(lender oleanderline.VMID, loan Loan, asked, now time.Time) bool {
 	m, s := t.slot(loan.Ref)
 	until := asked.Add(loan.For)
+	if p := t.peers[lender]; p != nil && loan.Serial <= p.statement.First {
+		// An earlier process of the lender granted the loan; the present one does not know of it.
+		return false
+	}
 	if s == nil || s.busy || s.lender != "" || s.ownUsable() || s.borrower != "" || !now.Before(until) {
 		return false
 	}
--- a/pkg/slots/loan.go
+++ b/pkg/slots/loan.go
@@ -29,6 +29,12 @@
 // Statement is what one entry tells its peers about its use of slots. It is absolute, so that lost statements do no harm.
 type Statement struct {
 	Seq     uint64              `json:"seq"`     // rises with each statement, also across restarts
+	First   uint64              `json:"first"`   // sequence number before the first statement since the start
+	Settled bool                `json:"settled"` // it has learned of all members that were there when it started
 	Members []oleanderline.VMID `json:"members"` // the eligible members in the view of the entry
+	Left    []oleanderline.VMID `json:"left"`    // no longer members, but may still use slots
 	Using   []Ref               `json:"using"`   // slots that it uses, has lent or has borrowed without being their holder
+	// Heard holds the newest sequence number heard from each peer. It proves that the statement was made later than that,
+	// however long either was delayed.
+	Heard map[oleanderline.VMID]uint64 `json:"heard"`
 }
--- a/pkg/slots/minion.go
+++ b/pkg/slots/minion.go
@@ -19,6 +19,7 @@
 	busy      bool
 	borrower  oleanderline.VMID // set while lent
 	lentUntil time.Time
+	fence     uint64            // own statement that followed the expiry of the loan; zero: none yet
 	serial    uint64            // of the loan, at either side
 	lender    oleanderline.VMID // set while borrowed
 	until     time.Time
--- a/pkg/slots/statement.go
+++ b/pkg/slots/statement.go
@@ -11,10 +11,22 @@
 // Statement returns what to tell the peers now.
 func (t *Table) Statement(now time.Time) Statement {
 	t.seq++
-	statement := Statement{Seq: t.seq, Members: slices.Clone(t.members)}
+	statement := Statement{
+		Seq: t.seq, First: t.first, Settled: t.settled, Members: slices.Clone(t.members),
+		Heard: make(map[oleanderline.VMID]uint64, len(t.peers)),
+	}
+	for id, p := range t.peers {
+		statement.Heard[id] = p.statement.Seq
+		if !p.lost.IsZero() {
+			statement.Left = append(statement.Left, id)
+		}
+	}
 	for _, m := range t.order {
 		for i := range m.slots {
 			s := &m.slots[i]
+			if s.borrower != "" && s.fence == 0 && !now.Before(s.lentUntil) {
+				s.fence = t.seq
+			}
 			borrowed := s.lender != "" && (s.busy || now.Before(s.until))
 			if borrowed || (!s.mine && (s.busy || s.borrower != "")) {
 				statement.Using = append(statement.Using, Ref{Minion: m.ID, Slot: i})
@@ -27,22 +39,30 @@
 // Heard takes in the statement of a peer. A statement that is older than the newest one is ignored.
 func (t *Table) Heard(id oleanderline.VMID, statement Statement, now time.Time) {
 	p, ok := t.peers[id]
-	if !ok || (!p.heard.IsZero() && statement.Seq <= p.statement.Seq) {
+	if !ok {
+		// It leaves by plan, or it is not a member yet.
+		p = &peer{lost: now}
+		t.peers[id] = p
+	}
+	if statement.Seq <= p.statement.Seq {
 		return
 	}
+	if heard := statement.Heard[t.self]; heard != 0 && heard <= t.first {
+		t.restarted = true
+	}
 	p.statement = statement
 	p.heard = now
 	t.reclaim(id, p, now)
 	t.confirm(now)
 }
 
-// reclaim takes back expired loans that the borrower no longer uses. A statement that arrives later than the expiry by
-// more than the message delay was made after the expiry, when the borrower could not begin a request any more.
+// reclaim takes back expired loans that the borrower no longer uses, for the case that their return was lost. The
+// statement must answer one that was made after the expiry, when the borrower could not begin a request any more.
 func (t *Table) reclaim(id oleanderline.VMID, p *peer, now time.Time) {
 	for _, m := range t.order {
 		for i := range m.slots {
 			s := &m.slots[i]
-			if s.borrower != id || now.Before(s.lentUntil.Add(t.settings.Grace)) {
+			if s.borrower != id || s.fence == 0 || p.statement.Heard[t.self] < s.fence {
 				continue
 			}
 			if !slices.Contains(p.statement.Using, Ref{Minion: m.ID, Slot: i}) {
@@ -75,22 +95,33 @@
 }
 
 // peersKnown reports whether every peer has stated its use of slots in a view that includes this entry, or has been lost
-// for the drain time. A lone new entry waits, because its peers may not have been heard yet.
+// for the drain time. A new entry needs a settled peer, or waits for the drain time, because it may have heard only other
+// new ones so far. A restarted entry waits for the drain time, because minions may still run what the earlier process sent.
 func (t *Table) peersKnown(now time.Time) bool {
-	if len(t.peers) == 0 {
-		return now.Sub(t.started) >= t.settings.Drain
+	waited := now.Sub(t.started) >= t.settings.Drain
+	if t.restarted && !waited {
+		return false
 	}
+	settled := t.settled || waited
 	for _, p := range t.peers {
-		// A peer that leaves by plan is no longer a member, but goes on stating what it uses.
-		stated := p.heard.After(p.lost) && slices.Contains(p.statement.Members, t.self)
-		if !p.lost.IsZero() && (stated || now.Sub(p.lost) >= t.settings.Drain) {
+		if !p.lost.IsZero() && now.Sub(p.lost) >= t.settings.Drain {
 			continue
 		}
-		if !stated || !t.knowsAll(p.statement.Members) {
+		if !t.stated(p) || !t.knowsAll(p.statement.Members) || !t.knowsAll(p.statement.Left) {
 			return false
 		}
+		settled = settled || p.statement.Settled
 	}
-	return true
+	t.settled = settled
+	return settled
+}
+
+// stated reports whether the newest statement of a peer is of use. A peer that leaves by plan is no longer a member, but
+// goes on stating what it uses. A statement that does not answer one of this process may date from before a loan that an
+// earlier process of this entry granted.
+func (t *Table) stated(p *peer) bool {
+	return !p.heard.IsZero() && !p.heard.Before(p.lost) && p.statement.Heard[t.self] > t.first &&
+		slices.Contains(p.statement.Members, t.self)
 }
 
 // knowsAll reports whether this entry has heard of every member that a peer names.
--- a/pkg/slots/table.go
+++ b/pkg/slots/table.go
@@ -16,27 +16,29 @@
 type Settings struct {
 	Drain time.Duration // after a member was lost, until its slots are used by others; also the wait of a lone new entry
 	Loan  time.Duration // how long a borrower may begin requests on a slot
-	Grace time.Duration // bound on the delay of a message between entries
 }
 
 // DefaultSettings returns settings for heartbeats of a few a second. The drain time and a heartbeat timeout of 1 s
 // together stay within the 2 s in which latency must recover after the loss of an entry.
 func DefaultSettings() Settings {
-	return Settings{Drain: 900 * time.Millisecond, Loan: 300 * time.Millisecond, Grace: 100 * time.Millisecond}
+	return Settings{Drain: 900 * time.Millisecond, Loan: 300 * time.Millisecond}
 }
 
 // Table holds the slots of all minions at one entry.
 type Table struct {
-	settings Settings
-	self     oleanderline.VMID
-	members  []oleanderline.VMID
-	minions  map[oleanderline.MinionID]*Minion
-	order    []*Minion
-	peers    map[oleanderline.VMID]*peer
-	started  time.Time
-	seq      uint64
-	serial   uint64
-	pending  int // slots of this entry that are not ready
+	settings  Settings
+	self      oleanderline.VMID
+	members   []oleanderline.VMID
+	minions   map[oleanderline.MinionID]*Minion
+	order     []*Minion
+	peers     map[oleanderline.VMID]*peer
+	started   time.Time
+	settled   bool   // knows all members that were there when it started
+	restarted bool   // a peer has heard an earlier process of this entry
+	first     uint64 // lowest sequence number of this process
+	seq       uint64
+	serial    uint64
+	pending   int // slots of this entry that are not ready
 }
 
 type peer struct {
@@ -85,7 +87,8 @@
 	t.self = self
 	if t.started.IsZero() {
 		t.started = now
-		t.seq = uint64(now.UnixNano())
+		t.first = uint64(now.UnixNano())
+		t.seq, t.serial = t.first, t.first
 	}
 	t.updatePeers(members, now)
 	if slices.Equal(t.members, members) {
@@ -104,8 +107,13 @@
 			continue
 		}
 		p, ok := t.peers[id]
-		if !ok || !p.lost.IsZero() {
+		if !ok {
 			t.peers[id] = &peer{}
+			continue
+		}
+		if !p.lost.IsZero() {
+			// Keeps the sequence number, so that a late statement from before the loss is still recognized as old.
+			p.lost, p.heard = time.Time{}, time.Time{}
 		}
 	}
 	for id, p := range t.peers {
