Keep slots for short requests, and refuse early at a peak

Cause: at 150% demand requests were refused when their deadline came (p99 478 ms), and long requests filled the queue and the borrowed slots of short ones. Change: a request may wait for at most half of the slo latency or of the time to its deadline; the queue keeps room for short requests and higher priorities; long requests borrow only slots that short ones did not need lately.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -4,13 +4,15 @@
 import (
 	"math"
 	"time"
+
+	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Settings of a Gate.
 type Settings struct {
 	Bound       int           // requests that may wait
 	Estimate    bool          // refuse at once what would wait too long
-	WaitShare   float64       // part of the time to the deadline that may be spent waiting
+	WaitShare   float64       // part of the objective, or of the time to the deadline, that may be spent waiting
 	NewestFirst bool          // serve the newest first when the queueing delay exceeds the objective
 	Lanes       bool          // separate shares for long and short requests
 	LongShare   float64       // part of the slots that long requests get while short ones wait
@@ -26,7 +28,7 @@
 		WaitShare:   0.5, // leaves room for errors of the estimate and for run times above the mean
 		NewestFirst: true,
 		Lanes:       true,
-		LongShare:   0.3,
+		LongShare:   0.2, // below the share of the work that long requests have, so that short ones wait less
 		ShortKept:   0.15,
 		NeedFade:    time.Second,
 	}
@@ -82,7 +84,7 @@
 
 // Admit decides whether a request may wait.
 func (g *Gate) Admit(i *Item, room Room, now time.Time) Verdict {
-	if g.Len() >= g.settings.Bound {
+	if g.full(i) {
 		return VerdictFull
 	}
 	if !i.Deadline.IsZero() && now.Add(i.Expected).After(i.Deadline) {
@@ -94,6 +96,22 @@
 	return VerdictWait
 }
 
+// full keeps some of the queue for requests of a higher priority, and half of it for short ones.
+func (g *Gate) full(i *Item) bool {
+	bound := g.settings.Bound
+	if g.settings.Lanes && i.Long && g.long.count >= bound/2 {
+		return true
+	}
+	switch i.Priority {
+	case rules.PriorityLow:
+		bound -= bound / 2
+	case rules.PriorityHigh:
+	default:
+		bound -= bound / 8
+	}
+	return g.Len() >= bound
+}
+
 // Wait estimates how long a new request would wait.
 func (g *Gate) Wait(i *Item, room Room) time.Duration {
 	slots := g.slotsFor(i, room)
@@ -121,7 +139,7 @@
 		budget = min(time.Duration(g.settings.WaitShare*float64(left)), left-i.Expected)
 	}
 	if g.objective > 0 {
-		budget = min(budget, g.objective)
+		budget = min(budget, time.Duration(g.settings.WaitShare*float64(g.objective)))
 	}
 	return budget
 }
@@ -172,6 +190,23 @@
 	return running < slots-kept
 }
 
+// Missing returns how many more slots waiting requests could use now, and whether only long requests wait.
+func (g *Gate) Missing(room Room) (count int, long bool) {
+	if g.short.count > 0 {
+		return g.short.count, false
+	}
+	if g.long.count == 0 || !g.longAllowed(false, room) {
+		return 0, false
+	}
+	return g.long.count, true
+}
+
+// SpareForLong returns the number of slots that could run more long requests without taking what short ones need.
+func (g *Gate) SpareForLong(room Room) int {
+	kept := max(1, math.Ceil(g.settings.ShortKept*float64(room.Slots)), g.need)
+	return max(0, room.Slots-int(math.Ceil(kept))-room.Long)
+}
+
 // observeNeed remembers the peak of the short requests that run or wait, and lets it fade.
 func (g *Gate) observeNeed(room Room, now time.Time) {
 	if passed := now.Sub(g.needAt); passed > 0 {
--- a/pkg/dispatch/lending.go
+++ b/pkg/dispatch/lending.go
@@ -46,7 +46,7 @@
 		return wants
 	}
 	for _, s := range c.order {
-		missing := s.gate.Len()
+		missing, long := s.gate.Missing(s.room())
 		first := c.rand.IntN(len(c.peers))
 		for i := range c.peers {
 			if missing <= 0 {
@@ -58,7 +58,7 @@
 			}
 			l.asking, l.askedAt = true, now
 			count := min(missing, maxLoans)
-			wants = append(wants, Want{Peer: l.id, Service: s.id, Count: count})
+			wants = append(wants, Want{Peer: l.id, Service: s.id, Count: count, Long: long})
 			missing -= count
 		}
 	}
@@ -82,6 +82,9 @@
 		return loans
 	}
 	free := s.free() - max(1, int(math.Ceil(c.settings.Kept*float64(s.held))))
+	if want.Long && c.settings.Admit.Lanes {
+		free = min(free, s.gate.SpareForLong(s.room()))
+	}
 	count := min(want.Count, free)
 	for tries := s.picker.Len(); count > 0 && tries > 0; tries-- {
 		m := s.minions[s.picker.At(c.rand.IntN(s.picker.Len())).Owner]
--- a/pkg/dispatch/types.go
+++ b/pkg/dispatch/types.go
@@ -90,4 +90,5 @@
 	Peer    oleanderline.VMID
 	Service oleanderline.ServiceID
 	Count   int
+	Long    bool // only long requests wait
 }
--- a/pkg/slots/loan.go
+++ b/pkg/slots/loan.go
@@ -30,7 +30,7 @@
 type Statement struct {
 	Seq     uint64              `json:"seq"`     // rises with each statement, also across restarts
 	First   uint64              `json:"first"`   // sequence number before the first statement since the start
-	Settled bool                `json:"settled"` // it has learned of all members that were there when it started
+	Settled bool                `json:"settled"` // the process has run for the drain time
 	Members []oleanderline.VMID `json:"members"` // the eligible members in the view of the entry
 	Left    []oleanderline.VMID `json:"left"`    // no longer members, but may still use slots
 	Using   []Ref               `json:"using"`   // slots that it uses, has lent or has borrowed without being their holder
--- a/pkg/slots/statement.go
+++ b/pkg/slots/statement.go
@@ -12,7 +12,7 @@
 func (t *Table) Statement(now time.Time) Statement {
 	t.seq++
 	statement := Statement{
-		Seq: t.seq, First: t.first, Settled: t.settled, Members: slices.Clone(t.members),
+		Seq: t.seq, First: t.first, Settled: t.settled(now), Members: slices.Clone(t.members),
 		Heard: make(map[oleanderline.VMID]uint64, len(t.peers)),
 	}
 	for id, p := range t.peers {
@@ -47,9 +47,6 @@
 	if statement.Seq <= p.statement.Seq {
 		return
 	}
-	if heard := statement.Heard[t.self]; heard != 0 && heard <= t.first {
-		t.restarted = true
-	}
 	p.statement = statement
 	p.heard = now
 	t.reclaim(id, p, now)
@@ -95,25 +92,26 @@
 }
 
 // peersKnown reports whether every peer has stated its use of slots in a view that includes this entry, or has been lost
-// for the drain time. A new entry needs a settled peer, or waits for the drain time, because it may have heard only other
-// new ones so far. A restarted entry waits for the drain time, because minions may still run what the earlier process sent.
+// for the drain time. New entries have to settle before: they may have heard only other new ones so far, and minions may
+// still run what an earlier process of the same entry sent.
 func (t *Table) peersKnown(now time.Time) bool {
-	waited := now.Sub(t.started) >= t.settings.Drain
-	if t.restarted && !waited {
+	if !t.settled(now) {
 		return false
 	}
-	settled := t.settled || waited
 	for _, p := range t.peers {
 		if !p.lost.IsZero() && now.Sub(p.lost) >= t.settings.Drain {
 			continue
 		}
-		if !t.stated(p) || !t.knowsAll(p.statement.Members) || !t.knowsAll(p.statement.Left) {
+		said := &p.statement
+		if !t.stated(p) || !said.Settled || !t.knowsAll(said.Members) || !t.knowsAll(said.Left) {
 			return false
 		}
-		settled = settled || p.statement.Settled
 	}
-	t.settled = settled
-	return settled
+	return true
+}
+
+func (t *Table) settled(now time.Time) bool {
+	return now.Sub(t.started) >= t.settings.Drain
 }
 
 // stated reports whether the newest statement of a peer is of use. A peer that leaves by plan is no longer a member, but
--- a/pkg/slots/table.go
+++ b/pkg/slots/table.go
@@ -26,19 +26,17 @@
 
 // Table holds the slots of all minions at one entry.
 type Table struct {
-	settings  Settings
-	self      oleanderline.VMID
-	members   []oleanderline.VMID
-	minions   map[oleanderline.MinionID]*Minion
-	order     []*Minion
-	peers     map[oleanderline.VMID]*peer
-	started   time.Time
-	settled   bool   // knows all members that were there when it started
-	restarted bool   // a peer has heard an earlier process of this entry
-	first     uint64 // lowest sequence number of this process
-	seq       uint64
-	serial    uint64
-	pending   int // slots of this entry that are not ready
+	settings Settings
+	self     oleanderline.VMID
+	members  []oleanderline.VMID
+	minions  map[oleanderline.MinionID]*Minion
+	order    []*Minion
+	peers    map[oleanderline.VMID]*peer
+	started  time.Time
+	first    uint64 // lowest sequence number of this process
+	seq      uint64
+	serial   uint64
+	pending  int // slots of this entry that are not ready
 }
 
 type peer struct {
