Test the shard core in seeded schedules of faults

The schedules led to these changes: an attempt is started at most once under a term, a start without an answer is settled by a stop, and an unanswered start at an unreachable worker delays the new attempt as long as a change of the owner does.

--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -7,8 +7,10 @@
 	"github.com/oleanderline/oleanderline/pkg/journal"
 )
 
-// takeInventory compares what a worker runs with what the stream says.
-func (c *Core) takeInventory(w *worker, inventory oleanderline.Inventory) {
+// takeInventory compares what a worker runs with what the stream says. The first inventory under a term also ends the
+// assignments of earlier owners that the worker does not know: it refuses their starts from now on, and a start of the
+// same attempt by this owner could be its second one if the worker was restarted.
+func (c *Core) takeInventory(w *worker, inventory oleanderline.Inventory, first bool) {
 	w.outcomes = inventory.Outcomes
 	leased := make(map[oleanderline.AttemptKey]bool, len(inventory.Leases))
 	var ghosts []ghost
@@ -32,9 +34,15 @@
 		}
 	}
 	for _, t := range w.tasks {
-		if t.running && !t.ended && t.pending == "" && !leased[t.key()] {
-			// The worker has lost the attempt, for example because it was restarted.
+		if t.ended || t.pending != "" || leased[t.key()] {
+			continue
+		}
+		switch {
+		case t.running || t.sent:
+			// The start never arrived, or the worker has lost the attempt. A confirmed stop excludes a late start.
 			t.stop = true
+		case first:
+			c.free(t, "not started by the earlier owner", "")
 		}
 	}
 }
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -49,7 +49,7 @@
 	c.callID++
 	call.ID, call.Worker, call.Address = c.callID, w.id, w.vm.Address
 	call.Before = c.now.Add(c.cfg.Limits.Lease / 3)
-	if horizon := c.readAt.Add(c.cfg.Limits.Horizon); horizon.Before(call.Before) {
+	if horizon := c.readAt.Add(c.cfg.Limits.Horizon); horizon.Before(call.Before) && !c.cfg.Without.SelfFence {
 		call.Before = horizon
 	}
 	w.busy, w.callID, w.call = true, call.ID, call
@@ -107,31 +107,41 @@
 	if len(w.tasks) == 0 || w.busy || (w.reachable() && !w.absent && w.vm.Address != "") {
 		return false
 	}
-	if c.cfg.Without.LeaseWait {
-		return true
+	return c.cfg.Without.LeaseWait || c.now.Sub(c.lastLease(w)) > c.cfg.Limits.Lease+c.cfg.Limits.Margin
+}
+
+// lastLease returns the latest time at which a lease at the worker may have begun.
+func (c *Core) lastLease(w *worker) time.Time {
+	if w.fenced {
+		return w.sentAt
 	}
-	since := w.sentAt
-	if !w.fenced {
-		earlier := c.claimedAt
-		if !w.absent {
-			earlier = earlier.Add(c.cfg.Limits.Horizon)
-		}
-		if earlier.After(since) {
-			since = earlier
-		}
+	earlier := c.claimedAt
+	if !w.absent {
+		earlier = earlier.Add(c.cfg.Limits.Horizon)
+	}
+	if earlier.After(w.sentAt) {
+		return earlier
 	}
-	return c.now.Sub(since) > c.cfg.Limits.Lease+c.cfg.Limits.Margin
+	return w.sentAt
 }
 
 func (c *Core) expireLeases(w *worker) {
 	for _, t := range w.tasks {
-		if t.pending == "" {
+		if t.pending == "" && !c.startMayArrive(w, t) {
 			c.counters.Lapsed++
 			c.free(t, "lease expired at a worker that does not answer", "")
 		}
 	}
 }
 
+// startMayArrive reports whether a start without an answer may still take effect. A frozen VM handles the requests that
+// it received before as soon as it goes on, so the wait for such a start is as long as after a change of the owner.
+func (c *Core) startMayArrive(w *worker, t *task) bool {
+	unanswered := t.sent && !t.running && !w.absent && !c.cfg.Without.LeaseWait
+	limits := c.cfg.Limits
+	return unanswered && c.now.Sub(w.sentAt) <= limits.Horizon+limits.Lease+limits.Margin
+}
+
 // free queues the record that an attempt does not run any more.
 func (c *Core) free(t *task, reason, checkpoint string) {
 	c.workers.unreserve(t)
@@ -167,7 +177,7 @@
 		return false
 	}
 	for _, t := range w.tasks {
-		if t.running || t.ended || t.stop || t.pending != "" || c.now.Before(t.retryAt) {
+		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
 			continue
 		}
 		if !t.reserved && !t.size().Fits(w.free()) {
@@ -203,6 +213,7 @@
 		w.sentAt = c.now
 	}
 	if !e.Sent || failed(e.Err) {
+		c.startNotSent(w, call, e)
 		c.callFailed(w)
 		return
 	}
@@ -220,8 +231,9 @@
 	case CallInventory:
 		w.renewedAt = time.Time{} // renew at once
 	case CallRenew:
+		first := !w.fenced
 		w.fenced, w.renewedAt = true, c.now
-		c.takeInventory(w, e.Inventory)
+		c.takeInventory(w, e.Inventory, first)
 	case CallStart:
 		c.startAnswered(w, call.Start, e.Err)
 	case CallStop:
@@ -237,6 +249,16 @@
 	return err != nil && !errors.Is(err, oleanderline.ErrFenced) && !errors.Is(err, oleanderline.ErrCapacity)
 }
 
+// startNotSent takes back that a start was sent if it is proved to have had no effect.
+func (c *Core) startNotSent(w *worker, call Call, e CallDone) {
+	if call.Kind != CallStart || (e.Sent && !errors.Is(e.Err, oleanderline.ErrUnavailable)) {
+		return
+	}
+	if t := c.assignedTo(w, oleanderline.AttemptKey{Task: call.Start.Task, Attempt: call.Start.Attempt}); t != nil {
+		t.sent = false
+	}
+}
+
 func (c *Core) callFailed(w *worker) {
 	w.failures++
 	w.failedAt = c.now
--- /dev/null
+++ b/pkg/shard/world_test.go
@@ -0,0 +1,471 @@
+package shard_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/shard"
+	"github.com/oleanderline/oleanderline/pkg/standin"
+)
+
+const (
+	worldShards    = 2
+	worldProcesses = 3
+	worldWorkers   = 4
+	worldStream    = "shard-%d"
+	callerTimeout  = 2 * time.Second
+	lateCall       = 4 * time.Second // latest effect of a call whose sender has given up; below the margin
+	lateAppend     = 40 * time.Second
+)
+
+var workerSize = oleanderline.Size{CPU: 4000, Memory: 8000}
+
+func worldLimits() shard.Limits {
+	limits := shard.DefaultLimits()
+	limits.Lease, limits.Horizon = 9*time.Second, 40*time.Second
+	limits.Retention, limits.Keep, limits.Hold = 4*time.Minute, 15*time.Second, 5*time.Second
+	return limits
+}
+
+// world runs several processes, with a core for each shard, against stand-ins on a virtual clock. All its choices come
+// from one seed.
+type world struct {
+	seed      uint64
+	rng       *rand.Rand
+	clock     *common.VirtualClock
+	log       *standin.Log
+	vms       *standin.VMs
+	processes []*process
+	workers   map[oleanderline.WorkerID]*host
+	hosts     []*host // also those that were replaced, with what ran there
+	without   shard.Without
+	forget    bool // workers do not remember stops of unknown attempts
+	mail      []mail
+	calm      bool // no new faults
+	checks    *checker
+	replay    func(format string, args ...any) // nil: the schedule is not written down
+	logDownTo time.Time
+	submitted time.Time // when the newest key was first used
+	drains    map[oleanderline.WorkerID]bool
+}
+
+// mail is something that happens later.
+type mail struct {
+	at   time.Time
+	to   *process // nil: an effect outside the processes
+	life int      // of the process or worker; it is lost if that has ended
+	host *host
+	act  func()
+}
+
+type process struct {
+	id       oleanderline.VMID
+	domain   oleanderline.DomainID
+	life     int
+	alive    bool
+	returnAt time.Time
+	pausedTo time.Time
+	logCutTo time.Time
+	blind    map[oleanderline.VMID]bool // members that it takes for dead
+	blindTo  time.Time
+	cutFrom  map[oleanderline.WorkerID]time.Time // workers that it cannot reach until then
+	cores    []*shard.Core
+	stashed  []func()
+	nextList time.Time
+}
+
+// host is one life of a worker VM.
+type host struct {
+	*standin.Worker
+
+	vm       oleanderline.VM
+	dead     bool
+	returnAt time.Time
+	frozenTo time.Time
+	waiting  []func() // requests that arrived while it was frozen
+}
+
+func newWorld(seed uint64, without shard.Without, forget bool) *world {
+	start := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	w := &world{
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
+		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+	}
+	w.log = standin.NewLog(w.clock, standin.WithKeepAge(worldLimits().Retention))
+	w.vms = standin.NewVMs(w.clock, 2*time.Second)
+	w.checks = newChecker(w)
+	for i := range worldWorkers {
+		w.boot(oleanderline.VM{
+			ID: oleanderline.VMID(fmt.Sprintf("w-%d", i)), Role: oleanderline.RoleWorker, Size: workerSize, Domain: "d-0",
+			Address: fmt.Sprintf("10.0.0.%d:1", i), Rack: oleanderline.RackID(fmt.Sprintf("rack-%d", i)),
+		})
+	}
+	for i := range worldProcesses {
+		p := &process{
+			id: oleanderline.VMID(fmt.Sprintf("own-%d", i)), domain: oleanderline.DomainID(fmt.Sprintf("d-%d", i%2)),
+			cutFrom: map[oleanderline.WorkerID]time.Time{},
+		}
+		w.processes = append(w.processes, p)
+		w.launch(p)
+	}
+	return w
+}
+
+// note writes one line of a replay.
+func (w *world) note(format string, args ...any) {
+	if w.replay != nil {
+		w.replay("%s "+format, append([]any{w.clock.Now().Format("04:05.000")}, args...)...)
+	}
+}
+
+func (w *world) boot(vm oleanderline.VM) {
+	h := &host{Worker: standin.NewWorker(oleanderline.WorkerID(vm.ID), vm.Size, w.clock), vm: vm}
+	w.workers[oleanderline.WorkerID(vm.ID)] = h
+	w.hosts = append(w.hosts, h)
+	w.vms.Add(vm)
+}
+
+func (w *world) launch(p *process) {
+	p.life++
+	p.alive, p.cores, p.stashed, p.nextList = true, nil, nil, w.clock.Now()
+	for id := range worldShards {
+		p.cores = append(p.cores, shard.New(shard.Config{
+			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
+			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Without: w.without,
+		}))
+	}
+}
+
+// step advances the clock, delivers what is due and lets every process work.
+func (w *world) step(d time.Duration) {
+	w.clock.Advance(d)
+	now := w.clock.Now()
+	w.wake(now)
+	w.deliver(now)
+	for _, p := range w.processes {
+		if !w.runs(p) {
+			continue
+		}
+		w.inform(p, now)
+		for id := range p.cores {
+			w.feed(p, id, shard.Tick{})
+		}
+	}
+}
+
+// wake ends what was to end by now.
+func (w *world) wake(now time.Time) {
+	for _, p := range w.processes {
+		switch {
+		case !p.alive && !now.Before(p.returnAt):
+			w.launch(p)
+		case p.alive && len(p.stashed) > 0 && !now.Before(p.pausedTo):
+			stashed := p.stashed
+			p.stashed = nil
+			for _, act := range stashed {
+				act()
+			}
+		}
+	}
+	for _, h := range w.hosts {
+		if !h.frozenTo.IsZero() && !now.Before(h.frozenTo) {
+			w.thaw(h)
+		}
+		if h.dead && !h.returnAt.IsZero() && !now.Before(h.returnAt) {
+			h.returnAt = time.Time{}
+			w.boot(h.vm)
+		}
+	}
+}
+
+func (w *world) thaw(h *host) {
+	h.frozenTo = time.Time{}
+	h.SetPaused(false)
+	waiting := h.waiting
+	h.waiting = nil
+	for _, act := range waiting {
+		act()
+	}
+}
+
+func (w *world) runs(p *process) bool { return p.alive && !w.clock.Now().Before(p.pausedTo) }
+
+func (w *world) deliver(now time.Time) {
+	for {
+		best := -1
+		for i, m := range w.mail {
+			held := m.to != nil && m.to.life == m.life && !w.runs(m.to)
+			if !m.at.After(now) && !held && (best < 0 || m.at.Before(w.mail[best].at)) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		m := w.mail[best]
+		w.mail = slices.Delete(w.mail, best, best+1)
+		if (m.to == nil || (m.to.alive && m.to.life == m.life)) && (m.host == nil || !m.host.dead) {
+			m.act()
+		}
+	}
+}
+
+func (w *world) post(m mail, after time.Duration) {
+	m.at = w.clock.Now().Add(after)
+	if m.to != nil {
+		m.life = m.to.life
+	}
+	w.mail = append(w.mail, m)
+}
+
+// inform passes the process its views of members and VMs, which may be wrong or old.
+func (w *world) inform(p *process, now time.Time) {
+	if now.Before(p.nextList) {
+		return
+	}
+	p.nextList = now.Add(time.Second)
+	var alive []oleanderline.VMID
+	for _, other := range w.processes {
+		if other == p || (w.runs(other) && (now.After(p.blindTo) || !p.blind[other.id])) {
+			alive = append(alive, other.id)
+		}
+	}
+	rows, err := w.vms.List(context.Background())
+	for id := range p.cores {
+		ranked := member.Rank("shard/"+strconv.Itoa(id), alive)
+		var members shard.Members
+		for _, vm := range ranked {
+			i := slices.IndexFunc(w.processes, func(other *process) bool { return other.id == vm })
+			members.Ranked = append(members.Ranked, shard.Candidate{ID: vm, Domain: w.processes[i].domain})
+		}
+		w.feed(p, id, members)
+		w.feed(p, id, shard.Drains{Workers: w.drains})
+		if err == nil {
+			w.feed(p, id, shard.VMs{Workers: workersOf(rows, id), Asked: now, Largest: []oleanderline.Size{workerSize}})
+		}
+	}
+}
+
+func workersOf(rows []oleanderline.VM, id int) []oleanderline.VM {
+	var own []oleanderline.VM
+	for _, vm := range rows {
+		if shard.ForWorker(vm, worldShards) == oleanderline.ShardID(id) {
+			own = append(own, vm)
+		}
+	}
+	return own
+}
+
+// feed passes an event to a core and carries out its actions, at once or when a pause that begins here is over.
+func (w *world) feed(p *process, id int, event shard.Event) {
+	actions := p.cores[id].Step(event, w.clock.Now())
+	if len(actions) > 0 && !w.calm && w.rng.IntN(2000) == 0 {
+		p.pausedTo = w.clock.Now().Add(w.upTo(70 * time.Second))
+	}
+	act := func() {
+		for _, action := range actions {
+			w.carryOut(p, id, action)
+		}
+	}
+	if !w.runs(p) {
+		p.stashed = append(p.stashed, act)
+		return
+	}
+	act()
+}
+
+func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) + 1 }
+
+func (w *world) carryOut(p *process, id int, action shard.Action) {
+	switch a := action.(type) {
+	case shard.Append:
+		w.append(p, id, a)
+	case shard.Read:
+		w.read(p, id, a)
+	case shard.Call:
+		w.call(p, id, a)
+	case shard.Answer:
+		w.checks.answered(a)
+	}
+}
+
+func (w *world) reply(p *process, id int, after time.Duration, event shard.Event) {
+	w.post(mail{to: p, act: func() { w.feed(p, id, event) }}, after)
+}
+
+// fate is what happens to one request.
+type fate int
+
+const (
+	fateNormal fate = iota
+	fateRefused
+	fateLost        // no effect, no answer
+	fateAnswerLost  // effect, no answer
+	fateLate        // no answer, effect later
+	fateTwice       // effect, answer, and the effect again later
+	fateTwiceUnsure // effect, no answer, and the effect again later
+)
+
+func (w *world) fate() fate {
+	if w.calm || w.rng.IntN(10) > 0 {
+		return fateNormal
+	}
+	return fate(1 + w.rng.IntN(6))
+}
+
+// request carries out an operation with its fate: effect runs at the other side, and answer gets its result or an error.
+func (w *world) request(h *host, outcome fate, effect func(), answer func(after time.Duration, err error)) {
+	way := w.upTo(50 * time.Millisecond)
+	late := callerTimeout + w.upTo(lateCall-callerTimeout)
+	if h == nil {
+		late = callerTimeout + w.upTo(lateAppend)
+	}
+	run := func(after time.Duration) { w.post(mail{host: h, act: func() { w.arrive(h, effect) }}, after) }
+	unsure := func() { answer(callerTimeout, oleanderline.ErrUncertain) }
+	switch outcome {
+	case fateRefused:
+		answer(way, oleanderline.ErrUnavailable)
+	case fateLost:
+		unsure()
+	case fateAnswerLost:
+		run(way)
+		unsure()
+	case fateLate:
+		run(late)
+		unsure()
+	case fateTwiceUnsure:
+		run(way)
+		run(late)
+		unsure()
+	case fateTwice:
+		run(late)
+		fallthrough
+	default:
+		w.post(mail{host: h, act: func() { w.arrive(h, func() { effect(); answer(way, nil) }) }}, way)
+		if h != nil {
+			answer(callerTimeout, errTimeout)
+		}
+	}
+}
+
+// errTimeout ends a call that has no answer until then. The core ignores it if an answer came before.
+var errTimeout = fmt.Errorf("timeout: %w", oleanderline.ErrUncertain)
+
+// arrive runs the effect of a request when the worker's VM is not frozen.
+func (w *world) arrive(h *host, effect func()) {
+	if h != nil && !h.frozenTo.IsZero() {
+		h.waiting = append(h.waiting, effect)
+		return
+	}
+	effect()
+}
+
+func (w *world) logFate(p *process) fate {
+	now := w.clock.Now()
+	if now.Before(w.logDownTo) || now.Before(p.logCutTo) {
+		return fateRefused
+	}
+	return w.fate()
+}
+
+func stream(id int) oleanderline.Stream { return oleanderline.Stream(fmt.Sprintf(worldStream, id)) }
+
+func (w *world) append(p *process, id int, a shard.Append) {
+	data, err := a.Group.Encode()
+	if err != nil {
+		panic(err)
+	}
+	var offset oleanderline.Offset
+	effect := func() {
+		offset, _ = w.log.Append(context.Background(), stream(id), data)
+		w.checks.appended(id, offset, data)
+		w.note("%s appended to %d at %d: %s", p.id, id, offset, data)
+	}
+	w.request(nil, w.logFate(p), effect, func(after time.Duration, err error) {
+		w.post(mail{to: p, act: func() {
+			w.feed(p, id, shard.AppendDone{Seq: a.Group.Seq, Offset: offset, Err: err})
+		}}, after)
+	})
+}
+
+func (w *world) read(p *process, id int, r shard.Read) {
+	asked := w.clock.Now()
+	outcome := w.logFate(p)
+	if outcome != fateNormal && outcome != fateTwice {
+		w.reply(p, id, callerTimeout, shard.ReadDone{Asked: asked, From: r.From, Err: oleanderline.ErrUnavailable})
+		return
+	}
+	batch, _ := w.log.Read(context.Background(), stream(id), r.From, r.Limit)
+	done := shard.ReadDone{Asked: asked, From: r.From, Oldest: batch.Oldest, Next: batch.Next}
+	for _, entry := range batch.Entries {
+		group, err := journal.Decode(entry.Data)
+		if err != nil {
+			panic(err)
+		}
+		done.Groups = append(done.Groups, shard.Located{Offset: entry.Offset, Time: entry.Time, Group: group})
+	}
+	w.reply(p, id, w.upTo(100*time.Millisecond), done)
+}
+
+func (w *world) call(p *process, id int, call shard.Call) {
+	now := w.clock.Now()
+	done := shard.CallDone{Worker: call.Worker, ID: call.ID}
+	if now.After(call.Before) {
+		w.reply(p, id, 0, done)
+		return
+	}
+	done.Sent = true
+	h := w.workers[call.Worker]
+	outcome := w.fate()
+	w.note("%s calls %s: kind %d, fate %d, frozen %t, %+v %+v", p.id, call.Worker, call.Kind, outcome, !h.frozenTo.IsZero(), call.Start, call.Stop)
+	if now.Before(p.cutFrom[call.Worker]) || h.dead {
+		outcome = fateRefused
+	}
+	effect := func() { w.execute(h, id, call, &done) }
+	w.request(h, outcome, effect, func(after time.Duration, err error) {
+		// The effect has run when this is called without an error.
+		copied := done
+		if err != nil {
+			copied.Err = err
+		}
+		w.reply(p, id, after, copied)
+	})
+}
+
+func (w *world) execute(h *host, id int, call shard.Call, done *shard.CallDone) {
+	ctx := context.Background()
+	defer func() { w.note("%s answers kind %d: %+v", call.Worker, call.Kind, *done) }()
+	switch call.Kind {
+	case shard.CallStart:
+		done.Err = h.Start(ctx, call.Start)
+	case shard.CallRenew:
+		done.Inventory, done.Err = h.Renew(ctx, call.Renew)
+	case shard.CallStop:
+		if w.forget && !w.has(h, id, call.Stop) {
+			done.Stop = oleanderline.StopResult{Stopped: true}
+			return
+		}
+		done.Stop, done.Err = h.Stop(ctx, call.Stop)
+	case shard.CallInventory:
+		done.Inventory, done.Err = h.Inventory(ctx, oleanderline.ShardID(id))
+	}
+}
+
+// has reports whether the worker knows an attempt.
+func (w *world) has(h *host, id int, stop oleanderline.StopRequest) bool {
+	inventory, err := h.Inventory(context.Background(), oleanderline.ShardID(id))
+	key := oleanderline.AttemptKey{Task: stop.Task, Attempt: stop.Attempt}
+	return errors.Is(err, oleanderline.ErrUnavailable) ||
+		slices.ContainsFunc(inventory.Leases, func(l oleanderline.Lease) bool { return l.AttemptKey == key }) ||
+		slices.ContainsFunc(inventory.Outcomes, func(o oleanderline.Outcome) bool { return o.AttemptKey == key })
+}
