Generate the pages of events, metrics and settings from the code

A test compares docs/events.md, docs/metrics.md and docs/configuration.md with the code and refreshes them with -update. It fails on an event number that is used twice or has no comment.

--- /dev/null
+++ b/pkg/catalogue/catalogue_test.go
@@ -0,0 +1,61 @@
+package catalogue
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the pages instead of comparing them")
+
+const root = "../.."
+
+// Guards against pages that do not agree with the code.
+func TestPagesAgreeWithTheCode(t *testing.T) {
+	events, err := Events(root)
+	require.NoError(t, err)
+	metrics, err := Metrics(root)
+	require.NoError(t, err)
+	for name, want := range map[string]string{
+		"events.md":        events,
+		"metrics.md":       metrics,
+		"configuration.md": Configuration(),
+	} {
+		path := filepath.Join(root, "docs", name)
+		if *update {
+			require.NoError(t, os.WriteFile(path, []byte(want), 0o644))
+			continue
+		}
+		got, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.Equal(t, want, string(got), "refresh with: go test ./pkg/catalogue -update")
+	}
+}
+
+// Guards against a generator that finds nothing, or passes over a fault in the constants.
+func TestEventsFindsFaults(t *testing.T) {
+	type scenario struct {
+		name, code, want string
+	}
+	for _, s := range []scenario{
+		{"twice", "EventA Event = \"E1\" // a\n\tEventB Event = \"E1\" // b", "event E1 is both"},
+		{"no comment", "EventA Event = \"E1\"", "event E1 (EventA) has no comment"},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			dir := t.TempDir()
+			require.NoError(t, os.MkdirAll(filepath.Join(dir, "pkg/common"), 0o700))
+			code := "package common\n\ntype Event string\n\nconst (\n\t" + s.code + "\n)\n"
+			require.NoError(t, os.WriteFile(filepath.Join(dir, "pkg/common/event.go"), []byte(code), 0o600))
+			_, err := Events(dir)
+			require.ErrorContains(t, err, s.want)
+		})
+	}
+	metrics, err := Metrics(root)
+	require.NoError(t, err)
+	require.Contains(t, metrics, "| `oleander_rules_revision` | gauge | `pkg/rules` |")
+	require.Equal(t, 1, strings.Count(metrics, "`oleander_rules_gaps_total`"))
+}
