--- a/pkg/ctl/publish.go
+++ b/pkg/ctl/publish.go
@@ -18,7 +18,7 @@
 	if report := t.report(f); !report.OK() {
 		return t.fail(ExitUsage, "%s has errors; nothing was published", f.name)
 	}
-	request := rules.Request{ID: c.ID, By: c.By, Text: f.text, Base: f.base}
+	request := rules.Request{ID: c.ID, By: c.By, Text: f.text, Base: f.base, Begin: c.Begin}
 	switch {
 	case c.Base != nil:
 		request.Base = oleanderline.Revision(*c.Base)
@@ -69,7 +69,7 @@
 	case errors.Is(err, rules.ErrInvalid):
 		return t.fail(ExitUsage, "%v; nothing was published", err)
 	case errors.Is(err, rules.ErrUnsettled):
-		return t.fail(ExitFailure, "%v; nothing was published; give --operators", err)
+		return t.fail(ExitFailure, "%v; nothing was published; give --operators, or see --begin in docs/operations.md", err)
 	default:
 		return t.fail(ExitFailure, "the log service does not answer; nothing was published, the rules in force stay in force: %v", err)
 	}
--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -46,11 +46,12 @@
 
 // PublishCommand are the arguments of publish.
 type PublishCommand struct {
-	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
-	Base *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
-	By   string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
-	ID   string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
-	Wait bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
+	File  string `arg:"positional,required" help:"file of rules, or - for standard input"`
+	Base  *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
+	By    string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
+	ID    string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
+	Begin bool   `arg:"--begin" help:"publish although no own VM and no entry of the stream tells the newest revision; read docs/operations.md first"`
+	Wait  bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
 }
 
 // StatusCommand has no arguments.
--- a/pkg/rules/publisher.go
+++ b/pkg/rules/publisher.go
@@ -28,6 +28,8 @@
 	Base oleanderline.Revision
 	By   string
 	Text string
+	// Begin publishes although no reader knows the newest revision; see Publisher.begin.
+	Begin bool
 }
 
 // Receipt tells what became of a published file.
@@ -94,6 +96,9 @@
 		receipt.Found = true
 		return receipt, nil
 	}
+	if newest := p.follower.Snapshot(); r.Begin && !newest.Settled && newest.Revision == 0 {
+		return p.begin(ctx, r)
+	}
 	for {
 		p.refused = false
 		base, done, err := p.decide(r)
@@ -142,6 +147,22 @@
 	return e
 }
 
+// begin gives readers that lost the newest revision a new one. The first entry is only there to be the base of the second,
+// which readers accept behind a gap. It must be used by one operator at a time, and only if no daemon knows a revision:
+// a daemon that does refuses both entries.
+func (p *Publisher) begin(ctx context.Context, r Request) (Receipt, error) {
+	entry := Entry{ID: "begin-" + r.ID, By: r.By, Time: p.common.Clock.Now().UTC(), Text: r.Text}
+	data, err := entry.Encode()
+	if err != nil {
+		return Receipt{}, err
+	}
+	offset, err := p.append(ctx, data)
+	if err != nil {
+		return Receipt{}, fmt.Errorf("append to the rules stream: %w", err)
+	}
+	return p.appendUntilKnown(ctx, r, oleanderline.Revision(offset))
+}
+
 // appendUntilKnown appends until the entry has been read back, or the context ends.
 func (p *Publisher) appendUntilKnown(ctx context.Context, r Request, base oleanderline.Revision) (Receipt, error) {
 	data, err := p.encode(r, base)
--- a/pkg/rules/publisher_test.go
+++ b/pkg/rules/publisher_test.go
@@ -70,3 +70,30 @@
 	_, err = publish(Request{ID: "h", By: "ana", Base: 4, Text: "\n"})
 	require.ErrorIs(t, err, ErrOutcomeUnknown)
 }
+
+// Guards against a stream that no one can publish on, after retention has removed the last revision.
+func TestBeginAfterTheLastRevisionIsLost(t *testing.T) {
+	clock := &hastyClock{now: testStart}
+	log := newFakeLog()
+	mustAppend(t, log, Entry{ID: "a", Text: "# lost\n"})
+	knowing := NewFollower(testCommon(clock), log)
+	knowing.Step(t.Context())
+	log.retain(2)
+	fresh := NewFollower(testCommon(clock), log)
+	request := Request{ID: "b", By: "ana", Text: "# new\n"}
+	_, err := NewPublisher(testCommon(clock), log).Publish(t.Context(), request)
+	require.ErrorIs(t, err, ErrUnsettled)
+	request.Begin = true
+	peers := WithPeers(func(context.Context) []Snapshot { return []Snapshot{knowing.Snapshot()} })
+	_, err = NewPublisher(testCommon(clock), log, peers).Publish(t.Context(), request)
+	var race *RaceError
+	require.ErrorAs(t, err, &race, "the peer's revision 1 counts, because the peer answers")
+	require.Len(t, log.entries, 1)
+	receipt, err := NewPublisher(testCommon(clock), log).Publish(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, Receipt{Revision: 3}, receipt)
+	fresh.Step(t.Context())
+	require.Equal(t, oleanderline.Revision(3), fresh.Current().Revision)
+	knowing.Step(t.Context())
+	require.Equal(t, "# lost\n", knowing.Current().Text, "a process that knows a revision never leaves its order")
+}
