--- a/pkg/demo/load.go
+++ b/pkg/demo/load.go
@@ -17,7 +17,7 @@
 	thinkTime   = 30 * time.Millisecond
 	smallAnswer = 200     // bytes
 	largeAnswer = 1 << 20 // bytes
-	maxWait     = 10 * time.Second
+	maxWait     = 5 * time.Second
 )
 
 // load sends requests as callers do, and keeps what came of each.
@@ -94,7 +94,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	request.Excused = !l.killedAt.IsZero() && (o.entry == l.killed && o.broken || homeLost[o.reason])
+	if o.broken && o.entry == l.killed {
+		request.Reason = "connection to the killed VM broke"
+	}
+	request.Excused = !l.killedAt.IsZero() && (o.entry == l.killed || homeLost[o.reason])
 	l.requests = append(l.requests, request)
 }
 
