--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/placement"
 	"github.com/oleanderline/oleanderline/pkg/rules"
@@ -97,13 +98,13 @@
 func (d *Daemon) serve(ctx context.Context) error {
 	d.peers = peer.NewServer(d.common, d.settings.Key)
 	d.operators = peer.NewServer(d.common, d.settings.Key)
-	for _, err := range []error{
+	view := &operatorView{daemon: d, started: d.common.Clock.Now()}
+	calls := operator.NewHandler(d.common, view, d.rules, operator.WithExplainer(view))
+	if err := errors.Join(
 		d.peers.Register(serviceName, &peerService{daemon: d}),
-		d.operators.Register(serviceName, &operatorService{daemon: d}),
-	} {
-		if err != nil {
-			return fmt.Errorf("register the calls of peers and operators: %w", err)
-		}
+		calls.Register(d.operators, operator.SchedService),
+	); err != nil {
+		return fmt.Errorf("register the calls of peers and operators: %w", err)
 	}
 	d.openPaths()
 	d.callers = &http.Server{Handler: d.callerPaths(), ReadHeaderTimeout: headerTimeout}
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
@@ -152,6 +153,19 @@
 	r.view.SetSelf(self)
 }
 
+// members returns all own VMs that answer.
+func (r *roster) members() []operator.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var members []operator.Member
+	for _, m := range r.view.Alive(r.daemon.common.Clock.Now()) {
+		members = append(members, operator.Member{
+			ID: m.ID, Domain: m.Domain, Alive: true, Draining: m.Draining, Revision: m.Revision,
+		})
+	}
+	return members
+}
+
 // others reports whether another member takes shards.
 func (r *roster) others() bool {
 	r.mu.Lock()
--- a/pkg/sched/worker_list.go
+++ b/pkg/sched/worker_list.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 )
@@ -17,9 +18,20 @@
 	mu     sync.Mutex
 	rows   []oleanderline.VM
 	read   bool
+	readAt time.Time
 	failed bool
 }
 
+// service tells operators how the VM list answers.
+func (l *workerList) service(now time.Time) operator.Service {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.read {
+		return operator.Service{Down: l.failed, Age: -1}
+	}
+	return operator.Service{Down: l.failed, Age: now.Sub(l.readAt)}
+}
+
 func (l *workerList) known() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -48,7 +60,7 @@
 	d.workers.failed = err != nil
 	if err == nil {
 		rows = slices.DeleteFunc(rows, func(vm oleanderline.VM) bool { return vm.Region != d.settings.region() })
-		d.workers.rows, d.workers.read = rows, true
+		d.workers.rows, d.workers.read, d.workers.readAt = rows, true, asked
 	}
 	d.workers.mu.Unlock()
 	if err == nil {
@@ -100,17 +112,8 @@
 }
 
 func drained(set *rules.Set, vm oleanderline.VM, now time.Time) bool {
+	here := rules.Target{VM: vm.ID, Rack: vm.Rack, Domain: vm.Domain}
 	return slices.ContainsFunc(set.Drains, func(drain rules.Drain) bool {
-		return drain.Active(now) && matches(drain.Target, vm)
+		return drain.Active(now) && drain.Matches(here)
 	})
 }
-
-// matches reports whether a target selects the VM. Services and teams select no worker.
-func matches(target rules.Target, vm oleanderline.VM) bool {
-	if target.Service != "" || target.Team != "" {
-		return false
-	}
-	return (target.VM == "" || target.VM == vm.ID) &&
-		(target.Rack == "" || target.Rack == vm.Rack) &&
-		(target.Domain == "" || target.Domain == vm.Domain)
-}
--- a/pkg/shard/status.go
+++ b/pkg/shard/status.go
@@ -10,56 +10,65 @@
 
 // Explanation tells what a task does and what it waits for.
 type Explanation struct {
-	Task       oleanderline.TaskID
-	State      string // waiting, assigned, running, stopping, finished, unknown
-	Worker     oleanderline.WorkerID
-	Attempt    oleanderline.Attempt
-	Since      time.Time
-	WaitingFor string
-	Failures   int
-	Reason     string // why the last attempt of the job ended
+	Task    oleanderline.TaskID
+	State   string // waiting, assigned, running, stopping, finished, unknown
+	Worker  oleanderline.WorkerID
+	Attempt oleanderline.Attempt
+	Since   time.Time
+	Reasons []string // what it waits for first, then its history
+}
+
+// explain sets what the task waits for.
+func (e *Explanation) explain(format string, args ...any) {
+	e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...))
 }
 
 // Why explains a task. Details beyond the stream are known to the owner only.
 func (c *Core) Why(id oleanderline.TaskID) Explanation {
 	name, index, err := splitTaskID(id)
 	j := c.jobs[name]
+	e := Explanation{Task: id, State: "unknown"}
 	if err != nil || j == nil || index < 0 || index >= j.Count {
-		return Explanation{Task: id, State: "unknown", WaitingFor: "nothing: no such task is recorded, or it finished long ago"}
+		e.explain("no such task is recorded, or it finished long ago")
+		return e
 	}
 	t := j.tasks[index]
-	if t == nil {
-		return Explanation{Task: id, State: "finished", Since: j.finishedAt, Reason: j.reason}
+	switch {
+	case t == nil:
+		e.State, e.Since = "finished", j.finishedAt
+		e.explain("%d tasks of the job are done, %d failed, %d were cancelled", j.counts.Done, j.counts.Failed, j.counts.Cancelled)
+	case t.state == taskAssigned:
+		e.State, e.Worker, e.Attempt, e.Since = "assigned", t.worker, t.attempt, t.since
+		c.explainAssigned(t, &e)
+	default:
+		e.State, e.Attempt, e.Since = "waiting", t.attempt, t.since
+		c.explainWaiting(t, &e)
 	}
-	e := Explanation{
-		Task: id, State: "waiting", Worker: t.worker, Attempt: t.attempt, Since: t.since, Failures: t.failures,
-		Reason: j.reason,
+	if t != nil && t.failures > 0 {
+		e.explain("%d attempts have failed", t.failures)
 	}
-	if t.state == taskAssigned {
-		e.State = "assigned"
-		c.explainAssigned(t, &e)
-		return e
+	if j.reason != "" {
+		e.explain("the last attempt of the job that did not complete ended: %s", j.reason)
 	}
-	e.WaitingFor = c.explainWaiting(t)
 	return e
 }
 
-func (c *Core) explainWaiting(t *task) string {
+func (c *Core) explainWaiting(t *task, e *Explanation) {
 	switch {
 	case !c.owning:
-		return "unknown here: this process follows the shard, ask its owner"
+		e.explain("this process only follows the shard, its owner knows more")
 	case !c.mayAct():
-		return "the owner to read its stream again"
+		e.explain("the owner must read its stream to the end before it acts")
 	case t.pending == journal.KindAssign:
-		return fmt.Sprintf("the record of its assignment to %s to be read back", t.target)
+		e.explain("the record of its assignment to %s is not yet read back", t.target)
 	case c.now.Before(t.notBefore):
-		return fmt.Sprintf("the end of its backoff at %s", t.notBefore.UTC().Format(time.RFC3339))
-	case c.writer.Stalled(c.now) > stalledFor:
-		return "the log service, which does not answer"
+		e.explain("its next attempt starts after a pause, at %s", t.notBefore.UTC().Format(time.RFC3339))
+	case c.LogStalled():
+		e.explain("the log service does not answer")
 	case c.releasing:
-		return "the next owner of the shard"
+		e.explain("the shard is being handed over")
 	default:
-		return fmt.Sprintf("a worker with %s free", t.size())
+		e.explain("no worker of the shard has %s free", t.size())
 	}
 }
 
@@ -67,23 +76,23 @@
 	w := c.workers.byID[t.worker]
 	switch {
 	case !c.owning || w == nil:
-		e.WaitingFor = "unknown here: this process follows the shard, ask its owner"
+		e.explain("this process only follows the shard, its owner knows more")
 	case t.pending != "":
-		e.WaitingFor = fmt.Sprintf("its %s record to be read back", t.pending)
+		e.explain("its %s record is not yet read back", t.pending)
 	case !w.reachable() || w.absent:
-		e.WaitingFor = fmt.Sprintf("worker %s to answer, or its lease to expire", w.id)
+		e.explain("worker %s does not answer; its lease is waited for", w.id)
 	case !w.fenced:
-		e.WaitingFor = fmt.Sprintf("the inventory of worker %s", w.id)
+		e.explain("the inventory of worker %s is not yet known", w.id)
 	case t.stop:
 		e.State = "stopping"
-		e.WaitingFor = fmt.Sprintf("worker %s to confirm the stop, asked %d times", w.id, t.stopTries)
+		e.explain("worker %s has not confirmed the stop after %d attempts", w.id, t.stopTries)
 	case t.running:
 		e.State = "running"
-		e.WaitingFor = "its end"
+		e.explain("worker %s has confirmed the start", w.id)
 	case t.reserved:
-		e.WaitingFor = fmt.Sprintf("worker %s to confirm the start", w.id)
+		e.explain("worker %s has not confirmed the start", w.id)
 	default:
-		e.WaitingFor = fmt.Sprintf("room at worker %s: needs %s, free %s", w.id, t.size(), w.free())
+		e.explain("it waits at worker %s for %s, free are %s", w.id, t.size(), w.free())
 	}
 }
 
@@ -98,9 +107,13 @@
 	ReadAt      time.Time // when the last read that reached the end was sent
 	Waiting     int       // tasks
 	Assigned    int
+	Running     int
 	Jobs        int
-	Workers     int
+	Workers     int // in the VM list
+	Leaving     int // of them, those that operators drain or the VM list calls leaving
 	Unreachable int
+	Unknown     int  // of the workers listed, those whose inventory is not yet known
+	LogStalled  bool // an append has been without an answer for so long that placement pauses
 	Committed   oleanderline.Size
 	Records     int // that wait for the log service
 	Counters    Counters
@@ -112,16 +125,10 @@
 	s := Status{
 		Shard: c.cfg.Shard, Owner: owner, Term: c.order.Term(), Owning: c.owning, Acting: c.mayAct(), Next: c.next,
 		ReadAt: c.readAt, Jobs: len(c.jobs), Records: c.writer.Waiting(), Counters: c.counters,
+		LogStalled: c.LogStalled(),
 	}
 	for _, w := range c.workers.order {
-		if w.listed {
-			s.Workers++
-		}
-		if !w.reachable() || w.absent {
-			s.Unreachable++
-		}
-		s.Committed = s.Committed.Add(w.committed)
-		s.Assigned += len(w.tasks)
+		c.addWorker(&s, w)
 	}
 	for _, j := range c.jobOrder {
 		s.Waiting += len(j.tasks)
@@ -130,5 +137,27 @@
 	return s
 }
 
+func (c *Core) addWorker(s *Status, w *worker) {
+	if w.listed {
+		s.Workers++
+		if c.workers.draining(w) {
+			s.Leaving++
+		}
+		if !w.fenced {
+			s.Unknown++
+		}
+	}
+	if !w.reachable() || w.absent {
+		s.Unreachable++
+	}
+	s.Committed = s.Committed.Add(w.committed)
+	s.Assigned += len(w.tasks)
+	for _, t := range w.tasks {
+		if t.running && !t.ended {
+			s.Running++
+		}
+	}
+}
+
 // LogStalled reports whether an append has been without an answer for so long that placement pauses.
 func (c *Core) LogStalled() bool { return c.writer.Stalled(c.now) > stalledFor }
