--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -93,28 +93,41 @@
 	case Leave:
 		c.leaving = true
 	}
-	c.advance()
+	c.advance(event)
 	out := c.out
 	c.out = nil
 	return out
 }
 
-// advance does everything that is due.
-func (c *Core) advance() {
+// advance does everything that is due. After the answer of a worker that is the next call to it; the rest waits for the
+// next tick, because a look at all workers for each answer would take most of the processor time.
+func (c *Core) advance(event Event) {
+	if answer, ok := event.(CallDone); ok {
+		if w := c.workers.byID[answer.Worker]; w != nil && c.mayAct() {
+			c.operateWorker(w)
+		}
+	} else {
+		c.advanceAll()
+	}
+	if c.mayAppend() {
+		if group, ok := c.writer.Next(c.order.Term(), c.now); ok {
+			c.emit(Append{Group: group})
+		}
+	}
+}
+
+func (c *Core) advanceAll() {
 	c.maintainOwnership()
 	c.requestRead()
 	if c.mayAct() {
-		c.operateWorkers()
+		for _, w := range c.workers.order {
+			c.operateWorker(w)
+		}
 		c.place()
 		c.keepLive()
 	}
 	c.expireWaiters()
 	c.forgetFinished()
-	if c.mayAppend() {
-		if group, ok := c.writer.Next(c.order.Term(), c.now); ok {
-			c.emit(Append{Group: group})
-		}
-	}
 }
 
 func (c *Core) emit(action Action) { c.out = append(c.out, action) }
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -18,16 +18,14 @@
 	lostAfter = 3
 )
 
-// operateWorkers makes the next call to each worker that has none outstanding.
-func (c *Core) operateWorkers() {
-	for _, w := range c.workers.order {
-		c.dismiss(w)
-		if c.leaseOver(w) {
-			c.expireLeases(w)
-		}
-		if !w.busy && w.vm.Address != "" && !w.absent && !c.now.Before(w.retryAt) {
-			c.operate(w)
-		}
+// operateWorker makes the next call to a worker that has none outstanding.
+func (c *Core) operateWorker(w *worker) {
+	c.dismiss(w)
+	if c.leaseOver(w) {
+		c.expireLeases(w)
+	}
+	if !w.busy && w.vm.Address != "" && !w.absent && !c.now.Before(w.retryAt) {
+		c.operate(w)
 	}
 }
 
--- a/pkg/shard/schedule_test.go
+++ b/pkg/shard/schedule_test.go
@@ -62,7 +62,7 @@
 	}
 	switch choice {
 	case 0:
-		p.alive, p.returnAt = false, now.Add(w.upTo(20*time.Second))
+		w.kill(p, now.Add(w.upTo(20*time.Second)))
 	case 1:
 		p.pausedTo = now.Add(w.upTo(70 * time.Second))
 	case 2:
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -26,6 +26,8 @@
 	callerTimeout  = 2 * time.Second
 	lateCall       = 4 * time.Second // latest effect of a call whose sender has given up; below the margin
 	lateAppend     = 40 * time.Second
+	// heartbeatTimeout is that of the daemon: four missed heartbeats of 500 ms.
+	heartbeatTimeout = 2 * time.Second
 )
 
 var workerSize = oleanderline.Size{CPU: 4000, Memory: 8000}
@@ -74,6 +76,7 @@
 	domain   oleanderline.DomainID
 	life     int
 	alive    bool
+	killedAt time.Time
 	returnAt time.Time
 	pausedTo time.Time
 	logCutTo time.Time
@@ -141,7 +144,7 @@
 
 func (w *world) launch(p *process) {
 	p.life++
-	p.alive, p.cores, p.stashed, p.nextList = true, nil, nil, w.clock.Now()
+	p.alive, p.cores, p.stashed, p.nextList = true, nil, nil, w.clock.Now().Add(w.upTo(time.Second))
 	for id := range worldShards {
 		p.cores = append(p.cores, shard.New(shard.Config{
 			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
@@ -243,7 +246,7 @@
 	p.nextList = now.Add(2 * time.Second)
 	var alive []oleanderline.VMID
 	for _, other := range w.processes {
-		if other == p || (w.runs(other) && (now.After(p.blindTo) || !p.blind[other.id])) {
+		if other == p || (w.seems(other) && (now.After(p.blindTo) || !p.blind[other.id])) {
 			alive = append(alive, other.id)
 		}
 	}
@@ -263,6 +266,16 @@
 	}
 }
 
+// seems reports whether a process runs, or has not been silent for as long as heartbeats may be missed.
+func (w *world) seems(p *process) bool {
+	return w.runs(p) || (!p.alive && w.clock.Now().Before(p.killedAt.Add(heartbeatTimeout)))
+}
+
+// kill ends a process at once.
+func (w *world) kill(p *process, returnAt time.Time) {
+	p.alive, p.killedAt, p.returnAt = false, w.clock.Now(), returnAt
+}
+
 func workersOf(rows []oleanderline.VM, id int) []oleanderline.VM {
 	var own []oleanderline.VM
 	for _, vm := range rows {
