Index the callers that wait, check checkpoints and cancelled attempts

Answering one of 10,000 cancellations looked at all others. The schedules now also check that an attempt starts from the newest recorded checkpoint and that an attempt assigned after a cancellation never starts.

--- a/pkg/shard/checker_test.go
+++ b/pkg/shard/checker_test.go
@@ -23,6 +23,9 @@
 	submits  map[shard.Token]journal.Job
 	open     map[oleanderline.JobID]int // submissions that were not refused as not run
 	ends     map[oleanderline.JobID]int // tasks that are done or have failed for good
+	// checkpoints are what the next attempt of a task must resume from.
+	checkpoints map[oleanderline.TaskID]string
+	void        map[oleanderline.AttemptKey]bool // assigned after the cancellation of their job
 	// cancelled are the jobs with a recorded cancellation.
 	cancelled map[oleanderline.JobID]bool
 	faults    []string
@@ -33,6 +36,7 @@
 		world: w, recorded: map[oleanderline.JobID]bool{}, finished: map[oleanderline.TaskID]journal.Kind{},
 		accepted: map[oleanderline.JobID]journal.Job{}, submits: map[shard.Token]journal.Job{},
 		open: map[oleanderline.JobID]int{}, ends: map[oleanderline.JobID]int{}, cancelled: map[oleanderline.JobID]bool{},
+		checkpoints: map[oleanderline.TaskID]string{}, void: map[oleanderline.AttemptKey]bool{},
 	}
 	for i := range c.seqs {
 		c.seqs[i] = map[oleanderline.WriterID]journal.Seq{}
@@ -60,12 +64,38 @@
 			for _, id := range record.Jobs {
 				c.cancelled[id] = true
 			}
+		case journal.KindAssign:
+			if c.cancelled[jobOf(record.Task)] {
+				c.void[oleanderline.AttemptKey{Task: record.Task, Attempt: record.Attempt}] = true
+			}
+		case journal.KindFree:
+			if record.Checkpoint != "" {
+				c.checkpoints[record.Task] = record.Checkpoint
+			}
 		case journal.KindDone, journal.KindFail:
 			c.end(record)
 		}
 	}
 }
 
+func jobOf(task oleanderline.TaskID) oleanderline.JobID {
+	job, _, _ := strings.Cut(string(task), "/")
+	return oleanderline.JobID(job)
+}
+
+// starting checks what the newest owner asks a worker to start.
+func (c *checker) starting(id int, start oleanderline.StartRequest) {
+	if start.Term != c.terms[id] {
+		return
+	}
+	if want := c.checkpoints[start.Task]; start.Checkpoint != want {
+		c.fault("task %s attempt %d starts from checkpoint %q instead of %q", start.Task, start.Attempt, start.Checkpoint, want)
+	}
+	if c.void[oleanderline.AttemptKey{Task: start.Task, Attempt: start.Attempt}] {
+		c.fault("task %s attempt %d starts although its job was cancelled before", start.Task, start.Attempt)
+	}
+}
+
 // end counts a completion. Only the last attempt of a task can have one.
 func (c *checker) end(record journal.Record) {
 	if record.Kind == journal.KindFail && !record.Final {
@@ -75,8 +105,7 @@
 		c.fault("task %s: %s recorded after %s", record.Task, record.Kind, before)
 	}
 	c.finished[record.Task] = record.Kind
-	job, _, _ := strings.Cut(string(record.Task), "/")
-	c.ends[oleanderline.JobID(job)]++
+	c.ends[jobOf(record.Task)]++
 }
 
 func (c *checker) answered(a shard.Answer) {
--- a/pkg/shard/waiters.go
+++ b/pkg/shard/waiters.go
@@ -8,14 +8,18 @@
 	"github.com/oleanderline/oleanderline/pkg/journal"
 )
 
-// waiters are the callers that wait for a record to be read back.
+// waiters are the callers that wait for a record to be read back. The lists are in the order of the deadlines.
 type waiters struct {
-	submits map[oleanderline.JobID][]submitWait
-	cancels []*cancelWait
+	submits     map[oleanderline.JobID][]Token
+	submitOrder []submitWait
+	cancels     map[oleanderline.JobID][]*cancelWait
+	cancelOrder []*cancelWait
 }
 
+// submitWait is the deadline of all callers that wait for the record of a job.
 type submitWait struct {
-	token    Token
+	job      oleanderline.JobID
+	first    Token // the caller that began the wait
 	deadline time.Time
 }
 
@@ -23,11 +27,15 @@
 	token    Token
 	deadline time.Time
 	jobs     []oleanderline.JobID
-	left     map[oleanderline.JobID]bool // not yet read back
+	left     int // jobs whose record is not yet read back
+	answered bool
 }
 
 func newWaiters() waiters {
-	return waiters{submits: map[oleanderline.JobID][]submitWait{}}
+	return waiters{
+		submits: map[oleanderline.JobID][]Token{},
+		cancels: map[oleanderline.JobID][]*cancelWait{},
+	}
 }
 
 // submit records a job, or answers at once.
@@ -38,12 +46,15 @@
 		return
 	}
 	_, recording := c.waiters.submits[id]
-	wait := submitWait{token: e.Token, deadline: c.now.Add(c.cfg.Limits.Hold)}
-	c.waiters.submits[id] = append(c.waiters.submits[id], wait)
-	if !recording {
-		spec := e.Job
-		c.record(spec.Urgent, journal.Record{Kind: journal.KindSubmit, Job: &spec})
+	c.waiters.submits[id] = append(c.waiters.submits[id], e.Token)
+	if recording {
+		return
 	}
+	c.waiters.submitOrder = append(c.waiters.submitOrder, submitWait{
+		job: id, first: e.Token, deadline: c.now.Add(c.cfg.Limits.Hold),
+	})
+	spec := e.Job
+	c.record(spec.Urgent, journal.Record{Kind: journal.KindSubmit, Job: &spec})
 }
 
 // judge returns the verdict on a job that needs no record, or zero.
@@ -86,8 +97,8 @@
 }
 
 func (c *Core) answerSubmits(id oleanderline.JobID) {
-	for _, wait := range c.waiters.submits[id] {
-		c.answer(wait.token, Accepted, "", id)
+	for _, token := range c.waiters.submits[id] {
+		c.answer(token, Accepted, "", id)
 	}
 	delete(c.waiters.submits, id)
 }
@@ -98,56 +109,62 @@
 		c.answer(e.Token, NotOwner, "another process owns the shard", e.Jobs...)
 		return
 	}
-	wait := &cancelWait{
-		token: e.Token, deadline: c.now.Add(c.cfg.Limits.Hold), jobs: e.Jobs, left: map[oleanderline.JobID]bool{},
-	}
+	wait := &cancelWait{token: e.Token, deadline: c.now.Add(c.cfg.Limits.Hold), jobs: e.Jobs}
 	record := journal.Record{Kind: journal.KindCancel}
 	for _, id := range e.Jobs {
 		j := c.jobs[id]
 		if j == nil || len(j.tasks) == 0 {
 			continue
 		}
-		wait.left[id] = true
+		wait.left++
+		c.waiters.cancels[id] = append(c.waiters.cancels[id], wait)
 		if !j.cancelPending {
 			j.cancelPending = true
 			record.Jobs = append(record.Jobs, id)
 		}
 	}
-	if len(wait.left) == 0 {
+	if wait.left == 0 {
 		c.answer(e.Token, Accepted, "", e.Jobs...)
 		return
 	}
-	c.waiters.cancels = append(c.waiters.cancels, wait)
+	c.waiters.cancelOrder = append(c.waiters.cancelOrder, wait)
 	if len(record.Jobs) > 0 {
 		c.record(false, record)
 	}
 }
 
 func (c *Core) answerCancels(id oleanderline.JobID) {
-	c.waiters.cancels = slices.DeleteFunc(c.waiters.cancels, func(wait *cancelWait) bool {
-		delete(wait.left, id)
-		if len(wait.left) > 0 {
-			return false
+	for _, wait := range c.waiters.cancels[id] {
+		wait.left--
+		if wait.left == 0 && !wait.answered {
+			wait.answered = true
+			c.answer(wait.token, Accepted, "", wait.jobs...)
 		}
-		c.answer(wait.token, Accepted, "", wait.jobs...)
-		return true
-	})
+	}
+	delete(c.waiters.cancels, id)
 }
 
 // expireWaiters answers the callers whose time is over. A job whose record was never sent is withdrawn.
 func (c *Core) expireWaiters() {
-	for _, id := range sortedKeys(c.waiters.submits) {
-		if !c.now.Before(c.waiters.submits[id][0].deadline) {
-			c.giveUp(id, "the log service does not answer")
+	w := &c.waiters
+	for len(w.submitOrder) > 0 && !c.now.Before(w.submitOrder[0].deadline) {
+		first := w.submitOrder[0]
+		w.submitOrder = w.submitOrder[1:]
+		if tokens := w.submits[first.job]; len(tokens) > 0 && tokens[0] == first.first {
+			c.giveUp(first.job, "the log service does not answer")
 		}
 	}
-	c.waiters.cancels = slices.DeleteFunc(c.waiters.cancels, func(wait *cancelWait) bool {
-		if c.now.Before(wait.deadline) {
-			return false
-		}
-		c.answer(wait.token, Unsure, "the log service does not answer", wait.jobs...)
-		return true
-	})
+	for len(w.cancelOrder) > 0 && !c.now.Before(w.cancelOrder[0].deadline) {
+		c.giveUpCancel(w.cancelOrder[0], "the log service does not answer")
+		w.cancelOrder = w.cancelOrder[1:]
+	}
+}
+
+func (c *Core) giveUpCancel(wait *cancelWait, reason string) {
+	if !wait.answered {
+		wait.answered = true
+		c.answer(wait.token, Unsure, reason, wait.jobs...)
+	}
 }
 
 func (c *Core) giveUp(id oleanderline.JobID, reason string) {
@@ -159,8 +176,8 @@
 		verdict = NotRun
 		c.counters.Refused++
 	}
-	for _, wait := range c.waiters.submits[id] {
-		c.answer(wait.token, verdict, reason, id)
+	for _, token := range c.waiters.submits[id] {
+		c.answer(token, verdict, reason, id)
 	}
 	delete(c.waiters.submits, id)
 }
@@ -168,22 +185,15 @@
 // withdrawWaiters answers all callers when the ownership ends. The record of a job that may have been stored is still
 // read by every later owner, so its caller is told to ask again.
 func (c *Core) withdrawWaiters() {
-	for _, id := range sortedKeys(c.waiters.submits) {
-		c.giveUp(id, "the shard changed its owner")
-	}
-	for _, wait := range c.waiters.cancels {
-		c.answer(wait.token, Unsure, "the shard changed its owner", wait.jobs...)
+	for _, wait := range c.waiters.submitOrder {
+		if len(c.waiters.submits[wait.job]) > 0 {
+			c.giveUp(wait.job, "the shard changed its owner")
+		}
 	}
-	c.waiters.cancels = nil
-}
-
-func sortedKeys[V any](m map[oleanderline.JobID]V) []oleanderline.JobID {
-	keys := make([]oleanderline.JobID, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
+	for _, wait := range c.waiters.cancelOrder {
+		c.giveUpCancel(wait, "the shard changed its owner")
 	}
-	slices.Sort(keys)
-	return keys
+	c.waiters = newWaiters()
 }
 
 // JobStatus returns what this process knows about a job.
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -434,6 +434,9 @@
 func (w *world) call(p *process, id int, call shard.Call) {
 	now := w.clock.Now()
 	done := shard.CallDone{Worker: call.Worker, ID: call.ID}
+	if call.Kind == shard.CallStart {
+		w.checks.starting(id, call.Start)
+	}
 	if now.After(call.Before) {
 		w.reply(p, id, 0, done)
 		return
