--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -23,6 +23,10 @@
 	if err := replace(c.Out, text); err != nil {
 		return t.fail(ExitFailure, "write rules: %v", err)
 	}
+	if s.Revision == 0 {
+		t.print("no rules are published yet; revision 0 is written to %s\n", c.Out)
+		return ExitOK
+	}
 	t.print("revision %d, published by %s at %s, written to %s\n", s.Revision, s.By, s.Published.Format(time.RFC3339), c.Out)
 	return ExitOK
 }
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/operator"
 )
 
@@ -40,6 +41,7 @@
 			peers(s), work(s))
 		notes = append(notes, remarks(s)...)
 	}
+	notes = append(notes, unasked(answers)...)
 	t.shards(answers, row)
 	_ = out.Flush()
 	for _, note := range slices.Compact(notes) {
@@ -107,6 +109,26 @@
 	return found
 }
 
+// unasked names the own VMs that others see and that no address of --operators belongs to.
+func unasked(answers []operator.Answer[operator.Status]) []string {
+	asked := map[oleanderline.VMID]bool{}
+	seen := map[oleanderline.VMID]bool{}
+	for _, a := range answers {
+		asked[a.Value.ID] = a.Err == nil
+		for _, m := range a.Value.Members {
+			seen[m.ID] = seen[m.ID] || m.Alive
+		}
+	}
+	var notes []string
+	for id, alive := range seen {
+		if alive && !asked[id] {
+			notes = append(notes, fmt.Sprintf("own VM %s answers its peers, but no daemon of it has answered here", id))
+		}
+	}
+	slices.Sort(notes)
+	return notes
+}
+
 func (t *Tool) shards(answers []operator.Answer[operator.Status], row func(...any)) {
 	row()
 	row("SHARD", "OWNER", "TERM", "PLACING", "WAITING", "RUNNING", "STREAM READ")
--- a/pkg/ctl/tool_test.go
+++ b/pkg/ctl/tool_test.go
@@ -195,6 +195,7 @@
 		Members: []operator.Member{{ID: "own-1", Alive: true, Revision: 6}, {ID: "own-3", Alive: true, Revision: 6}, {ID: "own-4"}},
 	}}}
 	require.Equal(t, []string{"own-3, which is not in --operators: revision 6"}, lagging(answers, 7))
+	require.Equal(t, []string{"own VM own-3 answers its peers, but no daemon of it has answered here"}, unasked(answers))
 }
 
 // Guards against a daemon that cannot be asked and is left out.
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -62,8 +62,8 @@
 	return only(askAll[Why](ctx, c, "Why", WhyArgs{Task: task}, SchedService))
 }
 
-// errOtherDaemon means that the daemon answered, but is of another kind.
-var errOtherDaemon = errors.New("the daemon is of another kind")
+// errOtherDaemon means that the daemon answered, but does not offer the call.
+var errOtherDaemon = errors.New("the daemon does not offer this call")
 
 // askAll asks all daemons at the same time, under the first of the services that they offer.
 func askAll[T any](ctx context.Context, c *Client, method string, args any, services ...string) []Answer[T] {
