Ask peers for their rules less often during an outage

Six peers with 0.8 MB each every 5 s would have been 1 MB/s for the length of an outage; now the interval doubles up to 10 min while the log service is down.

--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -28,6 +28,23 @@
 	Timeout    time.Duration `arg:"--timeout,env:OLEANDER_TIMEOUT" help:"bound of the whole command" placeholder:"TIME"`
 }
 
+// Description implements the interface of go-arg.
+func (Settings) Description() string {
+	return "oleanderctl checks, shows, compares and publishes the rules, and shows how the own VMs are."
+}
+
+// Epilogue implements the interface of go-arg.
+func (Settings) Epilogue() string {
+	return `Exit codes:
+  0  done
+  1  failure: nothing was changed, or what was asked for could not be shown
+  2  wrong arguments or settings, or rules with errors
+  3  lost a race: another revision than the base was accepted last
+  4  outcome unknown: the file may be published or not
+
+"oleanderctl COMMAND --help" shows the arguments of a command. See docs/rules.md and docs/operations.md.`
+}
+
 // CheckCommand are the arguments of check.
 type CheckCommand struct {
 	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
--- a/pkg/rules/follower.go
+++ b/pkg/rules/follower.go
@@ -14,8 +14,9 @@
 const (
 	// defaultPoll leaves most of the 5 s in which a revision must be in force to the log service.
 	defaultPoll = time.Second
-	// peerInterval bounds how often peers are asked for their rules, which may be large.
-	peerInterval = 5 * time.Second
+	// peerInterval is the time between two questions to the peers at first, and maxPeerInterval after a long while.
+	peerInterval    = 5 * time.Second
+	maxPeerInterval = 10 * time.Minute
 	// readTimeout bounds one read of the log service.
 	readTimeout = 2 * time.Second
 	// readLimit bounds the entries of one read, because each may hold MaxBytes of text.
@@ -41,14 +42,15 @@
 	held      Snapshot  // the revision in force; Next and Settled are filled in by Snapshot
 	confirmed time.Time // of the last read that reached the end of the stream
 	keepAt    time.Time // when the revision in force is appended again
-	askedAt   time.Time // of the last question to the peers
+	askAt     time.Time // when the peers may be asked again
+	askEvery  time.Duration
 	logDown   bool
 	fromPeer  bool
 }
 
 // NewFollower returns a follower that holds an empty set until Run has read the first revision.
 func NewFollower(c *common.Common, log oleanderline.LogService, options ...FollowerOption) *Follower {
-	f := &Follower{common: c, log: log, poll: defaultPoll, changed: make(chan struct{}, 1)}
+	f := &Follower{common: c, log: log, poll: defaultPoll, askEvery: peerInterval, changed: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(f)
 	}
@@ -267,6 +269,7 @@
 	f.logDown = err != nil
 	if err == nil {
 		f.confirmed = f.common.Clock.Now()
+		f.askEvery = peerInterval
 	}
 	f.mu.Unlock()
 	switch {
--- a/pkg/rules/follower_peers.go
+++ b/pkg/rules/follower_peers.go
@@ -17,14 +17,19 @@
 	}
 }
 
+// mayAsk bounds how often the peers are asked. In an outage a process that holds rules asks less and less often, because
+// the answers are whole files: six peers with 0.8 MB each every 5 s would be 1 MB/s for the length of the outage.
 func (f *Follower) mayAsk() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.common.Clock.Now()
-	if !f.askedAt.IsZero() && now.Sub(f.askedAt) < peerInterval {
+	if now.Before(f.askAt) {
 		return false
 	}
-	f.askedAt = now
+	f.askAt = now.Add(f.askEvery)
+	if f.held.Revision > 0 && f.logDown {
+		f.askEvery = min(2*f.askEvery, maxPeerInterval)
+	}
 	return true
 }
 
--- a/pkg/rules/follower_test.go
+++ b/pkg/rules/follower_test.go
@@ -77,3 +77,37 @@
 	require.Equal(t, oleanderline.Revision(4), alone.Current().Revision)
 	require.True(t, alone.Status().Settled)
 }
+
+// Guards against whole files from every peer, every few seconds, for the length of an outage.
+func TestFollowerAsksPeersLessOftenInAnOutage(t *testing.T) {
+	clock := common.NewVirtualClock(testStart)
+	log := newFakeLog()
+	mustAppend(t, log, Entry{ID: "a", Text: "# x\n"})
+	asked := 0
+	f := NewFollower(testCommon(clock), log, WithPeers(func(context.Context) []Snapshot {
+		asked++
+		return nil
+	}))
+	f.Step(t.Context())
+	log.down = true
+	hour := func() int {
+		before := asked
+		for range 3600 {
+			clock.Advance(time.Second)
+			f.Step(t.Context())
+		}
+		return asked - before
+	}
+	require.Equal(t, 1, asked, "a new process asks before it reads")
+	require.LessOrEqual(t, hour(), 12)
+	require.LessOrEqual(t, hour(), 6)
+	log.down = false
+	f.Step(t.Context())
+	log.down = true
+	before := asked
+	clock.Advance(maxPeerInterval)
+	f.Step(t.Context())
+	clock.Advance(peerInterval)
+	f.Step(t.Context())
+	require.Equal(t, before+2, asked, "a new outage begins with short intervals")
+}
