--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -44,6 +44,7 @@
 	exchanger  *exchanger
 	home       *keyHome
 	settler    *settler
+	keyed      *keyedExchanger
 	handler    http.Handler
 
 	callerServer   *http.Server
@@ -57,6 +58,7 @@
 	life       context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	once       sync.Once
 }
 
 // New assembles a daemon. The settings must be valid.
@@ -139,7 +141,7 @@
 	d.home.switches = d.parts.switches
 	d.membership.home = d.home
 	d.settler = newSettler(d.common, d.home)
-	keyed := &keyedExchanger{
+	d.keyed = &keyedExchanger{
 		common:   d.common,
 		inner:    d.exchanger,
 		home:     d.home,
@@ -149,7 +151,8 @@
 		life:     d.life,
 		switches: d.parts.switches,
 	}
-	d.handler = caller.NewHandler(d.common, d.parts.caller, keyed)
+	d.common.Metrics.NewGauge("oleander_entry_keys_waiting", func() float64 { return float64(d.keyed.waiting.Load()) })
+	d.handler = caller.NewHandler(d.common, d.parts.caller, d.keyed)
 }
 
 func (d *Daemon) assembleServers() error {
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -23,7 +23,7 @@
 const (
 	testService = "reservations"
 	// waitLimit bounds waits for conditions; it is long because it is reached only by a failure.
-	waitLimit = 20 * time.Second
+	waitLimit = 5 * time.Second
 	waitStep  = 5 * time.Millisecond
 )
 
@@ -107,7 +107,7 @@
 	settings.PeerListen = net.JoinHostPort(host, c.port)
 	settings.Key = "a key of tests only"
 	settings.LogService, settings.VMList = "http://127.0.0.1:1", "http://127.0.0.1:1"
-	settings.Heartbeat, settings.VMListPoll, settings.DrainDelay = 50*time.Millisecond, 20*time.Millisecond, 0
+	settings.Heartbeat, settings.VMListPoll, settings.DrainDelay = 100*time.Millisecond, 20*time.Millisecond, 0
 	c.adjust(&settings)
 	require.NoError(c.tb, settings.Validate())
 	quiet := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.InfoLevel)))
--- a/pkg/entry/keyed_exchanger.go
+++ b/pkg/entry/keyed_exchanger.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// joinHold is how long a home holds back its reply while another attempt runs. It is well below the time limit of a
-	// call to a peer.
-	joinHold = 200 * time.Millisecond
+	// joinHoldPart is the part of the time limit of a call to a peer for which a home holds back its reply while another
+	// attempt runs.
+	joinHoldPart = 3
 	// joinPause is the time between two questions while no home can decide.
 	joinPause = 25 * time.Millisecond
 	// keyGrace covers the way of the result to the home.
@@ -37,6 +37,7 @@
 	patience time.Duration   // how long to ask again while no home can decide
 	life     context.Context // ends when the process is killed
 	tokens   atomic.Uint64
+	waiting  atomic.Int64 // requests that wait for another attempt with their key
 	switches switches
 }
 
@@ -52,7 +53,7 @@
 		Print:    fingerprint(call),
 		Executor: x.home.self,
 		Token:    x.tokens.Add(1),
-		Wait:     joinHold,
+		Wait:     x.home.peers.timeout / joinHoldPart,
 	}
 	reply := x.ask(waiting, &args, call.Deadline)
 	switch joinVerdict(reply.Verdict) {
@@ -69,12 +70,18 @@
 // ask asks the home until it decides, the caller's deadline passes, or no home could decide for too long.
 func (x *keyedExchanger) ask(ctx context.Context, args *JoinArgs, deadline time.Time) JoinReply {
 	start := x.common.Clock.Now()
+	waits := false
 	for {
 		now := x.common.Clock.Now()
 		args.For = deadline.Sub(now) + keyGrace
 		reply := x.askOnce(ctx, *args, now)
 		verdict := joinVerdict(reply.Verdict)
 		undecided := verdict == joinAway || verdict == joinNotTheHome
+		if verdict == joinWait && !waits {
+			waits = true
+			x.waiting.Add(1)
+			defer x.waiting.Add(-1)
+		}
 		if !undecided && verdict != joinWait {
 			return reply
 		}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -118,6 +118,12 @@
 }
 
 func (d *Daemon) shutdown() error {
+	var err error
+	d.once.Do(func() { err = d.shutdownOnce() })
+	return err
+}
+
+func (d *Daemon) shutdownOnce() error {
 	d.dispatcher.update(func(core *dispatch.Core, _ time.Time, actions []dispatch.Action) []dispatch.Action {
 		core.Stop()
 		return actions
