Keep the sum of connections within 64 while own VMs of the same name are replaced

The test found 76 connections: a new entry counted itself as known when its peers reported the right number of own VMs, which was the number before it came. Heartbeats now name the hosts that they count, and hosts are kept by address, since an old and a new VM of one name have one row in the VM list.

--- a/pkg/entry/beat.go
+++ b/pkg/entry/beat.go
@@ -15,7 +15,7 @@
 	Age       time.Duration // since the start of the process, or since it resumed after a pause
 	Refusing  bool          // it takes no new requests and needs no shares
 	Left      bool          // it stops now and has handed over its keys
-	Counted   int           // number of own VMs for which its connections to minions are within the bound
+	Counted   []string      // hosts of the own VMs for which its connections to minions are within the bound
 	Lost      []Loss
 	Statement slots.Statement
 }
--- a/pkg/entry/fault_test.go
+++ b/pkg/entry/fault_test.go
@@ -112,7 +112,7 @@
 					rows[0].State = oleanderline.VMLeaving
 					return rows
 				})
-				// The second read after the change begins when the first has been applied.
+				// The first of these reads may have begun before the change; the last begins when the second was applied.
 				for range 3 {
 					read := d.poller.read.Load()
 					require.Eventually(t, func() bool { return d.poller.read.Load() != read }, waitLimit, waitStep)
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -23,20 +23,21 @@
 	view     *member.View
 	peers    map[oleanderline.VMID]peerState
 	lost     map[oleanderline.VMID]loss
+	hosts    map[string]host   // by IP number, whatever the id: an old and a new VM may share a name
 	listed   []oleanderline.VM // own VMs in the VM list
 	since    time.Time         // start, or end of the last pause
 	lastTick time.Time
 	settled  bool // every listed own VM was asked since since
 	refusing bool
-	counted  int
+	counted  []string
 	known    bool // every peer has counted this entry
+	started  time.Time
 }
 
 type peerState struct {
 	incarnation int64
 	since       time.Time
 	refusing    bool
-	counted     int
 }
 
 type loss struct {
@@ -53,9 +54,10 @@
 		view:     member.NewView(self, timeout),
 		peers:    map[oleanderline.VMID]peerState{},
 		lost:     map[oleanderline.VMID]loss{},
+		hosts:    map[string]host{},
 		since:    now,
+		started:  now,
 		lastTick: now,
-		counted:  1,
 	}
 }
 
@@ -96,6 +98,7 @@
 func (m *members) hear(b Beat, now time.Time) (joined bool, replaced *idempotency.Executor) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteHostLocked(b, now)
 	id := b.Member.ID
 	if id == m.view.Self().ID {
 		return false, nil
@@ -116,7 +119,6 @@
 		incarnation: b.Member.Incarnation,
 		since:       now.Add(-b.Age),
 		refusing:    b.Refusing,
-		counted:     b.Counted,
 	}
 	for _, l := range b.Lost {
 		m.mergeLocked(l, now)
@@ -160,9 +162,11 @@
 }
 
 // left removes a peer that has handed over its keys.
-func (m *members) left(id oleanderline.VMID, incarnation int64) {
+func (m *members) left(self member.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.hosts, hostOf(self.Address))
+	id, incarnation := self.ID, self.Incarnation
 	if p, ok := m.peers[id]; ok && p.incarnation == incarnation {
 		delete(m.peers, id)
 		m.view.Forget(id)
--- a/pkg/entry/membership.go
+++ b/pkg/entry/membership.go
@@ -118,7 +118,7 @@
 func (m *membership) heard(b Beat) {
 	now := m.common.Clock.Now()
 	if b.Left {
-		m.members.left(b.Member.ID, b.Member.Incarnation)
+		m.members.left(b.Member)
 		m.apply()
 		return
 	}
@@ -157,13 +157,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.common.Clock.Now()
-	limit, count := m.members.bound(now)
+	limit, hosts := m.members.bound(now)
 	if m.switches.noBound {
 		limit = minionConnections
 	}
 	m.minions.setLimit(limit)
-	if m.minions.within(connectionBound(count, true)) {
-		m.members.setCounted(count)
+	if m.minions.within(connectionBound(len(hosts), true)) {
+		m.members.setCounted(hosts)
 	}
 	serving := m.members.serving(now)
 	if slices.Equal(serving, m.serving) {
--- a/pkg/entry/minions.go
+++ b/pkg/entry/minions.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// currentLimit returns the number of connections that may be open to each minion.
+func (m *minions) currentLimit() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.limit
+}
+
 // within reports whether no minion has more than limit connections.
 func (m *minions) within(limit int) bool {
 	for _, client := range *m.clients.Load() {
