--- a/pkg/entry/keyed_exchanger.go
+++ b/pkg/entry/keyed_exchanger.go
@@ -189,7 +189,10 @@
 		p.RetryAfter = time.Second
 		return p
 	default:
-		p := keyProblem(http.StatusServiceUnavailable, oleanderline.ResultNotRun, caller.ReasonKeysAway, "")
+		// This attempt did not run, but an earlier one with the key may have: a caller that takes "not run" for the whole
+		// request could send it again without the key.
+		p := keyProblem(http.StatusServiceUnavailable, oleanderline.ResultUnknown, caller.ReasonKeysAway,
+			"no entry can decide about the key now; retry with the same key")
 		p.RetryAfter = time.Second
 		return p
 	}
