Let the limit of a minion fall below one request at a time

Cause: with one or two slots at each of seven entries, a limit that ends at 1 cannot relieve a minion that seven entries overload together. Change: below 1 the limit lets one request run for a part of the time.

--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -101,7 +101,7 @@
 	}
 	c.removeIdle(m)
 	if !m.removed {
-		s.update(m)
+		s.update(m, now)
 	}
 	return s.serve(now, actions)
 }
@@ -112,7 +112,7 @@
 	if finish.Result == oleanderline.ResultAnswered && !finish.Failed {
 		ratio, _ = s.classes.Ratio(r.class, finish.Latency)
 		s.classes.Observe(r.class, finish.Latency)
-		m.limit.Observe(ratio, m.candidate.Load+1, now)
+		m.limit.Observe(ratio, finish.Latency, m.candidate.Load+1, now)
 	}
 	if s.ejector.Observe(&m.health, finish.Failed, ratio, now) {
 		s.refresh(now)
@@ -165,8 +165,8 @@
 	m := s.minions[candidate.Owner]
 	slot, ok := m.slots.Take(now)
 	if !ok {
-		s.update(m)
+		s.update(m, now)
 		return actions
 	}
-	return s.send(r, m, slot, true, actions)
+	return s.send(r, m, slot, true, now, actions)
 }
--- a/pkg/dispatch/lending.go
+++ b/pkg/dispatch/lending.go
@@ -95,7 +95,7 @@
 		s.held--
 		loans = append(loans, loan)
 		count--
-		s.update(m)
+		s.update(m, now)
 		if s.picker.Len() == 0 {
 			break
 		}
@@ -131,7 +131,7 @@
 			continue
 		}
 		m.service.held++
-		m.service.update(m)
+		m.service.update(m, now)
 	}
 	for _, s := range c.order {
 		actions = s.serve(now, actions)
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -62,7 +62,7 @@
 		if m == nil {
 			continue
 		}
-		s.update(m)
+		s.update(m, now)
 		if m.accepts() {
 			s.held += m.slots.Held(now)
 		}
@@ -70,8 +70,8 @@
 }
 
 // update sets whether a minion can be picked.
-func (s *service) update(m *minion) {
-	available := m.slots.Free() > 0 && m.limit.Allows(m.candidate.Load) && m.accepts()
+func (s *service) update(m *minion, now time.Time) {
+	available := m.slots.Free() > 0 && m.limit.Allows(m.candidate.Load, now) && m.accepts()
 	s.picker.Set(&m.candidate, available)
 }
 
@@ -110,7 +110,7 @@
 			break
 		}
 		s.gate.Remove(item)
-		actions = s.send(r, m, slot, false, actions)
+		actions = s.send(r, m, slot, false, now, actions)
 	}
 	return actions
 }
@@ -127,12 +127,12 @@
 			return m, slot, true
 		}
 		// The only free slots of this minion were loans that have just run out.
-		s.update(m)
+		s.update(m, now)
 	}
 	return nil, 0, false
 }
 
-func (s *service) send(r *request, m *minion, slot int, hedge bool, actions []Action) []Action {
+func (s *service) send(r *request, m *minion, slot int, hedge bool, now time.Time, actions []Action) []Action {
 	for i := range r.flights {
 		if r.flights[i].minion == nil {
 			r.flights[i] = flight{minion: m, slot: slot}
@@ -142,7 +142,7 @@
 	r.active++
 	s.running[lane(r)]++
 	m.candidate.Load++
-	s.update(m)
+	s.update(m, now)
 	return append(actions, Action{Kind: ActionSend, Request: r.Request.ID, Minion: m.ID, Hedge: hedge})
 }
 
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -59,7 +59,7 @@
 	bound   int // requests that may wait, over all entries or all minions
 	over    int // exchanges that found all slots of a minion busy
 	loans   int
-	sends   int
+	sends   map[oleanderline.MinionID]int
 }
 
 type node struct {
@@ -79,10 +79,21 @@
 	queue  []func()
 	slow   float64
 	silent bool
+	knee   int // more requests than this at a time slow each other down; zero: none
+}
+
+// takes returns how long the minion takes for a call that begins now.
+func (m *simMinion) takes(c *call) time.Duration {
+	took := float64(c.run) * m.slow
+	if m.knee > 0 && m.busy > m.knee {
+		took *= math.Pow(float64(m.busy)/float64(m.knee), 2)
+	}
+	return time.Duration(took)
 }
 
 func newWorld(p policy, minions, entries int, settings Settings, set *rules.Set) *world {
 	w := &world{policy: p, rand: rand.New(rand.NewPCG(3, 5)), byID: map[oleanderline.MinionID]*simMinion{}}
+	w.sends = map[oleanderline.MinionID]int{}
 	w.now = start
 	w.bound = settings.Admit.Bound * entries
 	var list []Minion
@@ -219,13 +230,13 @@
 
 func (n *node) send(a Action) {
 	w, m, c := n.world, n.world.byID[a.Minion], n.calls[a.Request]
-	w.sends++
+	w.sends[m.id]++
 	w.after(toMinion, func() {
 		if m.busy >= m.slots {
 			w.over++
 		}
 		m.busy++
-		took := time.Duration(float64(c.run) * m.slow)
+		took := m.takes(c)
 		result, failed := oleanderline.ResultAnswered, false
 		if m.silent {
 			took, result, failed = callTimeout, oleanderline.ResultUnknown, true
@@ -289,7 +300,7 @@
 		return
 	}
 	m.busy++
-	w.after(time.Duration(float64(c.run)*m.slow), func() {
+	w.after(m.takes(c), func() {
 		m.busy--
 		reply(true, "")
 		m.next()
--- a/pkg/eject/ejector.go
+++ b/pkg/eject/ejector.go
@@ -23,7 +23,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Enabled:  true,
-		Failures: 5,
+		Failures: 3, // an entry has only a few slots of a minion, so that more would take several timeouts
 		Share:    0.5,
 		Slow:     4,
 		Samples:  20,
