--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -141,9 +141,28 @@
 	if g.objective > 0 {
 		budget = min(budget, time.Duration(g.settings.WaitShare*float64(g.objective)))
 	}
+	if g.stale(g.lane(i), now) {
+		budget /= staleCut
+	}
 	return budget
 }
 
+// staleCut divides the time that a new request may wait while requests wait for longer than the objective. Otherwise those
+// would be overtaken again and again, and refused only at their deadline.
+const staleCut = 8
+
+func (g *Gate) stale(l *lane, now time.Time) bool {
+	if g.objective == 0 {
+		return false
+	}
+	for p := range l.lists {
+		if oldest := l.lists[p].oldest; oldest != nil && now.Sub(oldest.Arrived) > g.objective {
+			return true
+		}
+	}
+	return false
+}
+
 // Push puts a request into the queue.
 func (g *Gate) Push(i *Item) {
 	l := g.lane(i)
--- /dev/null
+++ b/pkg/dispatch/mechanisms_test.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+// inTimeShare returns the part of the calls from a time on that were answered before their deadline. Calls that run for
+// longer than that are left out.
+func inTimeShare(results []result, from time.Duration) float64 {
+	all, good := 0, 0
+	for _, r := range results {
+		if r.at < from || (r.limit > 0 && r.run+2*toMinion > r.limit) {
+			continue
+		}
+		all++
+		if r.answered && (r.limit == 0 || r.took <= r.limit) {
+			good++
+		}
+	}
+	return float64(good) / float64(all)
+}
+
+// Guards against a mechanism that has no effect: each outcome must hold by default and fail with the mechanism switched
+// off. The bounds come from the targets of the design, or from what the slots allow.
+func TestEachMechanismIsNeeded(t *testing.T) {
+	slo := &rules.Set{Objectives: []rules.Objective{{Service: "s", Latency: 80 * time.Millisecond}}}
+	steady := workload{minions: 9, entries: 3, length: 8 * time.Second, load: constant(0.6), limit: time.Second}
+	scenarios := []struct {
+		name   string
+		off    func(*Settings)
+		load   workload
+		rules  *rules.Set
+		change func(*world, []call)
+		holds  func(*world, []result) bool
+	}{
+		{
+			name: "loans let one entry use the slots of the others",
+			off:  func(s *Settings) { s.Lending = false },
+			load: steady,
+			change: func(_ *world, calls []call) {
+				for i := range calls {
+					calls[i].entry = 0
+				}
+			},
+			holds: func(_ *world, results []result) bool { return inTimeShare(results, 2*time.Second) >= 0.95 },
+		},
+		{
+			name:  "the estimate refuses within 50 ms",
+			off:   func(s *Settings) { s.Admit.Estimate = false },
+			load:  workload{minions: 9, entries: 3, length: 6 * time.Second, load: constant(1.5), limit: 500 * time.Millisecond},
+			rules: slo,
+			holds: func(_ *world, results []result) bool {
+				var refusals []time.Duration
+				for _, r := range results {
+					if !r.answered {
+						refusals = append(refusals, r.took)
+					}
+				}
+				return percentile(refusals, 0.99) <= 50*time.Millisecond
+			},
+		},
+		{
+			name: "lanes keep short calls within 1.5 times of their p99 alone",
+			off:  func(s *Settings) { s.Admit.Lanes = false },
+			load: workload{minions: 9, entries: 3, length: 20 * time.Second, load: constant(1.3), long: 0.6},
+			holds: func(_ *world, results []result) bool {
+				beside, _ := latencies(results, "short", warmUp)
+				alone := workload{minions: 9, entries: 3, length: 20 * time.Second, load: constant(1.3), long: 0.6, shortOnly: true}
+				w := newWorld(policyCore, 9, 3, DefaultSettings(), &rules.Set{})
+				times, _ := latencies(w.run(alone.calls()), "short", warmUp)
+				return float64(percentile(beside, 0.99)) <= 1.5*float64(percentile(times, 0.99))
+			},
+		},
+		{
+			name:   "ejection stops sending to a minion that never answers",
+			off:    func(s *Settings) { s.Eject.Enabled = false },
+			load:   steady,
+			change: func(w *world, _ []call) { w.minions[0].silent = true },
+			holds:  func(_ *world, results []result) bool { return inTimeShare(results, 4*time.Second) >= 0.999 },
+		},
+		{
+			name: "limits relieve minions that slow down before their slots are full",
+			off:  func(s *Settings) { s.Limit.Enabled = false; s.Eject.Enabled = false },
+			load: workload{minions: 9, entries: 3, length: 8 * time.Second, load: constant(0.75), limit: time.Second},
+			change: func(w *world, _ []call) {
+				w.minions[0].knee, w.minions[1].knee = 2, 2
+			},
+			// With all 8 slots busy, such a minion is 16 times slower; the limit must take away more than half of that.
+			holds: func(w *world, _ []result) bool { return w.overloadedMean() < 8 },
+		},
+		{
+			name:   "choices send less to slow minions",
+			off:    func(s *Settings) { s.Choices = 1 },
+			load:   workload{minions: 9, entries: 3, length: 8 * time.Second, load: constant(0.4), limit: time.Second},
+			change: func(w *world, _ []call) { w.minions[0].slow = 3 },
+			// By its free slots alone, a minion that is 3 times slower would get a third of the calls of another.
+			holds: func(w *world, results []result) bool { return float64(w.sends["m-0"]) < float64(len(results))/9/3 },
+		},
+	}
+	for _, s := range scenarios {
+		for _, off := range []bool{false, true} {
+			settings := DefaultSettings()
+			if off {
+				s.off(&settings)
+			}
+			if s.rules == nil {
+				s.rules = &rules.Set{}
+			}
+			calls := s.load.calls()
+			w := newWorld(policyCore, s.load.minions, s.load.entries, settings, s.rules)
+			if s.change != nil {
+				s.change(w, calls)
+			}
+			assert.Equal(t, !off, s.holds(w, w.run(calls)), "%s; off: %v", s.name, off)
+		}
+	}
+}
+
+// Guards against retries and hedges that multiply an overload.
+func TestBudgetsBoundRetriesAndHedges(t *testing.T) {
+	const requests = 1000
+	for _, s := range []struct {
+		share  float64
+		within bool
+	}{{DefaultSettings().RetryShare, true}, {1000, false}} {
+		c, now := loneCore(4, func(settings *Settings) {
+			settings.RetryShare, settings.HedgeShare = s.share, s.share
+			settings.Eject.Enabled = false
+		})
+		retries, hedges := 0, 0
+		for id := RequestID(1); id <= requests; id++ {
+			first := c.Arrive(Request{ID: id, Service: "s", Idempotent: true}, now, nil)[0]
+			for _, a := range c.Hedge(id, now, nil) {
+				require.NotEqual(t, first.Minion, a.Minion)
+				hedges++
+				c.Done(Finish{Request: id, Minion: a.Minion, Result: oleanderline.ResultNotRun, Failed: true}, now, nil)
+			}
+			c.Done(Finish{Request: id, Minion: first.Minion, Result: oleanderline.ResultNotRun, Failed: true}, now, nil)
+			if a := c.Retry(id, now, nil)[0]; a.Kind == ActionSend {
+				retries++
+				require.NotEqual(t, first.Minion, a.Minion)
+				c.Done(Finish{Request: id, Minion: a.Minion, Result: oleanderline.ResultAnswered}, now, nil)
+			}
+		}
+		bound := DefaultSettings().RetryShare*requests + DefaultSettings().BudgetBurst
+		require.Equal(t, s.within, float64(retries) <= bound, "%d retries", retries)
+		require.Equal(t, s.within, float64(hedges) <= bound, "%d hedges", hedges)
+		require.Empty(t, c.requests)
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/rules_test.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/rules"
+)
+
+// Guards against requests to a minion that leaves, dies or is drained by any kind of target, and against a drain that
+// reaches others.
+func TestNoNewRequestsToLeavingMinions(t *testing.T) {
+	drain := func(target rules.Target, from time.Time) *rules.Set {
+		return &rules.Set{Drains: []rules.Drain{{Target: target, Window: rules.Window{From: from}}}}
+	}
+	list := func() []Minion {
+		minions := testMinions(2)
+		minions[0].Rack, minions[0].Domain = "r-1", "d-1"
+		minions[1].Rack, minions[1].Domain = "r-2", "d-2"
+		return minions
+	}
+	for _, s := range []struct {
+		name   string
+		change func(*Core, time.Time)
+		left   int // slots that can still be used
+	}{
+		{"no change", func(*Core, time.Time) {}, 4},
+		{"vm", func(c *Core, now time.Time) { c.SetRules(drain(rules.Target{VM: "m-0"}, now), now) }, 2},
+		{"rack", func(c *Core, now time.Time) { c.SetRules(drain(rules.Target{Rack: "r-1"}, now), now) }, 2},
+		{"domain", func(c *Core, now time.Time) { c.SetRules(drain(rules.Target{Domain: "d-1"}, now), now) }, 2},
+		{"service", func(c *Core, now time.Time) { c.SetRules(drain(rules.Target{Service: "s"}, now), now) }, 0},
+		{"other service", func(c *Core, now time.Time) { c.SetRules(drain(rules.Target{Service: "x"}, now), now) }, 4},
+		{"rack of another domain", func(c *Core, now time.Time) {
+			c.SetRules(drain(rules.Target{Rack: "r-1", Domain: "d-2"}, now), now)
+		}, 4},
+		{"later", func(c *Core, now time.Time) {
+			c.SetRules(drain(rules.Target{VM: "m-0"}, now.Add(time.Second)), now)
+		}, 4},
+		{"leaving", func(c *Core, now time.Time) {
+			minions := list()
+			minions[0].Leaving = true
+			c.SetMinions(minions, now, nil)
+		}, 2},
+		{"gone", func(c *Core, now time.Time) { c.SetMinions(list()[1:], now, nil) }, 2},
+	} {
+		c, now := loneCore(2, nil)
+		c.SetMinions(list(), now, nil)
+		running := c.Arrive(Request{ID: 100, Service: "s"}, now, nil)[0]
+		c.Done(Finish{Request: 100, Minion: running.Minion, Result: oleanderline.ResultAnswered}, now, nil)
+		s.change(c, now)
+		sends := 0
+		for id := RequestID(1); id <= 5; id++ {
+			for _, a := range c.Arrive(Request{ID: id, Service: "s"}, now, nil) {
+				if a.Kind == ActionSend {
+					sends++
+				}
+			}
+		}
+		require.Equal(t, s.left, sends, s.name)
+	}
+}
+
+// Guards against a drain that begins by its own time and is not noticed without a new revision.
+func TestADrainBeginsAtItsTime(t *testing.T) {
+	c, now := loneCore(1, nil)
+	from := now.Add(time.Second)
+	c.SetRules(&rules.Set{Drains: []rules.Drain{{Window: rules.Window{From: from}, Target: rules.Target{VM: "m-0"}}}}, now)
+	require.Len(t, c.Arrive(Request{ID: 1, Service: "s"}, now, nil), 1)
+	c.Tick(from, nil)
+	require.Empty(t, c.Arrive(Request{ID: 2, Service: "s"}, from, nil))
+}
+
+// Guards against limit and shed rules without effect, and against a shed of requests that are not of low priority.
+func TestLimitAndShedRules(t *testing.T) {
+	reasons := func(set *rules.Set, priority rules.Priority) map[Reason]int {
+		c, now := loneCore(1, nil)
+		c.SetRules(set, now)
+		count := map[Reason]int{}
+		for id := RequestID(1); id <= 6; id++ {
+			now = now.Add(10 * time.Millisecond)
+			actions := c.Arrive(Request{ID: id, Service: "s", Priority: priority}, now, c.Tick(now, nil))
+			for _, a := range actions {
+				count[a.Reason]++
+			}
+		}
+		return count
+	}
+	limit := func(l rules.Limit) *rules.Set { return &rules.Set{Limits: []rules.Limit{l}} }
+	shed := &rules.Set{Sheds: []rules.Shed{{Metric: "cpu", Above: 0.8, For: 20 * time.Millisecond}}}
+	require.Equal(t, map[Reason]int{"": 2}, reasons(&rules.Set{}, rules.PriorityLow))
+	require.Equal(t, map[Reason]int{"": 1, ReasonLimit: 5}, reasons(limit(rules.Limit{Service: "s", InFlight: 1}), 0))
+	require.Equal(t, map[Reason]int{"": 1, ReasonLimit: 5}, reasons(limit(rules.Limit{Service: "s", Rate: 10}), 0))
+	// Both slots are busy from the second request on; the measurement must stand for 20 ms after the next tick.
+	require.Equal(t, map[Reason]int{"": 2, ReasonShed: 2}, reasons(shed, rules.PriorityLow))
+	require.Equal(t, map[Reason]int{"": 2}, reasons(shed, rules.PriorityNormal))
+}
--- a/pkg/dispatch/world_test.go
+++ b/pkg/dispatch/world_test.go
@@ -79,16 +79,32 @@
 	queue  []func()
 	slow   float64
 	silent bool
-	knee   int // more requests than this at a time slow each other down; zero: none
+	calls  int
+	factor float64 // sum of the slowdowns of the calls
+	knee   int     // more requests than this at a time slow each other down; zero: none
 }
 
 // takes returns how long the minion takes for a call that begins now.
 func (m *simMinion) takes(c *call) time.Duration {
-	took := float64(c.run) * m.slow
+	factor := m.slow
 	if m.knee > 0 && m.busy > m.knee {
-		took *= math.Pow(float64(m.busy)/float64(m.knee), 2)
+		factor *= math.Pow(float64(m.busy)/float64(m.knee), 2)
 	}
-	return time.Duration(took)
+	m.calls++
+	m.factor += factor
+	return time.Duration(factor * float64(c.run))
+}
+
+// overloadedMean returns the mean slowdown of the calls at minions with a knee.
+func (w *world) overloadedMean() float64 {
+	calls, sum := 0, 0.0
+	for _, m := range w.minions {
+		if m.knee > 0 {
+			calls += m.calls
+			sum += m.factor
+		}
+	}
+	return sum / float64(calls)
 }
 
 func newWorld(p policy, minions, entries int, settings Settings, set *rules.Set) *world {
