--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -222,3 +222,17 @@
 		})
 	}
 }
+
+// BenchmarkTick measures the work that does not depend on requests: a tick every 10 ms and a heartbeat with a statement.
+func BenchmarkTick(b *testing.B) {
+	for _, minions := range []int{50, 65, 870} {
+		b.Run(fmt.Sprintf("minions=%d", minions), func(b *testing.B) {
+			c, now, _ := steadyCore(minions)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				c.Tick(now, nil)
+			}
+		})
+	}
+}
