--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -62,23 +62,23 @@
 		if m == nil {
 			continue
 		}
-		s.update(m)
+		s.update(m, now)
 		if m.accepts() {
-			s.held += m.slots.Held(now)
+			s.held += m.slots.Held()
 		}
 	}
 }
 
 // update sets whether a minion can be picked.
-func (s *service) update(m *minion) {
-	available := m.slots.Free() > 0 && m.limit.Allows(m.candidate.Load) && m.accepts()
+func (s *service) update(m *minion, now time.Time) {
+	available := m.slots.Free() > 0 && m.limit.Allows(m.candidate.Load, now) && m.accepts()
 	s.picker.Set(&m.candidate, available)
 }
 
 func (s *service) tick(fade bool, now time.Time, actions []Action) []Action {
 	s.gate.Expire(now, func(i *admit.Item) {
 		r := s.core.requests[RequestID(i.ID)]
-		actions = s.core.refuse(r, ReasonDeadline, now, actions)
+		actions = s.core.refuse(r, ReasonDeadline, actions)
 	})
 	s.rules.observeLoad(s.busyShare(), now)
 	for _, m := range s.minions {
@@ -127,7 +127,7 @@
 			return m, slot, true
 		}
 		// The only free slots of this minion were loans that have just run out.
-		s.update(m)
+		s.update(m, now)
 	}
 	return nil, 0, false
 }
@@ -142,7 +142,7 @@
 	r.active++
 	s.running[lane(r)]++
 	m.candidate.Load++
-	s.update(m)
+	s.update(m, now)
 	return append(actions, Action{Kind: ActionSend, Request: r.Request.ID, Minion: m.ID, Hedge: hedge})
 }
 
