--- a/pkg/admit/limit.go
+++ b/pkg/admit/limit.go
@@ -7,31 +7,38 @@
 
 // LimitSettings tell how a Limit follows the latency.
 type LimitSettings struct {
-	Enabled bool
-	Over    float64       // multiple of the usual latency above which the limit falls
-	Cut     float64       // factor of a fall
-	Pause   time.Duration // shortest time between two falls
-	Samples int           // answers between two changes
+	Enabled  bool
+	Over     float64 // multiple of the usual latency above which the limit falls in the long run
+	Evidence float64 // sum of the logarithmic excess over Over that makes the limit fall
+	Cut      float64 // factor of a fall
 }
 
-// DefaultLimitSettings returns the settings for production.
+// DefaultLimitSettings returns the settings for production. An evidence of 10 takes 5 answers from a minion that is 16
+// times slower and 14 from one that is 4 times slower; the noise of heavy-tailed run times hardly ever reaches it.
 func DefaultLimitSettings() LimitSettings {
-	return LimitSettings{Enabled: true, Over: 2, Cut: 0.75, Pause: 100 * time.Millisecond, Samples: 8}
+	return LimitSettings{Enabled: true, Over: 2, Evidence: 10, Cut: 0.6}
 }
 
 // Limit bounds the requests in flight at one minion by additive increase and multiplicative decrease, for minions that
-// slow down before all their slots are busy. It never falls below 1.
+// slow down before all their slots are busy. Below 1 it lets one request run for a part of the time only, because several
+// entries with one slot each can overload a minion together. A cumulative sum detects the slowdown, because a slow minion
+// gives too few answers for an average over many.
 type Limit struct {
 	settings LimitSettings
 	value    float64
 	top      float64
-	slow     float64 // moving logarithm of the latency relative to the usual one
-	samples  int
-	cutAt    time.Time
+	evidence float64
+	resume   time.Time // below 1: when the next request may run
 }
 
-// limitWeight lets the latency follow about the last 8 answers.
-const limitWeight = 1.0 / 8
+const (
+	// lowest keeps some answers coming, from which the limit learns that the minion has recovered.
+	lowest = 0.1
+	// widest bounds the weight of a single answer.
+	widest = 3
+	// raise is the part of a request by which an answer without evidence raises the limit.
+	raise = 0.1
+)
 
 // NewLimit returns a limit that starts at top, which it never exceeds.
 func NewLimit(settings LimitSettings, top int) Limit {
@@ -39,24 +46,26 @@
 }
 
 // Allows reports whether one more request may run beside inFlight others.
-func (l *Limit) Allows(inFlight int) bool {
-	return !l.settings.Enabled || float64(inFlight)+1 <= math.Max(1, l.value)
+func (l *Limit) Allows(inFlight int, now time.Time) bool {
+	if !l.settings.Enabled {
+		return true
+	}
+	return float64(inFlight)+1 <= math.Max(1, l.value) && !now.Before(l.resume)
 }
 
-// Observe records an answer. ratio is the logarithm of its latency relative to the usual one of its class; inFlight is
-// the number of requests that ran beside it, at the most.
-func (l *Limit) Observe(ratio float64, inFlight int, now time.Time) {
-	l.samples++
-	l.slow += limitWeight * (ratio - l.slow)
-	if l.samples < l.settings.Samples {
-		return
-	}
+// Observe records an answer and its latency. ratio is the logarithm of the latency relative to the usual one of its
+// class; inFlight is the number of requests that ran beside it, at the most.
+func (l *Limit) Observe(ratio float64, latency time.Duration, inFlight int, now time.Time) {
+	ratio = max(-widest, min(widest, ratio))
+	l.evidence = max(0, l.evidence+ratio-math.Log(l.settings.Over))
 	switch {
-	case l.slow > math.Log(l.settings.Over) && now.Sub(l.cutAt) >= l.settings.Pause:
-		l.value = math.Max(1, math.Min(l.value, float64(inFlight))*l.settings.Cut)
-		l.cutAt = now
-		l.samples = 0
-	case l.slow < math.Log(l.settings.Over)/2:
-		l.value = math.Min(l.top, l.value+1/l.value)
+	case l.evidence >= l.settings.Evidence:
+		l.value = max(lowest, min(l.value, float64(inFlight))*l.settings.Cut)
+		l.evidence = 0
+	case l.evidence == 0:
+		l.value = min(l.top, l.value+raise/max(1, l.value))
+	}
+	if l.value < 1 {
+		l.resume = now.Add(time.Duration(float64(latency) * (1/l.value - 1)))
 	}
 }
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -23,20 +23,22 @@
 	view     *member.View
 	peers    map[oleanderline.VMID]peerState
 	lost     map[oleanderline.VMID]loss
+	hosts    map[string]host   // by IP number, whatever the id: an old and a new VM may share a name
 	listed   []oleanderline.VM // own VMs in the VM list
 	since    time.Time         // start, or end of the last pause
 	lastTick time.Time
 	settled  bool // every listed own VM was asked since since
-	refusing bool
-	counted  int
+	refusing bool // before it has joined, and when it stops
+	counted  []string
 	known    bool // every peer has counted this entry
+	started  time.Time
+	joined   bool
 }
 
 type peerState struct {
 	incarnation int64
 	since       time.Time
 	refusing    bool
-	counted     int
 }
 
 type loss struct {
@@ -53,9 +55,11 @@
 		view:     member.NewView(self, timeout),
 		peers:    map[oleanderline.VMID]peerState{},
 		lost:     map[oleanderline.VMID]loss{},
+		hosts:    map[string]host{},
 		since:    now,
+		started:  now,
+		refusing: true,
 		lastTick: now,
-		counted:  1,
 	}
 }
 
@@ -96,6 +100,7 @@
 func (m *members) hear(b Beat, now time.Time) (joined bool, replaced *idempotency.Executor) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteHostLocked(b, now)
 	id := b.Member.ID
 	if id == m.view.Self().ID {
 		return false, nil
@@ -116,7 +121,6 @@
 		incarnation: b.Member.Incarnation,
 		since:       now.Add(-b.Age),
 		refusing:    b.Refusing,
-		counted:     b.Counted,
 	}
 	for _, l := range b.Lost {
 		m.mergeLocked(l, now)
@@ -160,9 +164,11 @@
 }
 
 // left removes a peer that has handed over its keys.
-func (m *members) left(id oleanderline.VMID, incarnation int64) {
+func (m *members) left(self member.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.hosts, hostOf(self.Address))
+	id, incarnation := self.ID, self.Incarnation
 	if p, ok := m.peers[id]; ok && p.incarnation == incarnation {
 		delete(m.peers, id)
 		m.view.Forget(id)
@@ -180,6 +186,23 @@
 	return b
 }
 
+// join lets the entry take slots, when it has asked all others and has waited for delay since its start. Until then its
+// peers keep using the slots that will be its share.
+func (m *members) join(now time.Time, delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.joined && m.settled && now.Sub(m.started) >= delay {
+		m.joined, m.refusing = true, false
+	}
+}
+
+// hasJoined reports whether join has let the entry take slots.
+func (m *members) hasJoined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.joined
+}
+
 // change applies a change to the own row and state.
 func (m *members) change(apply func(self *member.Member, refusing *bool)) {
 	m.mu.Lock()
@@ -246,10 +269,3 @@
 	defer m.mu.Unlock()
 	return m.view.Self().ID
 }
-
-// isSettled reports whether every listed own VM was asked since the start or the last pause.
-func (m *members) isSettled() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.settled
-}
