Drop late copies whose first copy is lost to retention

Groups carry the offset up to which their writer had read; readers behind lost entries drop groups that were formed earlier.

--- a/pkg/journal/order.go
+++ b/pkg/journal/order.go
@@ -18,6 +18,7 @@
 	address string
 	proved  map[oleanderline.Term]struct{}
 	last    map[oleanderline.WriterID]lastGroup
+	from    oleanderline.Offset // the first offset that this reader has seen
 }
 
 type lastGroup struct {
@@ -49,11 +50,19 @@
 	}
 }
 
+// Begin says that the reader starts at from, because the log service keeps nothing before. Groups that were formed
+// earlier do not count then: an earlier copy may be among the lost entries. Nothing is missing without them, because
+// the owner has appended what is live again long before.
+func (o *Order) Begin(from oleanderline.Offset) { o.from = from }
+
 // Accept reports whether the group at offset counts, and takes note of it.
 func (o *Order) Accept(offset oleanderline.Offset, group Group) bool {
 	if o.last[group.Writer].seq >= group.Seq && !o.checks.SkipDuplicates {
 		return false
 	}
+	if group.Base < o.from && o.from > 1 && !o.checks.SkipDuplicates {
+		return false
+	}
 	if !o.checks.SkipTerms && o.outdated(offset, group.Term) {
 		return false
 	}
--- a/pkg/journal/record.go
+++ b/pkg/journal/record.go
@@ -82,7 +82,9 @@
 	Writer oleanderline.WriterID `json:"writer"`
 	Seq    Seq                   `json:"seq"`
 	Term   oleanderline.Term     `json:"term"` // for a claim: the term that it replaces
-	List   []Record              `json:"list"`
+	// Base is the first offset that the writer had not read when it formed the group: no copy of it is before.
+	Base oleanderline.Offset `json:"base"`
+	List []Record            `json:"list"`
 }
 
 // Encode returns the group as one entry.
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -69,8 +69,9 @@
 	return true
 }
 
-// Next returns the group to send now, if any. The caller reports its answer by Answered.
-func (w *Writer) Next(term oleanderline.Term, now time.Time) (Group, bool) {
+// Next returns the group to send now, if any. The caller reports its answer by Answered. The stream has been read up to
+// base.
+func (w *Writer) Next(term oleanderline.Term, base oleanderline.Offset, now time.Time) (Group, bool) {
 	if w.sending {
 		return Group{}, false
 	}
@@ -86,7 +87,7 @@
 	}
 	n := min(len(w.queue), maxGroup)
 	w.seq++
-	w.inflight = &Group{Writer: w.id, Seq: w.seq, Term: term, List: slices.Clone(w.queue[:n])}
+	w.inflight = &Group{Writer: w.id, Seq: w.seq, Term: term, Base: base, List: slices.Clone(w.queue[:n])}
 	w.queue = slices.Delete(w.queue, 0, n)
 	w.sending, w.maybe, w.backoff = true, false, retryFirst
 	w.last, w.first, w.since = now, now, now
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -15,7 +15,7 @@
 // Bounds of one shard's duties.
 const (
 	shardMailbox = 16_384 // callers that wait, so that a burst of 10,000 cancellations is not refused; answers of workers and of the log service come on top of them
-	ioMailbox    = 4    // the core has one append, one read and one call to each worker outstanding
+	ioMailbox    = 4      // the core has one append, one read and one call to each worker outstanding
 	callTimeout  = 2 * time.Second
 	readTimeout  = 5 * time.Second
 	postRetry    = 5 * time.Millisecond
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -110,7 +110,7 @@
 		c.advanceAll()
 	}
 	if c.mayAppend() {
-		if group, ok := c.writer.Next(c.order.Term(), c.now); ok {
+		if group, ok := c.writer.Next(c.order.Term(), c.next, c.now); ok {
 			c.emit(Append{Group: group})
 		}
 	}
@@ -146,6 +146,7 @@
 // forget drops everything that the stream says, to read it again from an offset on.
 func (c *Core) forget(from oleanderline.Offset) {
 	c.order = journal.NewOrder(c.cfg.Without.Journal)
+	c.order.Begin(from)
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
 	c.queue = queue{}
--- a/pkg/shard/stream.go
+++ b/pkg/shard/stream.go
@@ -63,7 +63,8 @@
 // skipGap handles entries that the log service no longer keeps. It reports whether reading can go on.
 func (c *Core) skipGap(oldest oleanderline.Offset) bool {
 	if c.surveying || (c.applied == 0 && c.restart > 0) {
-		c.next = oldest
+		c.next, c.restart = oldest, max(c.restart, oldest)
+		c.order.Begin(oldest)
 		return true
 	}
 	if c.applied > 0 {
