--- /dev/null
+++ b/pkg/shard/status.go
@@ -0,0 +1,163 @@
+package shard
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/journal"
+)
+
+// Explanation tells what a task does and what it waits for.
+type Explanation struct {
+	Task    oleanderline.TaskID
+	State   string // waiting, assigned, running, stopping, finished, unknown
+	Worker  oleanderline.WorkerID
+	Attempt oleanderline.Attempt
+	Since   time.Time
+	Reasons []string // what it waits for first, then its history
+}
+
+// explain sets what the task waits for.
+func (e *Explanation) explain(format string, args ...any) {
+	e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...))
+}
+
+// Why explains a task. Details beyond the stream are known to the owner only.
+func (c *Core) Why(id oleanderline.TaskID) Explanation {
+	name, index, err := splitTaskID(id)
+	j := c.jobs[name]
+	e := Explanation{Task: id, State: "unknown"}
+	if err != nil || j == nil || index < 0 || index >= j.Count {
+		e.explain("no such task is recorded, or it finished long ago")
+		return e
+	}
+	t := j.tasks[index]
+	switch {
+	case t == nil:
+		e.State, e.Since = "finished", j.finishedAt
+		e.explain("%d tasks of the job are done, %d failed, %d were cancelled", j.counts.Done, j.counts.Failed, j.counts.Cancelled)
+	case t.state == taskAssigned:
+		e.State, e.Worker, e.Attempt, e.Since = "assigned", t.worker, t.attempt, t.since
+		c.explainAssigned(t, &e)
+	default:
+		e.State, e.Attempt, e.Since = "waiting", t.attempt, t.since
+		c.explainWaiting(t, &e)
+	}
+	if t != nil && t.failures > 0 {
+		e.explain("%d attempts have failed", t.failures)
+	}
+	if j.reason != "" {
+		e.explain("the last attempt of the job that did not complete ended: %s", j.reason)
+	}
+	return e
+}
+
+func (c *Core) explainWaiting(t *task, e *Explanation) {
+	switch {
+	case !c.owning:
+		e.explain("this process only follows the shard, its owner knows more")
+	case !c.mayAct():
+		e.explain("the owner must read its stream to the end before it acts")
+	case t.pending == journal.KindAssign:
+		e.explain("the record of its assignment to %s is not yet read back", t.target)
+	case c.now.Before(t.notBefore):
+		e.explain("its next attempt starts after a pause, at %s", t.notBefore.UTC().Format(time.RFC3339))
+	case c.LogStalled():
+		e.explain("the log service does not answer")
+	case c.releasing:
+		e.explain("the shard is being handed over")
+	default:
+		e.explain("no worker of the shard has %s free", t.size())
+	}
+}
+
+func (c *Core) explainAssigned(t *task, e *Explanation) {
+	w := c.workers.byID[t.worker]
+	switch {
+	case !c.owning || w == nil:
+		e.explain("this process only follows the shard, its owner knows more")
+	case t.pending != "":
+		e.explain("its %s record is not yet read back", t.pending)
+	case !w.reachable() || w.absent:
+		e.explain("worker %s does not answer; its lease is waited for", w.id)
+	case !w.fenced:
+		e.explain("the inventory of worker %s is not yet known", w.id)
+	case t.stop:
+		e.State = "stopping"
+		e.explain("worker %s has not confirmed the stop after %d attempts", w.id, t.stopTries)
+	case t.running:
+		e.State = "running"
+		e.explain("worker %s has confirmed the start", w.id)
+	case t.reserved:
+		e.explain("worker %s has not confirmed the start", w.id)
+	default:
+		e.explain("it waits at worker %s for %s, free are %s", w.id, t.size(), w.free())
+	}
+}
+
+// Status is a summary of a shard for operators.
+type Status struct {
+	Shard       oleanderline.ShardID
+	Owner       oleanderline.VMID
+	Term        oleanderline.Term
+	Owning      bool
+	Acting      bool // false while the owner must read the stream before it acts
+	Next        oleanderline.Offset
+	ReadAt      time.Time // when the last read that reached the end was sent
+	Waiting     int       // tasks
+	Assigned    int
+	Running     int
+	Jobs        int
+	Workers     int // in the VM list
+	Leaving     int // of them, those that operators drain or the VM list calls leaving
+	Unreachable int
+	Unknown     int  // of the workers listed, those whose inventory is not yet known
+	LogStalled  bool // an append has been without an answer for so long that placement pauses
+	Committed   oleanderline.Size
+	Records     int // that wait for the log service
+	Counters    Counters
+}
+
+// Status returns the summary.
+func (c *Core) Status() Status {
+	owner, _ := c.order.Owner()
+	s := Status{
+		Shard: c.cfg.Shard, Owner: owner, Term: c.order.Term(), Owning: c.owning, Acting: c.mayAct(), Next: c.next,
+		ReadAt: c.readAt, Jobs: len(c.jobs), Records: c.writer.Waiting(), Counters: c.counters,
+		LogStalled: c.LogStalled(),
+	}
+	for _, w := range c.workers.order {
+		c.addWorker(&s, w)
+	}
+	for _, j := range c.jobOrder {
+		s.Waiting += len(j.tasks)
+	}
+	s.Waiting -= s.Assigned
+	return s
+}
+
+func (c *Core) addWorker(s *Status, w *worker) {
+	if w.listed {
+		s.Workers++
+		if c.workers.draining(w) {
+			s.Leaving++
+		}
+		if !w.fenced {
+			s.Unknown++
+		}
+	}
+	if !w.reachable() || w.absent {
+		s.Unreachable++
+	}
+	s.Committed = s.Committed.Add(w.committed)
+	s.Assigned += len(w.tasks)
+	for _, t := range w.tasks {
+		if t.running && !t.ended {
+			s.Running++
+		}
+	}
+}
+
+// LogStalled reports whether an append has been without an answer for so long that placement pauses.
+func (c *Core) LogStalled() bool { return c.writer.Stalled(c.now) > stalledFor }
