--- a/pkg/slots/table_test.go
+++ b/pkg/slots/table_test.go
@@ -42,7 +42,8 @@
 	return a, b, now
 }
 
-// Found by TestNoSlotHasTwoUsers: a peer that returned to the view was believed by a statement from before its loss.
+// Found by reading, while a failure of TestNoSlotHasTwoUsers was traced: a peer that returned to the view was believed by a
+// statement from before its loss.
 func TestALateStatementFromBeforeTheLossIsIgnored(t *testing.T) {
 	a, b, now := settledPair(t)
 	late := b.Statement(now)
@@ -73,6 +74,19 @@
 	}
 }
 
+// Found by TestNoSlotHasTwoUsers: a restarted entry believed a leaving peer and did not wait for a member that it names.
+func TestANewEntryWaitsForMembersThatALeavingPeerNames(t *testing.T) {
+	a, b, now := settledPair(t)
+	for range count {
+		b.minion.Take(now)
+	}
+	a.SetMembers("a", []oleanderline.VMID{"b", "c"}, now)
+	c := newEntry("c", now.Add(-DefaultSettings().Drain))
+	meet(a, c, now)
+	require.True(t, c.stated(c.peers["a"]))
+	require.Zero(t, c.minion.Free())
+}
+
 // Found by TestNoSlotHasTwoUsers: two entries that started together confirmed each other before they knew of a third.
 func TestTwoNewEntriesWaitForTheDrainTime(t *testing.T) {
 	a, b := newEntry("a", start, "b"), newEntry("b", start, "a")
