Count requests for slo rules at the entry and answer operators there

A call counts once, from its arrival to the last byte of its answer; the counter, the status and the page /burn are on the operator listener.

--- a/pkg/burn/counter_test.go
+++ b/pkg/burn/counter_test.go
@@ -120,3 +120,18 @@
 	require.Contains(t, out.String(), "<rect")
 	require.NotContains(t, out.String(), "http", "the page loads nothing from elsewhere")
 }
+
+// Measures what counting adds to each request, with 65 minions.
+func BenchmarkRecord(b *testing.B) {
+	c := counterFor("s")
+	minions := make([]oleanderline.MinionID, 65)
+	for i := range minions {
+		minions[i] = oleanderline.MinionID(fmt.Sprintf("minion-%d", i))
+	}
+	b.ReportAllocs()
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		c.Record(Sample{Service: "s", Class: "confirm", Minion: minions[i%len(minions)], Domain: "d-1", Latency: time.Millisecond}, now)
+	}
+}
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/burn"
 	"github.com/oleanderline/oleanderline/pkg/caller"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/dispatch"
@@ -20,6 +21,7 @@
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/minion"
+	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/vmlist"
@@ -42,6 +44,7 @@
 	follower   *rules.Follower
 	classifier *classifier
 	exchanger  *exchanger
+	counter    *burn.Counter
 	home       *keyHome
 	settler    *settler
 	keyed      *keyedExchanger
@@ -92,6 +95,7 @@
 	core := dispatch.New(dispatch.WithSettings(d.parts.core), dispatch.WithRand(rand.New(rand.NewPCG(seed, 0))))
 	d.minions = newMinions(c, d.parts.minion, connectionBound(1, false))
 	d.classifier = newClassifier()
+	d.counter = burn.NewCounter()
 	d.exchanger = &exchanger{
 		common:     c,
 		minions:    d.minions,
@@ -142,8 +146,10 @@
 	d.membership.home = d.home
 	d.settler = newSettler(d.common, d.home)
 	d.keyed = &keyedExchanger{
-		common:   d.common,
-		inner:    d.exchanger,
+		common: d.common,
+		inner: &burnExchanger{
+			common: d.common, inner: d.exchanger, counter: d.counter, classifier: d.classifier, minions: d.minions,
+		},
 		home:     d.home,
 		settler:  d.settler,
 		settings: keySettings,
@@ -165,7 +171,8 @@
 	d.operatorServer.HandleOpen("/healthz", http.HandlerFunc(d.serveHealth))
 	d.operatorServer.HandleOpen("/readyz", http.HandlerFunc(d.serveReady))
 	d.operatorServer.HandleOpen("/metrics", http.HandlerFunc(d.serveMetrics))
-	return nil
+	return operator.NewHandler(d.common, operatorView{d}, d.follower, operator.WithCounter(d.counter)).
+		Register(d.operatorServer, operator.EntryService)
 }
 
 // OperatorServer returns the server for operators, to add services before Start.
--- a/pkg/entry/duties.go
+++ b/pkg/entry/duties.go
@@ -26,6 +26,7 @@
 
 func (d *Daemon) setRules(set *rules.Set) {
 	d.classifier.set(set)
+	d.counter.SetRules(set)
 	d.dispatcher.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
 		core.SetRules(set, now)
 		return actions
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -230,6 +230,13 @@
 	return ids
 }
 
+// alive returns the rows of the members that answer, the own one included.
+func (m *members) alive(now time.Time) []member.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Alive(now)
+}
+
 // addresses returns the peer addresses of the alive peers by id.
 func (m *members) addresses(now time.Time) map[oleanderline.VMID]string {
 	m.mu.Lock()
--- a/pkg/entry/minions.go
+++ b/pkg/entry/minions.go
@@ -16,6 +16,7 @@
 	common   *common.Common
 	settings minion.Settings
 	clients  atomic.Pointer[map[oleanderline.MinionID]*minion.Client]
+	domains  atomic.Pointer[map[oleanderline.MinionID]oleanderline.DomainID]
 
 	mu      sync.Mutex
 	rows    []oleanderline.VM
@@ -26,6 +27,7 @@
 func newMinions(c *common.Common, settings minion.Settings, limit int) *minions {
 	m := &minions{common: c, settings: settings, leaving: map[oleanderline.MinionID]bool{}, limit: limit}
 	m.clients.Store(&map[oleanderline.MinionID]*minion.Client{})
+	m.domains.Store(&map[oleanderline.MinionID]oleanderline.DomainID{})
 	c.Metrics.NewGauge("oleander_entry_minion_connections", func() float64 { return float64(m.connections()) })
 	return m
 }
@@ -46,6 +48,7 @@
 	m.rows = rows
 	old := *m.clients.Load()
 	clients := make(map[oleanderline.MinionID]*minion.Client, len(old))
+	domains := make(map[oleanderline.MinionID]oleanderline.DomainID, len(old))
 	for _, row := range rows {
 		id := oleanderline.MinionID(row.ID)
 		client, ok := old[id]
@@ -54,8 +57,10 @@
 			delete(m.leaving, id)
 		}
 		clients[id] = client
+		domains[id] = row.Domain
 	}
 	m.clients.Store(&clients)
+	m.domains.Store(&domains)
 	for id, client := range old {
 		if clients[id] != client {
 			client.Close()
@@ -81,6 +86,18 @@
 	return list
 }
 
+// list returns the minions as the core has them.
+func (m *minions) list() []dispatch.Minion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listLocked()
+}
+
+// domain returns the failure domain of a minion, or "" if it is not listed.
+func (m *minions) domain(id oleanderline.MinionID) oleanderline.DomainID {
+	return (*m.domains.Load())[id]
+}
+
 // setLeaving records a minion's own word, and returns the minions for the core if that is news.
 func (m *minions) setLeaving(id oleanderline.MinionID, leaving bool) []dispatch.Minion {
 	m.mu.Lock()
--- /dev/null
+++ b/pkg/entry/operator_view.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/dispatch"
+	"github.com/oleanderline/oleanderline/pkg/member"
+	"github.com/oleanderline/oleanderline/pkg/operator"
+)
+
+// operatorView is what operators see of the daemon.
+type operatorView struct {
+	daemon *Daemon
+}
+
+// Status implements operator.Statuser.
+func (o operatorView) Status() operator.Status {
+	d := o.daemon
+	now := d.common.Clock.Now()
+	rules := d.follower.Status()
+	return operator.Status{
+		Daemon:     "entry",
+		ID:         d.settings.vmID(),
+		Region:     oleanderline.RegionID(d.settings.Region),
+		Domain:     oleanderline.DomainID(d.settings.Domain),
+		Started:    d.started,
+		Stopping:   d.draining.Load(),
+		LogService: operator.Service{Down: rules.LogDown, Age: rules.Age},
+		VMList:     operator.Service{Down: d.poller.failed.Load(), Age: sinceOr(now, d.poller.read.Load())},
+		Members:    operatorMembers(d.members.alive(now)),
+		Requests:   d.requests(),
+	}
+}
+
+func operatorMembers(alive []member.Member) []operator.Member {
+	rows := make([]operator.Member, 0, len(alive))
+	for _, m := range alive {
+		rows = append(rows, operator.Member{
+			ID: m.ID, Domain: m.Domain, Alive: true, Draining: m.Draining, Revision: m.Revision,
+		})
+	}
+	return rows
+}
+
+func (d *Daemon) requests() operator.Requests {
+	var r operator.Requests
+	services := map[oleanderline.ServiceID]bool{}
+	for _, m := range d.minions.list() {
+		r.Minions++
+		services[m.Service] = true
+		if m.Leaving {
+			r.Leaving++
+		}
+	}
+	d.dispatcher.update(func(core *dispatch.Core, _ time.Time, actions []dispatch.Action) []dispatch.Action {
+		for id := range services {
+			r.InFlight += core.InFlight(id)
+			r.Queued += core.Queued(id)
+		}
+		return actions
+	})
+	return r
+}
+
+// sinceOr returns the time from a moment in nanoseconds to now, or a negative time without a moment.
+func sinceOr(now time.Time, nanoseconds int64) time.Duration {
+	if nanoseconds == 0 {
+		return -1
+	}
+	return now.Sub(time.Unix(0, nanoseconds))
+}
--- a/pkg/entry/vm_poller.go
+++ b/pkg/entry/vm_poller.go
@@ -20,7 +20,7 @@
 	dispatcher *dispatcher
 	applied    func()
 	read       atomic.Int64 // time of the last read in nanoseconds; zero: none
-	failing    bool
+	failed     atomic.Bool  // the last read failed
 }
 
 func newVMPoller(c *common.Common, list oleanderline.VMList, interval time.Duration) *vmPoller {
@@ -53,13 +53,13 @@
 	defer cancel()
 	rows, err := p.list.List(call)
 	if err != nil {
-		if !p.failing && ctx.Err() == nil {
+		if !p.failed.Load() && ctx.Err() == nil {
 			p.common.Event(common.EventVMListFailed).WithError(err).Warn("VM list cannot be read, the last one is kept")
 		}
-		p.failing = true
+		p.failed.Store(true)
 		return
 	}
-	p.failing = false
+	p.failed.Store(false)
 	p.read.Store(p.common.Clock.Now().UnixNano())
 	p.members.setListed(rows)
 	if list := p.minions.setRows(rows); list != nil {
