--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -73,7 +73,8 @@
 		ID: settings.vmID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
 		Incarnation: c.Clock.Now().UnixNano(),
 	})
-	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules))
+	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules),
+		rules.WithKeep(settings.Retention/4, settings.ID))
 	return d, nil
 }
 
