Move waiting tasks to shards that have room

A shard without workers never ran its jobs. A task moves by a move record at home, an offer that is repeated until the other shard has an accept record, and a report that is repeated until home has recorded the end. The schedules found that a report must name the offset of the move: an owner that had not read it yet acknowledged ends that nobody recorded. Guests do not move on.

--- a/pkg/journal/record.go
+++ b/pkg/journal/record.go
@@ -24,6 +24,9 @@
 	KindFail    Kind = "fail"
 	KindCancel  Kind = "cancel"
 	KindKeep    Kind = "keep"
+	KindMove    Kind = "move"   // the task goes to another shard, which takes it by an accept record
+	KindAccept  Kind = "accept" // tasks of another shard's job are taken
+	KindSettle  Kind = "settle" // the other shard has recorded the ends of its tasks
 )
 
 // Record is one fact in a shard's stream. Which fields are set depends on the kind.
@@ -40,7 +43,8 @@
 	Reason     string                `json:"why,omitempty"`    // free, fail
 	Final      bool                  `json:"final,omitempty"`  // fail: no further attempt
 	Ran        time.Duration         `json:"ran,omitempty"`    // done
-	Tasks      []KeptTask            `json:"tasks,omitempty"`  // keep: tasks not yet finished
+	To         oleanderline.ShardID  `json:"to,omitempty"`     // move
+	Tasks      []KeptTask            `json:"tasks,omitempty"`  // keep: tasks not yet finished; accept, settle
 	Counts     *Counts               `json:"counts,omitempty"` // keep: tasks finished so far
 }
 
@@ -65,6 +69,12 @@
 	Checkpoint string                `json:"ckpt,omitempty"`
 	Cancelled  bool                  `json:"cancel,omitempty"`
 	Failures   int                   `json:"fails,omitempty"`
+	Moved      bool                  `json:"moved,omitempty"`
+	To         oleanderline.ShardID  `json:"to,omitempty"`  // if moved
+	At         oleanderline.Offset   `json:"at,omitempty"`  // of the move record in the stream of the task's own shard
+	End        Kind                  `json:"end,omitempty"` // of a task that was accepted from another shard: not yet settled
+	Reason     string                `json:"why,omitempty"` // of the end
+	Ran        time.Duration         `json:"ran,omitempty"`
 }
 
 // Counts is how many tasks of a job have finished.
--- a/pkg/sched/daemon_test.go
+++ b/pkg/sched/daemon_test.go
@@ -49,7 +49,7 @@
 		rows = append(rows, oleanderline.VM{
 			ID: oleanderline.VMID(id), Role: oleanderline.RoleWorker, State: oleanderline.VMLive, Size: size,
 			Address: strings.TrimPrefix(b.serve(w.Handler()), "http://"), Region: "r", Domain: "d-1",
-			Rack: oleanderline.RackID(fmt.Sprintf("rack-%d", i/2)),
+			Rack: oleanderline.RackID(fmt.Sprintf("rack-%d", i%2)), // the third shard has no workers, its tasks move
 		})
 	}
 	port := freePort(t)
--- a/pkg/sched/peer_service.go
+++ b/pkg/sched/peer_service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
@@ -31,13 +32,41 @@
 
 var errStopping = errors.New("the scheduler is stopping")
 
-// Heartbeat takes the caller's row and returns the own one.
-func (p *peerService) Heartbeat(caller member.Member, reply *member.Member) error {
+// Beat is a heartbeat.
+type Beat struct {
+	Member member.Member
+	Rooms  map[oleanderline.ShardID]shard.Room // of the shards that the sender owns
+}
+
+// OfferArgs brings tasks that move to a shard.
+type OfferArgs struct {
+	Shard oleanderline.ShardID
+	Tasks []shard.MovedTask
+}
+
+// ReportArgs brings the ends of tasks that moved away from a shard.
+type ReportArgs struct {
+	Shard oleanderline.ShardID
+	Ends  []shard.End
+}
+
+// Heartbeat takes the caller's state and returns the own one.
+func (p *peerService) Heartbeat(caller Beat, reply *Beat) error {
 	p.daemon.roster.heard(caller)
 	*reply = p.daemon.roster.me()
 	return nil
 }
 
+// Offer records tasks that move here, if this process owns the shard.
+func (p *peerService) Offer(args OfferArgs, reply *shard.Answer) error {
+	return p.askShard(args.Shard, reply, offerTo(args.Tasks))
+}
+
+// Report records the ends of tasks that moved away, if this process owns the shard.
+func (p *peerService) Report(args ReportArgs, reply *shard.Answer) error {
+	return p.askShard(args.Shard, reply, reportTo(args.Ends))
+}
+
 // Rules returns the rules in force here.
 func (p *peerService) Rules(_ struct{}, reply *rules.Snapshot) error {
 	*reply = p.daemon.rules.Snapshot()
@@ -67,14 +96,19 @@
 	})
 }
 
-func (p *peerService) ask(
-	job oleanderline.JobID, reply *shard.Answer, local func(context.Context, *shardDuty) (shard.Answer, error),
-) error {
-	d := p.daemon
-	id, err := d.shardOf(job)
+func (p *peerService) ask(job oleanderline.JobID, reply *shard.Answer, local localCall) error {
+	id, err := p.daemon.shardOf(job)
 	if err != nil {
 		return err
 	}
+	return p.askShard(id, reply, local)
+}
+
+func (p *peerService) askShard(id oleanderline.ShardID, reply *shard.Answer, local localCall) error {
+	d := p.daemon
+	if id < 0 || int(id) >= len(d.shards) {
+		return fmt.Errorf("there is no shard %d", id)
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, d.settings.Hold+callTimeout)
 	defer cancel()
 	answer, err := local(ctx, d.shards[id])
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -24,6 +25,7 @@
 	view    *member.View
 	clients map[string]*peer.Client // by address
 	asking  map[string]bool         // a heartbeat is on its way to this address
+	rooms   map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room
 }
 
 func newRoster(d *Daemon, self member.Member) *roster {
@@ -33,12 +35,17 @@
 		view:    member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
 		clients: map[string]*peer.Client{},
 		asking:  map[string]bool{},
+		rooms:   map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room{},
 	}
 }
 
 // beat sends a heartbeat to every own VM of the region and passes the members to the shards.
 func (r *roster) beat() {
 	d := r.daemon
+	rooms := d.collectRooms()
+	r.mu.Lock()
+	r.rooms[r.self.ID] = rooms
+	r.mu.Unlock()
 	for _, vm := range d.workers.get() {
 		if vm.Role == oleanderline.RoleOwn && vm.ID != r.self.ID {
 			r.greet(d.settings.peerAddress(vm.Address))
@@ -48,11 +55,31 @@
 	lost := r.view.Expire(d.common.Clock.Now())
 	r.mu.Unlock()
 	for _, m := range lost {
+		r.forget(m.ID)
 		d.common.Event(common.EventPeerLost).WithField("peer", m.ID).Warn("scheduler has missed its heartbeats")
 	}
+	all := r.allRooms()
 	for i, s := range d.shards {
 		s.deliver(shard.Members{Ranked: r.ranked(oleanderline.ShardID(i))})
+		s.deliver(shard.Rooms{ByShard: all})
+	}
+}
+
+func (r *roster) forget(id oleanderline.VMID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.rooms, id)
+}
+
+// allRooms returns the room of each shard, as its owner told it last.
+func (r *roster) allRooms() map[oleanderline.ShardID]shard.Room {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[oleanderline.ShardID]shard.Room{}
+	for _, rooms := range r.rooms {
+		maps.Copy(all, rooms)
 	}
+	return all
 }
 
 func (r *roster) greet(address string) {
@@ -66,7 +93,7 @@
 	r.daemon.loops.Go(func() {
 		ctx, cancel := context.WithTimeout(r.daemon.ctx, heartbeatsMissed*r.daemon.settings.Heartbeat)
 		defer cancel()
-		var reply member.Member
+		var reply Beat
 		if err := client.Call(ctx, serviceName+".Heartbeat", r.me(), &reply); err == nil {
 			r.heard(reply)
 		}
@@ -93,21 +120,23 @@
 	return r.client(address)
 }
 
-func (r *roster) heard(m member.Member) {
+func (r *roster) heard(beat Beat) {
+	m := beat.Member
 	r.mu.Lock()
 	joined := r.view.Heard(m, r.daemon.common.Clock.Now())
+	r.rooms[m.ID] = beat.Rooms
 	r.mu.Unlock()
 	if joined {
 		r.daemon.common.Event(common.EventPeerJoined).WithField("peer", m.ID).Info("scheduler answers")
 	}
 }
 
-func (r *roster) me() member.Member {
+func (r *roster) me() Beat {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	self := r.view.Self()
 	self.Revision = r.daemon.rules.Current().Revision
-	return self
+	return Beat{Member: self, Rooms: r.rooms[r.self.ID]}
 }
 
 // ranked returns the members that take shards, in rendezvous order for a shard.
--- a/pkg/sched/router.go
+++ b/pkg/sched/router.go
@@ -14,10 +14,13 @@
 // ownerRetry is the pause before the owner of a shard is looked for again, for example during a take-over.
 const ownerRetry = 200 * time.Millisecond
 
-// question to the owner of a shard, asked at this process or at a peer.
+// localCall asks the owner of a shard in this process.
+type localCall func(ctx context.Context, s *shardDuty) (shard.Answer, error)
+
+// ownerCall is a question to the owner of a shard, asked at this process or at a peer.
 type ownerCall struct {
 	shard  oleanderline.ShardID
-	local  func(ctx context.Context, s *shardDuty) (shard.Answer, error)
+	local  localCall
 	method string
 	args   any
 }
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -16,6 +16,7 @@
 const (
 	shardMailbox = 16_384 // callers that wait, so that a burst of 10,000 cancellations is not refused; answers of workers and of the log service come on top of them
 	ioMailbox    = 4      // the core has one append, one read and one call to each worker outstanding
+	linkMailbox  = 256    // the core has one offer and one report to each other shard outstanding
 	callTimeout  = 2 * time.Second
 	readTimeout  = 5 * time.Second
 	postRetry    = 5 * time.Millisecond
@@ -32,12 +33,14 @@
 	id      oleanderline.ShardID
 	metrics *shardMetrics
 	dial    func(address string) oleanderline.Worker
+	askOnce func(ctx context.Context, call ownerCall, hint string) (shard.Answer, error)
 
 	ctx     context.Context
 	cancel  context.CancelFunc
 	main    *duty.Duty
 	appends *duty.Duty
 	reads   *duty.Duty
+	links   *duty.Duty
 
 	// Used only by the main duty.
 	core    *shard.Core
@@ -50,7 +53,7 @@
 
 func newShardDuty(d *Daemon, id oleanderline.ShardID) *shardDuty {
 	s := &shardDuty{
-		common: d.common, log: d.log, id: id, metrics: d.metrics, dial: d.dialWorker,
+		common: d.common, log: d.log, id: id, metrics: d.metrics, dial: d.dialWorker, askOnce: d.askOnce,
 		stream:  journal.StreamName(d.settings.region(), id),
 		core:    shard.New(d.coreConfig(id)),
 		calls:   map[oleanderline.WorkerID]*workerDuty{},
@@ -60,6 +63,7 @@
 	s.main = duty.New(d.common.Actors, shardMailbox, s.handle)
 	s.appends = duty.New(d.common.Actors, ioMailbox, s.append)
 	s.reads = duty.New(d.common.Actors, ioMailbox, s.read)
+	s.links = duty.New(d.common.Actors, linkMailbox, s.link)
 	return s
 }
 
@@ -98,6 +102,8 @@
 		s.appends.Post(a)
 	case shard.Read:
 		s.reads.Post(a)
+	case shard.SendOffer, shard.SendReport:
+		s.links.Post(a)
 	case shard.Call:
 		s.worker(a.Worker).duty.Post(a)
 	case shard.Answer:
@@ -213,6 +219,7 @@
 	_ = s.main.Stop()
 	_ = s.appends.Stop()
 	_ = s.reads.Stop()
+	_ = s.links.Stop()
 	for _, w := range s.calls {
 		_ = w.duty.Stop()
 	}
--- a/pkg/shard/action.go
+++ b/pkg/shard/action.go
@@ -88,3 +88,17 @@
 
 // Finished reports whether no task of the job is left.
 func (s JobStatus) Finished() bool { return s.Known && s.Waiting+s.Assigned == 0 }
+
+// SendOffer asks to pass an Offer to the owner of another shard, answered by LinkDone.
+type SendOffer struct {
+	ID    uint64
+	To    oleanderline.ShardID
+	Tasks []MovedTask
+}
+
+// SendReport asks to pass a Report to the owner of another shard, answered by LinkDone.
+type SendReport struct {
+	ID   uint64
+	To   oleanderline.ShardID
+	Ends []End
+}
--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -20,7 +20,10 @@
 }
 
 func (c *Core) addJob(spec journal.Job) *job {
-	j := &job{Job: spec, tasks: make(map[int]*task, spec.Count)}
+	j := &job{Job: spec, tasks: map[int]*task{}}
+	if home, err := ParseJobID(spec.ID); err == nil && home != c.cfg.Shard {
+		j.guest = newGuest(home)
+	}
 	c.jobs[spec.ID] = j
 	c.jobOrder = append(c.jobOrder, j)
 	return j
@@ -51,6 +54,8 @@
 	if t == nil {
 		return
 	}
+	moved := t.state == taskMoved
+	t.attempt = record.Attempt
 	c.workers.release(t)
 	if record.Checkpoint != "" {
 		t.checkpoint = record.Checkpoint
@@ -62,12 +67,12 @@
 	}
 	t.owned = owned{}
 	switch {
-	case t.cancelled:
-		t.job.counts.Cancelled++
-		c.remove(t, at)
-	case record.Kind == journal.KindFail && record.Final:
+	case record.Kind == journal.KindFail && record.Final && !t.cancelled:
 		t.job.counts.Failed++
-		c.remove(t, at)
+		c.remove(t, record, at)
+	case t.cancelled || moved:
+		t.job.counts.Cancelled++
+		c.remove(t, journal.Record{Kind: journal.KindFree, Attempt: t.attempt}, at)
 	case c.owning:
 		t.notBefore = c.now.Add(backoff(t.failures))
 		c.queue.pushFront(t)
@@ -87,16 +92,20 @@
 	if c.owning {
 		c.counters.Done++
 	}
-	c.remove(t, at)
+	c.remove(t, record, at)
 }
 
-// current returns the task if the record is about its assigned attempt.
+// current returns the task if the record is about its assigned attempt, or about its end in another shard.
 func (c *Core) current(record journal.Record) *task {
 	t := c.find(record.Task)
-	if t == nil || t.state != taskAssigned || record.Attempt != t.attempt {
+	switch {
+	case t == nil:
+		return nil
+	case t.state == taskMoved && record.Attempt >= t.attempt, t.state == taskAssigned && record.Attempt == t.attempt:
+		return t
+	default:
 		return nil
 	}
-	return t
 }
 
 func (c *Core) applyCancel(record journal.Record, at time.Time) {
@@ -120,14 +129,20 @@
 	if t.state == taskWaiting {
 		c.workers.release(t)
 		t.job.counts.Cancelled++
-		c.remove(t, at)
+		c.remove(t, journal.Record{Kind: journal.KindFree, Attempt: t.attempt}, at)
 	}
 }
 
-// remove forgets a finished task.
-func (c *Core) remove(t *task, at time.Time) {
+// remove forgets a finished task. The end of a task of another shard is remembered until that shard has recorded it.
+func (c *Core) remove(t *task, end journal.Record, at time.Time) {
 	delete(t.job.tasks, t.index)
 	c.queue.drop(t)
+	if t.job.guest != nil {
+		t.job.guest.ends[t.index] = &guestEnd{
+			End:    End{Task: t.id, Attempt: t.attempt, At: t.movedAt, Kind: end.Kind, Reason: end.Reason, Ran: end.Ran},
+			keptAt: at,
+		}
+	}
 	if len(t.job.tasks) == 0 {
 		t.job.finishedAt = at
 	}
@@ -157,18 +172,28 @@
 		t.keptAt = at
 		return
 	}
-	if !j.rebuilt {
+	if j.guest != nil && !c.missing(j, kept, at) || j.guest == nil && !j.rebuilt {
 		return
 	}
-	t := c.addTask(j, kept.Index, at)
-	t.attempt, t.checkpoint, t.cancelled, t.failures = kept.Attempt, kept.Checkpoint, kept.Cancelled, kept.Failures
-	if kept.Worker != "" {
+	t := c.addKept(j, kept, at)
+	switch {
+	case kept.Moved:
+		t.state, t.to = taskMoved, kept.To
+		c.queue.drop(t)
+	case kept.Worker != "":
 		t.state, t.worker = taskAssigned, kept.Worker
 		c.queue.drop(t)
 		c.workers.assign(t)
 	}
 }
 
+func (c *Core) addKept(j *job, kept journal.KeptTask, at time.Time) *task {
+	t := c.addTask(j, kept.Index, at)
+	t.attempt, t.checkpoint, t.cancelled, t.failures = kept.Attempt, kept.Checkpoint, kept.Cancelled, kept.Failures
+	t.movedAt = kept.At
+	return t
+}
+
 // forgetFinished drops jobs that finished long ago. Their keys may be used again.
 func (c *Core) forgetFinished() {
 	for len(c.jobOrder) > 0 && c.forgettable(c.jobOrder[0]) {
@@ -191,7 +216,12 @@
 }
 
 func (c *Core) forgettable(j *job) bool {
-	return len(j.tasks) == 0 && !j.finishedAt.IsZero() && c.now.Sub(j.finishedAt) > c.cfg.Limits.Keep
+	keep := c.cfg.Limits.Keep
+	if j.guest != nil {
+		// An owner of the home shard that cannot read its stream may offer the task again until the outage horizon.
+		keep += c.cfg.Limits.Horizon + c.cfg.Limits.Lease
+	}
+	return j.finished() && !j.finishedAt.IsZero() && c.now.Sub(j.finishedAt) > keep
 }
 
 // backoff is the wait before the next attempt of a task that has failed n times.
--- a/pkg/shard/checker_test.go
+++ b/pkg/shard/checker_test.go
@@ -18,7 +18,7 @@
 	terms    [worldShards]oleanderline.Term
 	seqs     [worldShards]map[oleanderline.WriterID]journal.Seq
 	recorded map[oleanderline.JobID]bool
-	finished map[oleanderline.TaskID]journal.Kind
+	finished [worldShards]map[oleanderline.TaskID]journal.Kind
 	accepted map[oleanderline.JobID]journal.Job
 	submits  map[shard.Token]journal.Job
 	open     map[oleanderline.JobID]int // submissions that were not refused as not run
@@ -27,19 +27,21 @@
 	checkpoints map[oleanderline.TaskID]string
 	void        map[oleanderline.AttemptKey]bool // assigned after the cancellation of their job
 	// cancelled are the jobs with a recorded cancellation.
-	cancelled map[oleanderline.JobID]bool
+	cancelled [worldShards]map[oleanderline.JobID]bool
 	faults    []string
 }
 
 func newChecker(w *world) *checker {
 	c := &checker{
-		world: w, recorded: map[oleanderline.JobID]bool{}, finished: map[oleanderline.TaskID]journal.Kind{},
+		world: w, recorded: map[oleanderline.JobID]bool{},
 		accepted: map[oleanderline.JobID]journal.Job{}, submits: map[shard.Token]journal.Job{},
-		open: map[oleanderline.JobID]int{}, ends: map[oleanderline.JobID]int{}, cancelled: map[oleanderline.JobID]bool{},
+		open: map[oleanderline.JobID]int{}, ends: map[oleanderline.JobID]int{},
 		checkpoints: map[oleanderline.TaskID]string{}, void: map[oleanderline.AttemptKey]bool{},
 	}
 	for i := range c.seqs {
 		c.seqs[i] = map[oleanderline.WriterID]journal.Seq{}
+		c.finished[i] = map[oleanderline.TaskID]journal.Kind{}
+		c.cancelled[i] = map[oleanderline.JobID]bool{}
 	}
 	return c
 }
@@ -61,11 +63,11 @@
 		case journal.KindSubmit:
 			c.recorded[record.Job.ID] = true
 		case journal.KindCancel:
-			for _, id := range record.Jobs {
-				c.cancelled[id] = true
+			for _, job := range record.Jobs {
+				c.cancelled[id][job] = true
 			}
 		case journal.KindAssign:
-			if c.cancelled[jobOf(record.Task)] {
+			if c.cancelled[id][jobOf(record.Task)] {
 				c.void[oleanderline.AttemptKey{Task: record.Task, Attempt: record.Attempt}] = true
 			}
 		case journal.KindFree:
@@ -73,7 +75,7 @@
 				c.checkpoints[record.Task] = record.Checkpoint
 			}
 		case journal.KindDone, journal.KindFail:
-			c.end(record)
+			c.end(id, record)
 		}
 	}
 }
@@ -96,16 +98,18 @@
 	}
 }
 
-// end counts a completion. Only the last attempt of a task can have one.
-func (c *checker) end(record journal.Record) {
+// end counts a completion. Only the last attempt of a task can have one, in the stream of each shard that had the task.
+func (c *checker) end(id int, record journal.Record) {
 	if record.Kind == journal.KindFail && !record.Final {
 		return
 	}
-	if before, ok := c.finished[record.Task]; ok {
-		c.fault("task %s: %s recorded after %s", record.Task, record.Kind, before)
+	if before, ok := c.finished[id][record.Task]; ok {
+		c.fault("task %s: %s recorded after %s in shard %d", record.Task, record.Kind, before, id)
+	}
+	c.finished[id][record.Task] = record.Kind
+	if home, err := shard.ParseJobID(jobOf(record.Task)); err == nil && int(home) == id {
+		c.ends[jobOf(record.Task)]++
 	}
-	c.finished[record.Task] = record.Kind
-	c.ends[jobOf(record.Task)]++
 }
 
 func (c *checker) answered(a shard.Answer) {
@@ -162,7 +166,7 @@
 		switch {
 		case status.Known && !status.Finished():
 			found = append(found, fmt.Sprintf("job %s is not finished: %+v", id, status))
-		case !status.Known && !c.cancelled[id] && c.ends[id] != job.Count:
+		case !status.Known && !c.wasCancelled(id) && c.ends[id] != job.Count:
 			found = append(found, fmt.Sprintf("job %s is lost: %d of %d tasks have ended", id, c.ends[id], job.Count))
 		}
 	}
@@ -170,6 +174,11 @@
 	return found
 }
 
+func (c *checker) wasCancelled(id oleanderline.JobID) bool {
+	home, err := shard.ParseJobID(id)
+	return err == nil && c.cancelled[home][id]
+}
+
 func (c *checker) running() bool {
 	return slices.ContainsFunc(c.world.hosts, func(h *host) bool { return h.Committed() != oleanderline.Size{} })
 }
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -39,6 +40,7 @@
 	queue    queue
 	waiters  waiters
 	largest  []oleanderline.Size
+	links
 	callID   uint64
 	keepNext int
 	sweptAt  time.Time // when finished jobs were last looked for
@@ -92,6 +94,14 @@
 		c.cancel(e)
 	case Leave:
 		c.leaving = true
+	case Rooms:
+		c.rooms = maps.Clone(e.ByShard)
+	case Offer:
+		c.offered(e)
+	case Report:
+		c.reported(e)
+	case LinkDone:
+		c.linkDone(e)
 	}
 	c.advance(event)
 	out := c.out
@@ -124,6 +134,8 @@
 			c.operateWorker(w)
 		}
 		c.place()
+		c.moveOut()
+		c.talkToShards()
 		c.keepLive()
 	}
 	c.expireWaiters()
@@ -149,6 +161,7 @@
 	c.order.Begin(from)
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
+	c.links = links{rooms: c.rooms, linkID: c.linkID}
 	c.queue = queue{}
 	c.workers.dropTasks()
 	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -87,3 +87,49 @@
 
 // Leave asks the owner to hand the shard over, because its process stops.
 type Leave struct{}
+
+// Rooms tells how much room the other shards of the region have.
+type Rooms struct {
+	ByShard map[oleanderline.ShardID]Room
+}
+
+// Room is what the owner of a shard tells the others.
+type Room struct {
+	Largest oleanderline.Size // free at one worker
+	Free    oleanderline.Size // free at all workers
+	Waiting int               // tasks that wait for a worker
+}
+
+// Offer asks to take tasks of another shard. It is answered by Accepted when all are recorded, and otherwise repeated.
+type Offer struct {
+	Token Token
+	Tasks []MovedTask
+}
+
+// MovedTask is a task on its way to another shard.
+type MovedTask struct {
+	Job  journal.Job
+	Task journal.KeptTask
+}
+
+// Report brings the ends of tasks that moved. It is answered by Accepted when all are recorded, and otherwise repeated.
+type Report struct {
+	Token Token
+	Ends  []End
+}
+
+// End is how a task that moved has ended.
+type End struct {
+	Task    oleanderline.TaskID
+	Attempt oleanderline.Attempt
+	At      oleanderline.Offset // of the move record: an owner that has not read it knows nothing about the task
+	Kind    journal.Kind        // done, fail, or free for a cancelled task
+	Reason  string
+	Ran     time.Duration
+}
+
+// LinkDone answers a SendOffer or SendReport.
+type LinkDone struct {
+	ID       uint64
+	Accepted bool
+}
--- a/pkg/shard/keep.go
+++ b/pkg/shard/keep.go
@@ -39,7 +39,7 @@
 // keepJob queues the records of a job's unfinished tasks whose last full record is old. Tasks with a record on its way
 // are left for a later sweep, because the record here would not match the state at its own place in the stream.
 func (c *Core) keepJob(j *job) bool {
-	if len(j.tasks) == 0 || j.cancelPending || c.now.Sub(j.keptAt) < min(keepGuard, c.cfg.Limits.Retention/8) {
+	if j.finished() || j.cancelPending || c.now.Sub(j.keptAt) < min(keepGuard, c.cfg.Limits.Retention/8) {
 		return false
 	}
 	// Three eighths, so that the record is stored before half of the retention has passed.
@@ -50,6 +50,7 @@
 			tasks = append(tasks, t.kept())
 		}
 	}
+	tasks = append(tasks, j.guest.keptEnds(limit)...)
 	if len(tasks) == 0 {
 		return false
 	}
@@ -67,7 +68,7 @@
 func (t *task) kept() journal.KeptTask {
 	return journal.KeptTask{
 		Index: t.index, Attempt: t.attempt, Worker: t.worker, Checkpoint: t.checkpoint, Cancelled: t.cancelled,
-		Failures: t.failures,
+		Failures: t.failures, Moved: t.state == taskMoved, To: t.to, At: t.movedAt,
 	}
 }
 
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -214,8 +214,11 @@
 	c.resetOwned()
 	for _, j := range c.jobOrder {
 		for index := range j.Count {
-			if t := j.tasks[index]; t != nil && t.state == taskWaiting {
+			switch t := j.tasks[index]; {
+			case t != nil && t.state == taskWaiting:
 				c.queue.push(t)
+			case t != nil && t.state == taskMoved:
+				c.away = append(c.away, t)
 			}
 		}
 	}
@@ -240,10 +243,12 @@
 	c.queue = queue{}
 	for _, j := range c.jobOrder {
 		j.cancelPending, j.keptAt = false, time.Time{}
+		j.guest.reset()
 		for _, t := range j.tasks {
 			t.owned = owned{}
 		}
 	}
+	c.links = links{rooms: c.rooms, linkID: c.linkID}
 	c.workers.resetOwned(c.cfg.Without.Inventory)
 }
 
--- a/pkg/shard/schedule_test.go
+++ b/pkg/shard/schedule_test.go
@@ -27,6 +27,9 @@
 	calmTime = 30 * time.Minute
 )
 
+// messages counts those between shards, of all schedules.
+var messages atomic.Int64
+
 // run plays one schedule and returns what was wrong.
 func run(seed uint64, without shard.Without, forget bool) []string {
 	return newWorld(seed, without, forget).play()
@@ -50,6 +53,7 @@
 	}
 	w.checks.runs()
 	w.checks.settled()
+	messages.Add(int64(w.moves))
 	return w.checks.faults
 }
 
@@ -264,6 +268,7 @@
 	for seed, faults := range found {
 		t.Errorf("seed %d: %d faults, first: %s", seed, len(faults), faults[0])
 	}
+	require.Positive(t, messages.Load(), "no task moved between shards")
 }
 
 // TestReplay writes down the schedule with the seed in OLEANDER_SEED, to find the cause of a fault.
--- a/pkg/shard/status.go
+++ b/pkg/shard/status.go
@@ -37,6 +37,9 @@
 	case t == nil:
 		e.State, e.Since = "finished", j.finishedAt
 		e.explain("%d tasks of the job are done, %d failed, %d were cancelled", j.counts.Done, j.counts.Failed, j.counts.Cancelled)
+	case t.state == taskMoved:
+		e.State, e.Attempt, e.Since = "moved", t.attempt, t.since
+		e.explain("it moved to shard %d, whose owner knows more", t.to)
 	case t.state == taskAssigned:
 		e.State, e.Worker, e.Attempt, e.Since = "assigned", t.worker, t.attempt, t.since
 		c.explainAssigned(t, &e)
@@ -133,7 +136,7 @@
 	for _, j := range c.jobOrder {
 		s.Waiting += len(j.tasks)
 	}
-	s.Waiting -= s.Assigned
+	s.Waiting -= s.Assigned + len(c.away)
 	return s
 }
 
--- a/pkg/shard/stream.go
+++ b/pkg/shard/stream.go
@@ -135,6 +135,12 @@
 		c.applyCancel(record, at.Time)
 	case journal.KindKeep:
 		c.applyKeep(record, at.Time)
+	case journal.KindMove:
+		c.applyMove(record, at)
+	case journal.KindAccept:
+		c.applyAccept(record, at.Time)
+	case journal.KindSettle:
+		c.applySettle(record, at.Time)
 	case journal.KindClaim:
 	}
 }
--- a/pkg/shard/task.go
+++ b/pkg/shard/task.go
@@ -16,6 +16,7 @@
 const (
 	taskWaiting taskState = iota
 	taskAssigned
+	taskMoved // to another shard
 )
 
 // task is one unfinished task. The first group of fields is what the stream says. The second is known to the owner only
@@ -28,6 +29,8 @@
 	attempt    oleanderline.Attempt
 	worker     oleanderline.WorkerID
 	checkpoint string
+	to         oleanderline.ShardID // while moved
+	movedAt    oleanderline.Offset  // of the move record in the stream of the task's own shard
 	cancelled  bool
 	failures   int
 	since      time.Time // of the last change of state
@@ -50,6 +53,8 @@
 	stopTries int
 	notBefore time.Time // backoff of a waiting task
 	queued    bool      // in the queue of waiting tasks
+	taken     bool      // the shard that the task moved to has recorded that
+	takenBack bool      // and it has recorded the cancellation
 }
 
 func (t *task) key() oleanderline.AttemptKey {
@@ -65,7 +70,8 @@
 	counts     journal.Counts
 	reason     string
 	finishedAt time.Time
-	rebuilt    bool // known from keep records, because its submit record is no longer kept
+	guest      *guest // not nil: the job belongs to another shard, and only some of its tasks are here
+	rebuilt    bool   // known from keep records, because its submit record is no longer kept
 
 	// Known to the owner only.
 	cancelPending bool      // a cancellation is not yet read back
@@ -80,7 +86,7 @@
 		if t.state == taskWaiting {
 			s.Waiting++
 		} else {
-			s.Assigned++
+			s.Assigned++ // to a worker here, or moved to another shard
 		}
 	}
 	return s
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -42,24 +42,27 @@
 // world runs several processes, with a core for each shard, against stand-ins on a virtual clock. All its choices come
 // from one seed.
 type world struct {
-	seed      uint64
-	rng       *rand.Rand
-	clock     *common.VirtualClock
-	log       *standin.Log // holds empty entries, whose content is in groups: that saves most of the time of a schedule
-	groups    [worldShards]map[oleanderline.Offset]journal.Group
-	vms       *standin.VMs
-	processes []*process
-	workers   map[oleanderline.WorkerID]*host
-	hosts     []*host // also those that were replaced, with what ran there
-	without   shard.Without
-	forget    bool // workers do not remember stops of unknown attempts
-	mail      []mail
-	calm      bool // no new faults
-	checks    *checker
-	replay    func(format string, args ...any) // nil: the schedule is not written down
-	logDownTo time.Time
-	submitted time.Time // when the newest key was first used
-	drains    map[oleanderline.WorkerID]bool
+	seed        uint64
+	rng         *rand.Rand
+	clock       *common.VirtualClock
+	log         *standin.Log // holds empty entries, whose content is in groups: that saves most of the time of a schedule
+	groups      [worldShards]map[oleanderline.Offset]journal.Group
+	vms         *standin.VMs
+	processes   []*process
+	workers     map[oleanderline.WorkerID]*host
+	hosts       []*host // also those that were replaced, with what ran there
+	without     shard.Without
+	forget      bool // workers do not remember stops of unknown attempts
+	mail        []mail
+	calm        bool // no new faults
+	checks      *checker
+	replay      func(format string, args ...any) // nil: the schedule is not written down
+	logDownTo   time.Time
+	linkToken   shard.Token
+	linkReplies map[shard.Token]func(shard.Verdict)
+	moves       int       // messages between shards
+	submitted   time.Time // when the newest key was first used
+	drains      map[oleanderline.WorkerID]bool
 }
 
 // mail is something that happens later.
@@ -104,6 +107,7 @@
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
 		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+		linkToken: 1 << 32, linkReplies: map[shard.Token]func(shard.Verdict){},
 	}
 	w.log = standin.NewLog(w.clock, standin.WithKeepAge(worldLimits().Retention))
 	w.vms = standin.NewVMs(w.clock, 2*time.Second)
@@ -250,6 +254,7 @@
 			alive = append(alive, other.id)
 		}
 	}
+	rooms := w.rooms()
 	rows, err := w.vms.List(context.Background())
 	for id := range p.cores {
 		ranked := member.Rank("shard/"+strconv.Itoa(id), alive)
@@ -260,12 +265,26 @@
 		}
 		w.feed(p, id, members)
 		w.feed(p, id, shard.Drains{Workers: w.drains})
+		w.feed(p, id, shard.Rooms{ByShard: rooms})
 		if err == nil {
 			w.feed(p, id, shard.VMs{Workers: workersOf(rows, id), Asked: now, Largest: []oleanderline.Size{workerSize}})
 		}
 	}
 }
 
+// rooms collects what the owners tell.
+func (w *world) rooms() map[oleanderline.ShardID]shard.Room {
+	rooms := map[oleanderline.ShardID]shard.Room{}
+	for _, p := range w.processes {
+		for id := range p.cores {
+			if room, ok := p.cores[id].Room(); ok && w.runs(p) {
+				rooms[oleanderline.ShardID(id)] = room
+			}
+		}
+	}
+	return rooms
+}
+
 // seems reports whether a process runs, or has not been silent for as long as heartbeats may be missed.
 func (w *world) seems(p *process) bool {
 	return w.runs(p) || (!p.alive && w.clock.Now().Before(p.killedAt.Add(heartbeatTimeout)))
@@ -314,7 +333,15 @@
 		w.read(p, id, a)
 	case shard.Call:
 		w.call(p, id, a)
+	case shard.SendOffer:
+		w.link(p, id, int(a.To), a.ID, func(token shard.Token) shard.Event { return shard.Offer{Token: token, Tasks: a.Tasks} })
+	case shard.SendReport:
+		w.link(p, id, int(a.To), a.ID, func(token shard.Token) shard.Event { return shard.Report{Token: token, Ends: a.Ends} })
 	case shard.Answer:
+		if reply := w.linkReplies[a.Token]; reply != nil {
+			reply(a.Verdict)
+			return
+		}
 		w.checks.answered(a)
 	}
 }
@@ -434,6 +461,40 @@
 	w.reply(p, id, w.upTo(100*time.Millisecond), done)
 }
 
+// link passes a message to the owner of another shard. Repeated messages are answered once.
+func (w *world) link(p *process, id, to int, linkID uint64, event func(shard.Token) shard.Event) {
+	w.linkToken++
+	token := w.linkToken
+	outcome := w.fate()
+	answered := false
+	done := func(accepted bool) {
+		if !answered {
+			answered = true
+			w.reply(p, id, w.upTo(50*time.Millisecond), shard.LinkDone{ID: linkID, Accepted: accepted})
+		}
+	}
+	effect := func() {
+		for _, target := range w.processes {
+			if w.runs(target) && target.cores[to].Owning() {
+				w.moves++
+				w.note("%s %d sends %d to %s %d: %+v", p.id, id, linkID, target.id, to, event(token))
+				w.feed(target, to, event(token))
+				return
+			}
+		}
+	}
+	if outcome != fateRefused && outcome != fateLost && outcome != fateLate {
+		w.post(mail{act: effect}, w.upTo(50*time.Millisecond))
+	}
+	if outcome == fateLate || outcome == fateTwice || outcome == fateTwiceUnsure {
+		w.post(mail{act: effect}, callerTimeout+w.upTo(lateCall-callerTimeout))
+	}
+	if outcome == fateNormal || outcome == fateTwice {
+		w.linkReplies[token] = func(verdict shard.Verdict) { done(verdict == shard.Accepted) }
+	}
+	w.post(mail{act: func() { done(false) }}, callerTimeout)
+}
+
 func (w *world) call(p *process, id int, call shard.Call) {
 	now := w.clock.Now()
 	done := shard.CallDone{Worker: call.Worker, ID: call.ID}
