--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -24,10 +24,8 @@
 		return "stopping"
 	case !d.poller.hasRead():
 		return "VM list not read yet"
-	case !d.members.isSettled():
-		return "other entries not asked yet"
-	case d.common.Clock.Now().Sub(d.started) < d.parts.core.Slots.Drain:
-		return "slots not taken over yet"
+	case !d.members.hasJoined():
+		return "not joined the other entries yet"
 	default:
 		return ""
 	}
@@ -118,6 +116,12 @@
 }
 
 func (d *Daemon) shutdown() error {
+	var err error
+	d.once.Do(func() { err = d.shutdownOnce() })
+	return err
+}
+
+func (d *Daemon) shutdownOnce() error {
 	d.dispatcher.update(func(core *dispatch.Core, _ time.Time, actions []dispatch.Action) []dispatch.Action {
 		core.Stop()
 		return actions
--- a/pkg/rules/follower.go
+++ b/pkg/rules/follower.go
@@ -14,8 +14,9 @@
 const (
 	// defaultPoll leaves most of the 5 s in which a revision must be in force to the log service.
 	defaultPoll = time.Second
-	// peerInterval bounds how often peers are asked for their rules, which may be large.
-	peerInterval = 5 * time.Second
+	// peerInterval is the time between two questions to the peers at first, and maxPeerInterval after a long while.
+	peerInterval    = 5 * time.Second
+	maxPeerInterval = 10 * time.Minute
 	// readTimeout bounds one read of the log service.
 	readTimeout = 2 * time.Second
 	// readLimit bounds the entries of one read, because each may hold MaxBytes of text.
@@ -41,49 +42,15 @@
 	held      Snapshot  // the revision in force; Next and Settled are filled in by Snapshot
 	confirmed time.Time // of the last read that reached the end of the stream
 	keepAt    time.Time // when the revision in force is appended again
-	askedAt   time.Time // of the last question to the peers
+	askAt     time.Time // when the peers may be asked again
+	askEvery  time.Duration
 	logDown   bool
 	fromPeer  bool
 }
 
-// FollowerOption changes a Follower while it is built.
-type FollowerOption func(*Follower)
-
-// WithPoll sets the time between reads of the stream.
-func WithPoll(poll time.Duration) FollowerOption {
-	return func(f *Follower) { f.poll = poll }
-}
-
-// WithPeers sets the function that asks the peers for their rules. It is called while the log service cannot be read or
-// entries were lost to retention. It must return soon after its context ends; a peer that does not answer is left out.
-func WithPeers(peers func(context.Context) []Snapshot) FollowerOption {
-	return func(f *Follower) { f.peers = peers }
-}
-
-// WithOnChange sets a function that is called with each new revision, in order, from the goroutine of Run.
-func WithOnChange(onChange func(*Set)) FollowerOption {
-	return func(f *Follower) { f.onChange = onChange }
-}
-
-// WithKeep makes the follower append the revision in force again, as a new revision with the same text, when every has
-// passed since it was published. A quarter of the retention period is right: the stream then always holds two such
-// entries, the second of which proves to a process without peers that the first was accepted. The name by stands in the
-// entry.
-func WithKeep(every time.Duration, by string) FollowerOption {
-	return func(f *Follower) {
-		f.keepEvery = every
-		f.keepBy = by
-	}
-}
-
-// withObserver sets a function that sees every entry and its verdict.
-func withObserver(observe func(Entry, oleanderline.Offset, bool)) FollowerOption {
-	return func(f *Follower) { f.observe = observe }
-}
-
 // NewFollower returns a follower that holds an empty set until Run has read the first revision.
 func NewFollower(c *common.Common, log oleanderline.LogService, options ...FollowerOption) *Follower {
-	f := &Follower{common: c, log: log, poll: defaultPoll, changed: make(chan struct{}, 1)}
+	f := &Follower{common: c, log: log, poll: defaultPoll, askEvery: peerInterval, changed: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(f)
 	}
@@ -147,6 +114,10 @@
 // Step reads the stream to its end once, asks the peers if that does not settle the revision, and appends the revision
 // in force again if that is due. Run calls it; tests and tools may call it instead of Run.
 func (f *Follower) Step(ctx context.Context) {
+	if f.Snapshot().Next == 1 {
+		// A peer's rules spare a new process the whole stream.
+		f.askPeers(ctx)
+	}
 	err := f.readToEnd(ctx)
 	f.noteRead(err)
 	if err != nil || !f.Snapshot().Settled {
@@ -156,7 +127,9 @@
 	f.keep(ctx)
 }
 
+// readToEnd puts only the last accepted revision in force, because parsing each of a day's 4,300 would delay a start.
 func (f *Follower) readToEnd(ctx context.Context) error {
+	defer f.apply()
 	for {
 		end, err := f.readOnce(ctx)
 		if err != nil || end {
@@ -193,40 +166,58 @@
 
 func (f *Follower) offer(raw oleanderline.Entry) {
 	entry, err := DecodeEntry(raw.Data)
+	accepted := false
+	f.mu.Lock()
+	if err == nil {
+		accepted, err = f.judge(&entry, raw.Offset)
+	}
 	if err != nil {
-		f.mu.Lock()
 		f.order.Skip(raw.Offset)
-		f.mu.Unlock()
+	}
+	held := f.held
+	f.mu.Unlock()
+	if err != nil {
 		f.measures.malformed.Inc()
 		f.common.Event(common.EventRulesMalformed).WithError(err).WithField("offset", raw.Offset).
 			Warn("entry of the rules stream ignored")
 		return
 	}
-	s := Snapshot{
-		Revision:  oleanderline.Revision(raw.Offset),
-		ID:        entry.ID,
-		By:        entry.By,
-		Published: entry.Time,
-		Text:      entry.Text,
-	}
-	f.mu.Lock()
-	accepted := f.order.Offer(raw.Offset, entry.Base)
-	current := f.order.Current()
-	if accepted {
-		s.Origin = f.origin(entry, s.Revision)
-		f.hold(s, false)
-	}
-	f.mu.Unlock()
 	if f.observe != nil {
 		f.observe(entry, raw.Offset, accepted)
 	}
 	if !accepted {
 		f.measures.refused.Inc()
 		f.common.Event(common.EventRulesRefused).WithField("offset", raw.Offset).WithField("base", entry.Base).
-			WithField("by", entry.By).WithField("revision", current).Info("rules entry lost a race")
+			WithField("by", entry.By).WithField("revision", held.Revision).Info("rules entry lost a race")
 		return
 	}
-	f.apply(s)
+	f.measures.accepted.Inc()
+}
+
+// judge offers a decoded entry to the order, and holds it if it is accepted. It must be called with the lock. Edits that
+// do not fit their base are an error at every reader, because all have the same text for the same revision.
+func (f *Follower) judge(entry *Entry, offset oleanderline.Offset) (accepted bool, err error) {
+	if entry.Base == f.held.Revision {
+		if entry.Text, err = entry.resolve(f.held.Text); err != nil {
+			return false, err
+		}
+	}
+	if !f.order.Offer(offset, entry.Base, entry.Whole()) {
+		return false, nil
+	}
+	s := Snapshot{
+		Revision:  oleanderline.Revision(offset),
+		ID:        entry.ID,
+		By:        entry.By,
+		Published: entry.Time,
+		Text:      entry.Text,
+	}
+	s.Origin = f.origin(*entry, s.Revision)
+	if !entry.Whole() {
+		s.Edits = f.held.Edits + 1
+	}
+	f.hold(s, false)
+	return true, nil
 }
 
 // origin must be called with the lock.
@@ -245,11 +236,14 @@
 	f.keepAt = f.keepTime(s)
 }
 
-// apply puts a revision in force that the order has accepted.
-func (f *Follower) apply(s Snapshot) {
+// apply puts the revision in force that the order has accepted last.
+func (f *Follower) apply() {
+	s := f.Snapshot()
+	if s.Revision == f.Current().Revision {
+		return
+	}
 	set := s.Set()
 	f.current.Store(set)
-	f.measures.accepted.Inc()
 	f.common.Event(common.EventRulesAccepted).WithField("revision", s.Revision).WithField("by", s.By).
 		WithField("id", s.ID).Info("rules in force")
 	if len(set.Unknown) > 0 {
@@ -275,6 +269,7 @@
 	f.logDown = err != nil
 	if err == nil {
 		f.confirmed = f.common.Clock.Now()
+		f.askEvery = peerInterval
 	}
 	f.mu.Unlock()
 	switch {
@@ -284,39 +279,3 @@
 		f.common.Event(common.EventRulesLogUp).Info("rules stream can be read again")
 	}
 }
-
-func (f *Follower) askPeers(ctx context.Context) {
-	if f.peers == nil || !f.mayAsk() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	for _, snapshot := range f.peers(ctx) {
-		f.takeOver(snapshot)
-	}
-}
-
-func (f *Follower) mayAsk() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.common.Clock.Now()
-	if !f.askedAt.IsZero() && now.Sub(f.askedAt) < peerInterval {
-		return false
-	}
-	f.askedAt = now
-	return true
-}
-
-func (f *Follower) takeOver(s Snapshot) {
-	f.mu.Lock()
-	changed := f.order.TakeOver(s)
-	if changed {
-		f.hold(s, true)
-	}
-	f.mu.Unlock()
-	if !changed {
-		return
-	}
-	f.common.Event(common.EventRulesTakenOver).WithField("revision", s.Revision).Info("rules taken over from a peer")
-	f.apply(s)
-}
