--- a/pkg/sched/daemon_test.go
+++ b/pkg/sched/daemon_test.go
@@ -91,6 +91,7 @@
 	settings.OperatorListen = fmt.Sprintf("%s:%d", ip, freePort(b.t))
 	settings.Key, settings.LogService, settings.VMList = testKey, logURL, vmsURL
 	settings.Heartbeat, settings.Renew, settings.Shards = 100*time.Millisecond, 100*time.Millisecond, 3
+	settings.Hold = time.Second
 	logger := common.NewLogger(io.Discard, logrus.InfoLevel)
 	d, err := New(common.New("sched", common.WithLogger(logger)), settings)
 	require.NoError(b.t, err)
@@ -181,3 +182,45 @@
 	require.Equal(t, "already finished", reply.Result)
 	b.requireNoViolations()
 }
+
+// Guards against a submission that is refused as not run during an outage of the log service and is recorded later.
+func TestDaemonRefusesSubmissionsWhileTheLogIsDown(t *testing.T) {
+	b := newBench(t)
+	running := b.submit(b.urls[0], "running", "sleep 2s", 3)
+	b.log.SetDown(true)
+	status, reply := b.call(http.MethodPost, b.urls[1]+"/jobs", map[string]any{
+		"key": "refused", "team": "routes", "count": 1, "cmd": "sleep 1ms", "size": oleanderline.Size{CPU: 1000, Memory: 1000},
+	})
+	require.Equal(t, http.StatusServiceUnavailable, status, "%+v", reply)
+	b.log.SetDown(false)
+	b.awaitDone(b.urls[2], running, 3)
+	id := shard.NewJobID("refused", 3)
+	status, _ = b.call(http.MethodGet, b.urls[0]+"/jobs/"+string(id), nil)
+	require.Equal(t, http.StatusNotFound, status)
+	b.requireNoViolations()
+}
+
+// Guards against a daemon that starts with a setting that it cannot work with, or a message that does not help.
+func TestSettingsNameFlagValueAndWhatIsAllowed(t *testing.T) {
+	scenarios := []struct {
+		change func(*Settings)
+		want   string
+	}{
+		{func(s *Settings) { s.ID = "" }, `--id="": must not be empty`},
+		{func(s *Settings) { s.Listen = "host:80" }, `--listen="host:80": "host" is not an IP number`},
+		{func(s *Settings) { s.PeerListen = "0.0.0.0:1" }, `--peer-listen="0.0.0.0:1": must be the IP number`},
+		{func(s *Settings) { s.Key = "short" }, "--key (5 characters): must have at least 16 characters"},
+		{func(s *Settings) { s.Shards = 0 }, "--shards=0: must be from 1 to 64"},
+		{func(s *Settings) { s.Lease = time.Second }, "--lease=1s: must be from 3s to 10m0s"},
+		{func(s *Settings) { s.Horizon = time.Second }, "--horizon=1s: must be from 30s to 24h0m0s"},
+	}
+	for _, s := range scenarios {
+		settings := DefaultSettings()
+		settings.ID, settings.Region, settings.Domain, settings.Key = "own-0", "r", "d-0", testKey
+		settings.Listen, settings.PeerListen, settings.OperatorListen = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+		settings.LogService, settings.VMList = "http://127.0.0.1:4", "http://127.0.0.1:5"
+		require.NoError(t, settings.Validate())
+		s.change(&settings)
+		require.ErrorContains(t, settings.Validate(), s.want)
+	}
+}
--- a/pkg/sched/shard_metrics.go
+++ b/pkg/sched/shard_metrics.go
@@ -20,17 +20,17 @@
 
 func newShardMetrics(set *metrics.Set) *shardMetrics {
 	return &shardMetrics{
-		appends:      set.GetOrCreateCounter("oleander_sched_appends_total"),
-		appendBytes:  set.GetOrCreateCounter("oleander_sched_append_bytes_total"),
-		appendErrors: set.GetOrCreateCounter("oleander_sched_append_errors_total"),
-		reads:        set.GetOrCreateCounter("oleander_sched_reads_total"),
-		calls:        set.GetOrCreateCounter("oleander_sched_worker_calls_total"),
-		callErrors:   set.GetOrCreateCounter("oleander_sched_worker_failures_total"),
-		starts:       set.GetOrCreateCounter("oleander_sched_starts_total"),
-		done:         set.GetOrCreateCounter("oleander_sched_done_total"),
-		freed:        set.GetOrCreateCounter("oleander_sched_freed_total"),
-		lapsed:       set.GetOrCreateCounter("oleander_sched_lapsed_total"),
-		claims:       set.GetOrCreateCounter("oleander_sched_claims_total"),
-		refused:      set.GetOrCreateCounter("oleander_sched_refused_total"),
+		appends:      set.GetOrCreateCounter("oleander_sched_appends_total"),         // appends to the shards' streams, with repeated ones
+		appendBytes:  set.GetOrCreateCounter("oleander_sched_append_bytes_total"),    // bytes of these appends
+		appendErrors: set.GetOrCreateCounter("oleander_sched_append_errors_total"),   // appends that failed or whose answer was lost
+		reads:        set.GetOrCreateCounter("oleander_sched_reads_total"),           // reads of the shards' streams
+		calls:        set.GetOrCreateCounter("oleander_sched_worker_calls_total"),    // calls to workers
+		callErrors:   set.GetOrCreateCounter("oleander_sched_worker_failures_total"), // times at which a worker stopped answering
+		starts:       set.GetOrCreateCounter("oleander_sched_starts_total"),          // attempts that a worker has confirmed
+		done:         set.GetOrCreateCounter("oleander_sched_done_total"),            // tasks that are recorded as done
+		freed:        set.GetOrCreateCounter("oleander_sched_freed_total"),           // attempts that ended without completing their task
+		lapsed:       set.GetOrCreateCounter("oleander_sched_lapsed_total"),          // attempts given up because their lease expired at a worker that does not answer
+		claims:       set.GetOrCreateCounter("oleander_sched_claims_total"),          // times at which this process became the owner of a shard
+		refused:      set.GetOrCreateCounter("oleander_sched_refused_total"),         // submissions refused as not run because of the log service
 	}
 }
