--- a/pkg/entry/settler.go
+++ b/pkg/entry/settler.go
@@ -23,6 +23,9 @@
 	home    *keyHome
 	queue   chan settleMessage
 	workers sync.WaitGroup
+
+	mu     sync.RWMutex
+	closed bool
 }
 
 type settleMessage struct {
@@ -44,12 +47,32 @@
 	}
 }
 
-// close sends what is queued and ends. No result may be added afterwards.
+// close sends what is queued and ends. Later results stay here; they come only from requests that were broken off.
 func (s *settler) close() {
-	close(s.queue)
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.queue)
+	}
+	s.mu.Unlock()
 	s.workers.Wait()
 }
 
+// post queues a message and reports whether there was room.
+func (s *settler) post(message settleMessage) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed {
+		return true
+	}
+	select {
+	case s.queue <- message:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *settler) send(message settleMessage) {
 	for range settleTries {
 		err := s.home.peers.call(context.Background(), message.to, "Settle", message.args, &struct{}{})
@@ -69,10 +92,7 @@
 		if id == s.home.self.ID {
 			continue
 		}
-		message := settleMessage{to: id, args: args}
-		select {
-		case s.queue <- message:
-		default:
+		if message := (settleMessage{to: id, args: args}); !s.post(message) {
 			s.send(message)
 		}
 	}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -127,6 +127,7 @@
 		return actions
 	})
 	d.cancel()
+	d.settler.close()
 	err := errors.Join(d.peerServer.Close(), d.operatorServer.Close())
 	d.background.Wait()
 	d.prober.close()
