--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -36,10 +36,10 @@
 		settings:  settings,
 		exchanger: exchanger,
 		badLog:    newLogLimit(badRequestsLogged, time.Second),
-		answered:  c.Metrics.NewCounter("oleander_caller_answered_total"),
-		notRun:    c.Metrics.NewCounter("oleander_caller_not_run_total"),
-		unknown:   c.Metrics.NewCounter("oleander_caller_unknown_total"),
-		cut:       c.Metrics.NewCounter("oleander_caller_cut_answers_total"),
+		answered:  c.Metrics.NewCounter("oleander_caller_answered_total"),    // requests whose whole answer was passed on
+		notRun:    c.Metrics.NewCounter("oleander_caller_not_run_total"),     // requests refused as not run, bad ones included
+		unknown:   c.Metrics.NewCounter("oleander_caller_unknown_total"),     // requests that may have run, without an answer
+		cut:       c.Metrics.NewCounter("oleander_caller_cut_answers_total"), // answers that broke off, or whose caller left
 	}
 }
 
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -151,7 +151,7 @@
 		life:     d.life,
 		switches: d.parts.switches,
 	}
-	d.common.Metrics.NewGauge("oleander_entry_keys_waiting", func() float64 { return float64(d.keyed.waiting.Load()) })
+	d.common.Metrics.NewGauge("oleander_entry_keys_waiting", func() float64 { return float64(d.keyed.waiting.Load()) }) // requests that wait for another one with their key
 	d.handler = caller.NewHandler(d.common, d.parts.caller, d.keyed)
 }
 
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -51,13 +51,13 @@
 
 func refusalCounters(set *metrics.Set) map[dispatch.Reason]*metrics.Counter {
 	return map[dispatch.Reason]*metrics.Counter{
-		dispatch.ReasonQueueFull: set.NewCounter(`oleander_entry_refused_total{reason="queue-full"}`),
-		dispatch.ReasonDeadline:  set.NewCounter(`oleander_entry_refused_total{reason="deadline"}`),
-		dispatch.ReasonNoMinion:  set.NewCounter(`oleander_entry_refused_total{reason="no-minion"}`),
-		dispatch.ReasonShed:      set.NewCounter(`oleander_entry_refused_total{reason="shed"}`),
-		dispatch.ReasonLimit:     set.NewCounter(`oleander_entry_refused_total{reason="limit"}`),
-		dispatch.ReasonStopping:  set.NewCounter(`oleander_entry_refused_total{reason="stopping"}`),
-		dispatch.ReasonBudget:    set.NewCounter(`oleander_entry_refused_total{reason="retry-budget"}`),
+		dispatch.ReasonQueueFull: set.NewCounter(`oleander_entry_refused_total{reason="queue-full"}`),   // the queue of the service was full
+		dispatch.ReasonDeadline:  set.NewCounter(`oleander_entry_refused_total{reason="deadline"}`),     // no answer was possible before the deadline
+		dispatch.ReasonNoMinion:  set.NewCounter(`oleander_entry_refused_total{reason="no-minion"}`),    // no minion of the service took requests
+		dispatch.ReasonShed:      set.NewCounter(`oleander_entry_refused_total{reason="shed"}`),         // a rule sheds low-priority requests
+		dispatch.ReasonLimit:     set.NewCounter(`oleander_entry_refused_total{reason="limit"}`),        // a rule limits the service
+		dispatch.ReasonStopping:  set.NewCounter(`oleander_entry_refused_total{reason="stopping"}`),     // the entry stops
+		dispatch.ReasonBudget:    set.NewCounter(`oleander_entry_refused_total{reason="retry-budget"}`), // refused by a minion, and the retry budget was used up
 	}
 }
 
--- a/pkg/entry/key_home.go
+++ b/pkg/entry/key_home.go
@@ -34,12 +34,12 @@
 		self:    self,
 		members: m,
 		peers:   p,
-		refused: c.Metrics.NewCounter("oleander_entry_keys_refused_total"),
+		refused: c.Metrics.NewCounter("oleander_entry_keys_refused_total"), // keyed requests refused because no more keys can be kept
 		table:   idempotency.NewTable(s),
 		waiters: map[string]chan struct{}{},
 	}
-	c.Metrics.NewGauge("oleander_entry_keys", func() float64 { n, _ := k.size(); return float64(n) })
-	c.Metrics.NewGauge("oleander_entry_keys_bytes", func() float64 { _, n := k.size(); return float64(n) })
+	c.Metrics.NewGauge("oleander_entry_keys", func() float64 { n, _ := k.size(); return float64(n) })       // idempotency keys kept
+	c.Metrics.NewGauge("oleander_entry_keys_bytes", func() float64 { _, n := k.size(); return float64(n) }) // memory of the kept keys and answers
 	return k
 }
 
--- a/pkg/entry/minions.go
+++ b/pkg/entry/minions.go
@@ -26,7 +26,7 @@
 func newMinions(c *common.Common, settings minion.Settings, limit int) *minions {
 	m := &minions{common: c, settings: settings, leaving: map[oleanderline.MinionID]bool{}, limit: limit}
 	m.clients.Store(&map[oleanderline.MinionID]*minion.Client{})
-	c.Metrics.NewGauge("oleander_entry_minion_connections", func() float64 { return float64(m.connections()) })
+	c.Metrics.NewGauge("oleander_entry_minion_connections", func() float64 { return float64(m.connections()) }) // open connections to all minions
 	return m
 }
 
--- a/pkg/entry/prober.go
+++ b/pkg/entry/prober.go
@@ -48,7 +48,7 @@
 		onLeave: onLeave,
 		queue:   make(chan probe, probeQueue),
 		stop:    make(chan struct{}),
-		failed:  c.Metrics.NewCounter("oleander_entry_probes_failed_total"),
+		failed:  c.Metrics.NewCounter("oleander_entry_probes_failed_total"), // fresh connections to minions that failed
 	}
 }
 
--- a/pkg/entry/vm_poller.go
+++ b/pkg/entry/vm_poller.go
@@ -25,7 +25,7 @@
 
 func newVMPoller(c *common.Common, list oleanderline.VMList, interval time.Duration) *vmPoller {
 	p := &vmPoller{common: c, list: list, interval: interval}
-	c.Metrics.NewGauge("oleander_entry_vm_list_age_seconds", func() float64 {
+	c.Metrics.NewGauge("oleander_entry_vm_list_age_seconds", func() float64 { // time since the VM list was read; -1 if it never was
 		read := p.read.Load()
 		if read == 0 {
 			return -1
