--- a/pkg/demo/control_bench_test.go
+++ b/pkg/demo/control_bench_test.go
@@ -78,7 +78,7 @@
 		scheds = append(scheds, controlDaemon{sched, vm.url(ports.schedOperators) + "/metrics"})
 		require.NoError(b, until(context.Background(), patience, vm.ready))
 	}
-	submitLong(b, fmt.Sprintf("http://%s:%d", layout.Own[0], ports.jobs), tasks)
+	submitLong(fmt.Sprintf("http://%s:%d", layout.Own[0], ports.jobs), tasks)
 	time.Sleep(settleTime)
 	before := [2]cost{sumCost(b, entries), sumCost(b, scheds)}
 	time.Sleep(controlTime)
@@ -98,7 +98,7 @@
 }
 
 // submitLong submits jobs of tasks that outlast the measurement, spread over many keys and so over all shards.
-func submitLong(b *testing.B, url string, tasks int) {
+func submitLong(url string, tasks int) {
 	const perJob = 10
 	jobs := newJobs(newBalancer([]target{{"own-1", url}}))
 	for i := range tasks / perJob {
