Store the begin record of a key at a backup before the request runs

Cause: after the loss of a key's home, every keyed request of that home was answered 409 key-home-lost for the keep time, new ones included. Change: the home stores the record at the next member in rendezvous order first. A successor runs a key that no alive member knows, if only one member is missing and a majority remains; otherwise 409 as before. Planned stops hand records to home and backup; results also go to a new home and backup.

Also fixed: a home silent for the heartbeat timeout was no longer alive, but counted as lost only from the next round, and a request ran a second time in between. A late heartbeat revived a member that had stopped as planned.

--- a/pkg/common/event_entry.go
+++ b/pkg/common/event_entry.go
@@ -8,7 +8,7 @@
 	EventMinionLeaving  Event = "E2004" // a minion says that it leaves; it gets nothing new
 	EventProbeFailed    Event = "E2005" // a fresh connection to a minion failed; it may be ejected
 	EventPaused         Event = "E2006" // the process stood still for longer than the heartbeat timeout; keyed requests wait
-	EventKeysLost       Event = "E2007" // a home of idempotency keys died; retries of its keys are answered 409
+	EventKeysLost       Event = "E2007" // a home of idempotency keys died; its keys are decided by their backups; 409 if another entry was lost within the time for which keys are kept
 	EventLeaveFailed    Event = "E2008" // the keys could not be handed to peers at a planned stop
 	EventTaskQueueFull  Event = "E2009" // probes were dropped because too many wait
 	EventListenerFailed Event = "E2010" // a listener ended unexpectedly; the daemon stops
--- a/pkg/entry/beat.go
+++ b/pkg/entry/beat.go
@@ -16,6 +16,7 @@
 	Refusing  bool          // it takes no new requests and needs no shares
 	Left      bool          // it stops now and has handed over its keys
 	Counted   []string      // hosts of the own VMs for which its connections to minions are within the bound
+	Alone     bool          // keys may be known to it only
 	Lost      []Loss
 	Statement slots.Statement
 }
@@ -25,6 +26,7 @@
 	ID          oleanderline.VMID
 	Incarnation int64
 	For         time.Duration // how much longer its keys have to be respected
+	Alone       bool          // it may have had keys that no backup has
 }
 
 // LendArgs asks for loans of idle slots.
--- a/pkg/entry/key_home.go
+++ b/pkg/entry/key_home.go
@@ -70,7 +70,7 @@
 func (k *keyHome) decide(ctx context.Context, args JoinArgs) (JoinReply, <-chan struct{}) {
 	now := k.common.Clock.Now()
 	if args.Consent {
-		return k.begin(args, nil)
+		return k.consents(args, now)
 	}
 	if !k.members.keysReady(now) {
 		return verdictOnly(joinAway), nil
@@ -79,17 +79,14 @@
 	if plan.home != k.self.ID {
 		return verdictOnly(joinNotTheHome), nil
 	}
-	if !k.has(args.Key) {
-		if plan.homeLost && !k.switches.noLossCheck {
-			return k.search(ctx, args), nil
-		}
-		for _, earlier := range plan.earlier {
-			if reply, decided := k.consent(ctx, earlier, args); decided {
-				return reply, nil
-			}
+	if k.has(args.Key) {
+		reply, ended := k.begin(args, nil)
+		if joinVerdict(reply.Verdict) != joinRun {
+			return reply, ended
 		}
+		// The record may have been stored for another home, which has not got all confirmations.
 	}
-	return k.begin(args, plan.earlier)
+	return k.permit(ctx, args, plan)
 }
 
 func verdictOnly(v joinVerdict) JoinReply { return JoinReply{Verdict: int(v)} }
@@ -101,7 +98,7 @@
 }
 
 // begin decides by the table of this process alone.
-func (k *keyHome) begin(args JoinArgs, earlier []oleanderline.VMID) (JoinReply, <-chan struct{}) {
+func (k *keyHome) begin(args JoinArgs, others []oleanderline.VMID) (JoinReply, <-chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
@@ -117,7 +114,7 @@
 	}, now)
 	switch verdict {
 	case idempotency.VerdictRun:
-		return JoinReply{Verdict: int(joinRun), Holders: append([]oleanderline.VMID{k.self.ID}, earlier...)}, nil
+		return JoinReply{Verdict: int(joinRun), Holders: append([]oleanderline.VMID{k.self.ID}, others...)}, nil
 	case idempotency.VerdictWait:
 		return verdictOnly(joinWait), k.waiterLocked(args.Key)
 	case idempotency.VerdictEnded:
@@ -139,19 +136,6 @@
 	return waiter
 }
 
-// consent asks an earlier home that is alive. It returns decided unless the earlier home lets the attempt run.
-func (k *keyHome) consent(ctx context.Context, earlier oleanderline.VMID, args JoinArgs) (JoinReply, bool) {
-	args.Consent, args.Wait = true, 0
-	var reply JoinReply
-	if err := k.peers.call(ctx, earlier, "Join", args, &reply); err != nil {
-		return verdictOnly(joinAway), true
-	}
-	if joinVerdict(reply.Verdict) == joinEnded {
-		k.adopt([]idempotency.Record{reply.Record})
-	}
-	return reply, joinVerdict(reply.Verdict) != joinRun
-}
-
 // search asks all alive members for the record of a key whose home has died. Without one the request must not run.
 func (k *keyHome) search(ctx context.Context, args JoinArgs) JoinReply {
 	for id := range k.members.addresses(k.common.Clock.Now()) {
@@ -160,6 +144,8 @@
 			continue
 		}
 		switch {
+		case reply.Record.Executor == args.Executor && reply.Record.Token == args.Token:
+			continue
 		case reply.Record.Print != args.Print:
 			return verdictOnly(joinMismatch)
 		case reply.Record.State == idempotency.StateRunning:
@@ -217,6 +203,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.table.Lost(executor, k.common.Clock.Now())
+	// It may have been the backup of requests that still run.
+	k.members.holdAlone(k.table.RunningUntil())
 	k.wakeAllLocked()
 }
 
--- a/pkg/entry/key_messages.go
+++ b/pkg/entry/key_messages.go
@@ -13,9 +13,12 @@
 	Print    uint64
 	Executor idempotency.Executor
 	Token    uint64
-	For      time.Duration // the request has ended by then
-	Wait     time.Duration // how long the reply may be held back while another attempt runs
-	Consent  bool          // asked by the key's new home; the receiver need not be the home
+	For      time.Duration        // the request has ended by then
+	Wait     time.Duration        // how long the reply may be held back while another attempt runs
+	Consent  bool                 // asked by the key's home; the receiver need not be the home
+	Backup   bool                 // with Consent: the receiver is asked as the key's backup
+	From     idempotency.Executor // with Consent: the home that asks
+	To       int64                // with Consent: the incarnation of the receiver in the view of the home
 }
 
 // joinVerdict is the reply to JoinArgs.
--- a/pkg/entry/keyed_exchanger.go
+++ b/pkg/entry/keyed_exchanger.go
@@ -60,6 +60,9 @@
 	case joinRun:
 		return x.run(ctx, call, args, reply.Holders)
 	case joinEnded:
+		if len(reply.Holders) > 0 {
+			x.settler.release(args, reply.Holders)
+		}
 		return recordReply(reply.Record)
 	default:
 		x.settler.release(args, reply.Holders)
@@ -114,6 +117,7 @@
 		// A copy at the sender survives the death of the home.
 		own, _ := x.home.begin(args, nil)
 		if joinVerdict(own.Verdict) != joinRun {
+			own.Holders = reply.Holders
 			return own
 		}
 	}
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -22,10 +22,12 @@
 	mu       sync.Mutex
 	view     *member.View
 	peers    map[oleanderline.VMID]peerState
-	lost     map[oleanderline.VMID]loss
-	hosts    map[string]host   // by IP number, whatever the id: an old and a new VM may share a name
-	listed   []oleanderline.VM // own VMs in the VM list
-	since    time.Time         // start, or end of the last pause
+	lost     map[idempotency.Executor]loss
+	departed map[idempotency.Executor]time.Time // until when a planned stop counts for takeovers
+	alone    time.Time                          // until when a key may be known here only
+	hosts    map[string]host                    // by IP number, whatever the id: an old and a new VM may share a name
+	listed   []oleanderline.VM                  // own VMs in the VM list
+	since    time.Time                          // start, or end of the last pause
 	lastTick time.Time
 	settled  bool // every listed own VM was asked since since
 	refusing bool // before it has joined, and when it stops
@@ -39,11 +41,12 @@
 	incarnation int64
 	since       time.Time
 	refusing    bool
+	alone       bool // keys may be known to it only
 }
 
 type loss struct {
-	incarnation int64
-	until       time.Time
+	until time.Time
+	alone bool // keys may have been known to the lost entry only
 }
 
 func newMembers(c *common.Common, self member.Member, timeout, keep time.Duration) *members {
@@ -54,7 +57,8 @@
 		keep:     keep,
 		view:     member.NewView(self, timeout),
 		peers:    map[oleanderline.VMID]peerState{},
-		lost:     map[oleanderline.VMID]loss{},
+		lost:     map[idempotency.Executor]loss{},
+		departed: map[idempotency.Executor]time.Time{},
 		hosts:    map[string]host{},
 		since:    now,
 		started:  now,
@@ -69,8 +73,12 @@
 	defer m.mu.Unlock()
 	paused = now.Sub(m.lastTick) > m.timeout
 	m.lastTick = now
-	if paused {
+	switch {
+	case paused:
 		m.since, m.settled = now, false
+	case m.settled && !m.halfLocked(now):
+		// The others may have taken over keys.
+		m.since = now
 	}
 	return paused
 }
@@ -105,22 +113,25 @@
 	if id == m.view.Self().ID {
 		return false, nil
 	}
+	if _, ok := m.departed[idempotency.Executor{ID: id, Incarnation: b.Member.Incarnation}]; ok {
+		// The beat was overtaken by the message that the peer has left.
+		return false, nil
+	}
 	old, known := m.peers[id]
 	if known && b.Member.Incarnation < old.incarnation {
 		return false, nil
 	}
 	if known && b.Member.Incarnation > old.incarnation {
-		m.loseLocked(id, old.incarnation, now)
+		m.loseLocked(id, old, now)
 		replaced = &idempotency.Executor{ID: id, Incarnation: old.incarnation}
 	}
-	if l, ok := m.lost[id]; ok && l.incarnation == b.Member.Incarnation {
-		// It was only out of reach and still has its keys.
-		delete(m.lost, id)
-	}
+	// A lost member of the same incarnation was only out of reach and still has its keys.
+	delete(m.lost, idempotency.Executor{ID: id, Incarnation: b.Member.Incarnation})
 	m.peers[id] = peerState{
 		incarnation: b.Member.Incarnation,
 		since:       now.Add(-b.Age),
 		refusing:    b.Refusing,
+		alone:       b.Alone,
 	}
 	for _, l := range b.Lost {
 		m.mergeLocked(l, now)
@@ -131,19 +142,27 @@
 func (m *members) mergeLocked(l Loss, now time.Time) {
 	self := m.view.Self()
 	if l.ID == self.ID && l.Incarnation == self.Incarnation {
+		// A peer may have taken over keys of this process.
+		m.since = now
 		return
 	}
 	if p, ok := m.peers[l.ID]; ok && p.incarnation == l.Incarnation {
 		return
 	}
 	until := now.Add(min(l.For, m.keep))
-	if known, ok := m.lost[l.ID]; !ok || until.After(known.until) {
-		m.lost[l.ID] = loss{incarnation: l.Incarnation, until: until}
+	id := idempotency.Executor{ID: l.ID, Incarnation: l.Incarnation}
+	if _, ok := m.departed[id]; ok {
+		return
+	}
+	known := m.lost[id]
+	if until.Before(known.until) {
+		until = known.until
 	}
+	m.lost[id] = loss{until: until, alone: known.alone || l.Alone}
 }
 
-func (m *members) loseLocked(id oleanderline.VMID, incarnation int64, now time.Time) {
-	m.lost[id] = loss{incarnation: incarnation, until: now.Add(m.keep)}
+func (m *members) loseLocked(id oleanderline.VMID, p peerState, now time.Time) {
+	m.lost[idempotency.Executor{ID: id, Incarnation: p.incarnation}] = loss{until: now.Add(m.keep), alone: p.alone}
 }
 
 // expire forgets silent peers and returns them.
@@ -152,14 +171,19 @@
 	defer m.mu.Unlock()
 	gone := m.view.Expire(now)
 	for _, g := range gone {
+		m.loseLocked(g.ID, m.peers[g.ID], now)
 		delete(m.peers, g.ID)
-		m.loseLocked(g.ID, g.Incarnation, now)
 	}
 	for id, l := range m.lost {
 		if now.After(l.until) {
 			delete(m.lost, id)
 		}
 	}
+	for id, until := range m.departed {
+		if now.After(until) {
+			delete(m.departed, id)
+		}
+	}
 	return gone
 }
 
@@ -172,6 +196,7 @@
 	if p, ok := m.peers[id]; ok && p.incarnation == incarnation {
 		delete(m.peers, id)
 		m.view.Forget(id)
+		m.departed[idempotency.Executor{ID: id, Incarnation: incarnation}] = m.common.Clock.Now().Add(m.keep)
 	}
 }
 
@@ -179,9 +204,9 @@
 func (m *members) beat(now time.Time) Beat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := Beat{Member: m.view.Self(), Age: now.Sub(m.since), Refusing: m.refusing, Counted: m.counted}
+	b := Beat{Member: m.view.Self(), Age: now.Sub(m.since), Refusing: m.refusing, Counted: m.counted, Alone: m.aloneLocked(now)}
 	for id, l := range m.lost {
-		b.Lost = append(b.Lost, Loss{ID: id, Incarnation: l.incarnation, For: l.until.Sub(now)})
+		b.Lost = append(b.Lost, Loss{ID: id.ID, Incarnation: id.Incarnation, For: l.until.Sub(now), Alone: l.alone})
 	}
 	return b
 }
--- a/pkg/entry/members_test.go
+++ b/pkg/entry/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,6 +88,7 @@
 		m.tick(now)
 		m.hear(peerBeat("own-2", 1, "10.0.0.2", 2*testKeep), now)
 	}
+	require.True(t, lostHome(m, now), "a silent member is lost before expire has run")
 	gone := m.expire(now)
 	require.Len(t, gone, 1)
 	require.EqualValues(t, "own-3", gone[0].ID)
@@ -136,3 +138,61 @@
 		require.EqualError(t, bad.Validate(), sc.want)
 	}
 }
+
+// Guards against a successor that takes over keys although a holder of their records may be out of sight.
+func TestTakeoverNeedsEveryPossibleHolder(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		before func(m *members, now time.Time) // while all are alive
+		silent []string
+		want   bool
+	}{
+		{"one lost", func(*members, time.Time) {}, []string{"own-3"}, true},
+		{"two lost", func(*members, time.Time) {}, []string{"own-2", "own-3"}, false},
+		{"one lost, one stopped as planned", func(m *members, now time.Time) {
+			m.left(peerBeat("own-2", 1, "10.0.0.2", 0).Member)
+			m.hear(peerBeat("own-2", 1, "10.0.0.2", 0), now) // overtaken by the message of the stop
+		}, []string{"own-2", "own-3"}, true},
+		{"one lost, one replaced", func(m *members, now time.Time) {
+			m.hear(peerBeat("own-2", 2, "10.0.0.2", 0), now)
+		}, []string{"own-3"}, false},
+		{"one lost that was alone", func(m *members, now time.Time) {
+			b := peerBeat("own-3", 1, "10.0.0.3", 0)
+			b.Alone = true
+			m.hear(b, now)
+		}, []string{"own-3"}, false},
+		{"one lost, one listed and never heard", func(m *members, _ time.Time) {
+			m.setListed(append(slices.Clone(m.listed), oleanderline.VM{ID: "own-4", Role: oleanderline.RoleOwn, State: oleanderline.VMLive}))
+		}, []string{"own-3"}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clock := common.NewVirtualClock(time.Unix(1000, 0))
+			m := newTestMembers(clock)
+			for _, id := range []string{"own-2", "own-3"} {
+				m.hear(peerBeat(id, 1, "10.0.0."+id[len(id)-1:], 2*testKeep), clock.Now())
+			}
+			s.before(m, clock.Now())
+			clock.Advance(testTimeout + 1)
+			now := clock.Now()
+			if !slices.Contains(s.silent, "own-2") {
+				m.hear(peerBeat("own-2", m.peers["own-2"].incarnation, "10.0.0.2", 2*testKeep), now)
+			}
+			lost, takeOver := 0, 0
+			for i := range 100 {
+				plan := m.plan(fmt.Sprint("key-", i), now)
+				if plan.homeLost {
+					lost++
+				}
+				if plan.mayTakeOver {
+					takeOver++
+				}
+			}
+			require.Positive(t, lost)
+			if !s.want {
+				lost = 0
+			}
+			require.Equal(t, lost, takeOver)
+		})
+	}
+}
--- a/pkg/entry/membership.go
+++ b/pkg/entry/membership.go
@@ -149,7 +149,7 @@
 func (m *membership) expire(now time.Time) {
 	for _, gone := range m.members.expire(now) {
 		m.common.Event(common.EventPeerLost).WithField("peer", string(gone.ID)).Warn("peer missed its heartbeats")
-		m.common.Event(common.EventKeysLost).WithField("peer", string(gone.ID)).Warn("retries of keys that the lost peer kept are answered 409")
+		m.common.Event(common.EventKeysLost).WithField("peer", string(gone.ID)).Warn("keys that the lost peer kept are decided by their backups")
 		m.home.executorLost(idempotency.Executor{ID: gone.ID, Incarnation: gone.Incarnation})
 	}
 }
--- a/pkg/entry/settler.go
+++ b/pkg/entry/settler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,7 +103,8 @@
 func (s *settler) release(args JoinArgs, holders []oleanderline.VMID) {
 	record := idempotency.Record{Key: args.Key, Print: args.Print, Executor: args.Executor, Token: args.Token}
 	if len(holders) == 0 {
-		holders = []oleanderline.VMID{s.home.members.plan(args.Key, s.common.Clock.Now()).home}
+		// A lost reply does not tell where the record was stored.
+		holders = s.home.members.plan(args.Key, s.common.Clock.Now()).others
 	}
 	s.tell(SettleArgs{Record: record, Release: true}, holders)
 }
@@ -120,5 +122,13 @@
 	record.Print = s.args.Print
 	record.Executor = s.args.Executor
 	record.Token = s.args.Token
-	s.settler.tell(SettleArgs{Record: record, Release: release}, s.holders)
+	// Home and backup may have changed while the request ran.
+	plan := s.settler.home.members.plan(record.Key, s.settler.common.Clock.Now())
+	holders := s.holders
+	for _, id := range []oleanderline.VMID{plan.home, plan.backup} {
+		if id != "" && !s.settler.home.switches.noBackup && !slices.Contains(holders, id) {
+			holders = append(holders, id)
+		}
+	}
+	s.settler.tell(SettleArgs{Record: record, Release: release}, holders)
 }
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -70,8 +70,13 @@
 	}
 	byHome := map[oleanderline.VMID][]idempotency.Record{}
 	for _, record := range d.home.seal() {
-		home := d.members.plan(record.Key, now).home
-		byHome[home] = append(byHome[home], record)
+		// The record may be the backup's copy, so both get it.
+		plan := d.members.plan(record.Key, now)
+		for _, id := range []oleanderline.VMID{plan.home, plan.backup} {
+			if id != "" && id != d.home.self.ID {
+				byHome[id] = append(byHome[id], record)
+			}
+		}
 	}
 	for home, records := range byHome {
 		if err := d.sendRecords(home, records); err != nil {
--- a/pkg/entry/switches.go
+++ b/pkg/entry/switches.go
@@ -5,5 +5,6 @@
 	noHedge     bool // never send a second copy
 	noJoin      bool // ignore idempotency keys
 	noLossCheck bool // grant keys whose home has died
+	noBackup    bool // store no begin records at backups
 	noBound     bool // ignore the bound on connections
 }
--- a/pkg/idempotency/table.go
+++ b/pkg/idempotency/table.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// RunningUntil returns when the last of the running requests must have ended, or the zero time.
+func (t *Table) RunningUntil() time.Time {
+	var last time.Time
+	for _, record := range t.records {
+		if record.State == StateRunning && record.Until.After(last) {
+			last = record.Until
+		}
+	}
+	return last
+}
+
 // Adopt takes over a record from a home that leaves. A record that is known already stays.
 func (t *Table) Adopt(record Record, now time.Time) {
 	if _, ok := t.records[record.Key]; ok {
