--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -132,14 +132,6 @@
 	}
 }
 
-// startMayArrive reports whether a start without an answer may still take effect. A frozen VM handles the requests that
-// it received before as soon as it goes on, so the wait for such a start is as long as after a change of the owner.
-func (c *Core) startMayArrive(w *worker, t *task) bool {
-	unanswered := t.sent && !t.running && !w.absent && !c.cfg.Without.LeaseWait
-	limits := c.cfg.Limits
-	return unanswered && c.now.Sub(w.sentAt) <= limits.Horizon+limits.Lease+limits.Margin
-}
-
 // free queues the record that an attempt does not run any more.
 func (c *Core) free(t *task, reason, checkpoint string) {
 	c.workers.unreserve(t)
@@ -169,33 +161,6 @@
 	return false
 }
 
-func (c *Core) sendStart(w *worker) bool {
-	// A worker that failed a call may have lost its memory of newer terms, so this owner must first see that there is none.
-	if c.releasing || !c.readAt.After(w.failedAt) {
-		return false
-	}
-	for _, t := range w.tasks {
-		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
-			continue
-		}
-		if !t.reserved && !t.size().Fits(w.free()) {
-			continue
-		}
-		c.workers.reserve(t, w)
-		t.sent = true
-		c.send(w, Call{Kind: CallStart, Start: c.startRequest(t)})
-		return true
-	}
-	return false
-}
-
-func (c *Core) startRequest(t *task) oleanderline.StartRequest {
-	return oleanderline.StartRequest{
-		Shard: c.cfg.Shard, Term: c.term, Task: t.id, Attempt: t.attempt, Kind: t.job.Kind, Class: t.job.Class,
-		Command: t.job.Command, Size: t.size(), Lease: c.cfg.Limits.Lease, Checkpoint: t.checkpoint,
-	}
-}
-
 // callDone handles the answer of a worker.
 func (c *Core) callDone(e CallDone) {
 	w := c.workers.byID[e.Worker]
@@ -247,40 +212,12 @@
 	return err != nil && !errors.Is(err, oleanderline.ErrFenced) && !errors.Is(err, oleanderline.ErrCapacity)
 }
 
-// startNotSent takes back that a start was sent if it is proved to have had no effect.
-func (c *Core) startNotSent(w *worker, call Call, e CallDone) {
-	if call.Kind != CallStart || (e.Sent && !errors.Is(e.Err, oleanderline.ErrUnavailable)) {
-		return
-	}
-	if t := c.assignedTo(w, oleanderline.AttemptKey{Task: call.Start.Task, Attempt: call.Start.Attempt}); t != nil {
-		t.sent = false
-	}
-}
-
 func (c *Core) callFailed(w *worker) {
 	w.failures++
 	w.failedAt = c.now
 	w.retryAt = c.now.Add(min(callRetryFirst<<min(w.failures-1, 8), callRetryMost))
 }
 
-func (c *Core) startAnswered(w *worker, request oleanderline.StartRequest, err error) {
-	t := c.assignedTo(w, oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt})
-	if t == nil {
-		return
-	}
-	if err == nil {
-		t.running = true
-		c.counters.Starts++
-		return
-	}
-	// Either a newer owner exists, which the next read shows, or the attempt was stopped before. A confirmed stop
-	// settles the second case.
-	t.stop = true
-	if errors.Is(err, oleanderline.ErrFenced) {
-		c.suspect(c.now)
-	}
-}
-
 func (c *Core) stopAnswered(w *worker, request oleanderline.StopRequest, result oleanderline.StopResult) {
 	key := oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt}
 	t := c.assignedTo(w, key)
--- /dev/null
+++ b/pkg/shard/start.go
@@ -0,0 +1,70 @@
+package shard
+
+import (
+	"errors"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// startMayArrive reports whether a start without an answer may still take effect. A frozen VM handles the requests that
+// it received before as soon as it goes on, so the wait for such a start is as long as after a change of the owner.
+func (c *Core) startMayArrive(w *worker, t *task) bool {
+	unanswered := t.sent && !t.running && !w.absent && !c.cfg.Without.LeaseWait
+	limits := c.cfg.Limits
+	return unanswered && c.now.Sub(w.sentAt) <= limits.Horizon+limits.Lease+limits.Margin
+}
+
+func (c *Core) sendStart(w *worker) bool {
+	// A worker that failed a call may have lost its memory of newer terms, so this owner must first see that there is none.
+	if c.releasing || !c.readAt.After(w.failedAt) {
+		return false
+	}
+	for _, t := range w.tasks {
+		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
+			continue
+		}
+		if !t.reserved && !t.size().Fits(w.free()) {
+			continue
+		}
+		c.workers.reserve(t, w)
+		t.sent = true
+		c.send(w, Call{Kind: CallStart, Start: c.startRequest(t)})
+		return true
+	}
+	return false
+}
+
+func (c *Core) startRequest(t *task) oleanderline.StartRequest {
+	return oleanderline.StartRequest{
+		Shard: c.cfg.Shard, Term: c.term, Task: t.id, Attempt: t.attempt, Kind: t.job.Kind, Class: t.job.Class,
+		Command: t.job.Command, Size: t.size(), Lease: c.cfg.Limits.Lease, Checkpoint: t.checkpoint,
+	}
+}
+
+// startNotSent takes back that a start was sent if it is proved to have had no effect.
+func (c *Core) startNotSent(w *worker, call Call, e CallDone) {
+	if call.Kind != CallStart || (e.Sent && !errors.Is(e.Err, oleanderline.ErrUnavailable)) {
+		return
+	}
+	if t := c.assignedTo(w, oleanderline.AttemptKey{Task: call.Start.Task, Attempt: call.Start.Attempt}); t != nil {
+		t.sent = false
+	}
+}
+
+func (c *Core) startAnswered(w *worker, request oleanderline.StartRequest, err error) {
+	t := c.assignedTo(w, oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt})
+	if t == nil {
+		return
+	}
+	if err == nil {
+		t.running = true
+		c.counters.Starts++
+		return
+	}
+	// Either a newer owner exists, which the next read shows, or the attempt was stopped before. A confirmed stop
+	// settles the second case.
+	t.stop = true
+	if errors.Is(err, oleanderline.ErrFenced) {
+		c.suspect(c.now)
+	}
+}
