Define the settings of both daemons once

Change: pkg/setting holds the shared settings, which both daemons embed, and the checks; the generated page of settings follows embedded structs.

Conclusion: a setting of both daemons is now changed in one place.

--- a/pkg/catalogue/configuration.go
+++ b/pkg/catalogue/configuration.go
@@ -36,14 +36,16 @@
 func settings(b *strings.Builder, value reflect.Value) {
 	var commands []reflect.StructField
 	var rows strings.Builder
-	for i := range value.NumField() {
-		field := value.Type().Field(i)
+	for _, field := range reflect.VisibleFields(value.Type()) {
+		if field.Anonymous {
+			continue // its fields are visible by themselves
+		}
 		flag, env, command := parseTag(field.Tag.Get("arg"))
 		switch {
 		case command != "":
 			commands = append(commands, field)
 		case flag != "":
-			rows.WriteString(row("`"+flag+"`", code(env), defaultOf(value.Field(i)), field.Tag.Get("help")))
+			rows.WriteString(row("`"+flag+"`", code(env), defaultOf(value.FieldByIndex(field.Index)), field.Tag.Get("help")))
 		default:
 			rows.WriteString(row(strings.ToUpper(field.Name), "", "", field.Tag.Get("help")))
 		}
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -112,7 +112,7 @@
 func (d *Daemon) assembleMembers() {
 	s := d.settings
 	self := member.Member{
-		ID:          s.vmID(),
+		ID:          s.VMID(),
 		Domain:      oleanderline.DomainID(s.Domain),
 		Address:     s.PeerListen,
 		Incarnation: d.started.UnixNano(),
@@ -141,7 +141,7 @@
 func (d *Daemon) assembleKeys() {
 	keySettings := idempotency.DefaultSettings()
 	keySettings.Keep = d.settings.KeyKeep
-	self := idempotency.Executor{ID: d.settings.vmID(), Incarnation: d.started.UnixNano()}
+	self := idempotency.Executor{ID: d.settings.VMID(), Incarnation: d.started.UnixNano()}
 	d.home = newKeyHome(d.common, self, keySettings, d.members, d.peers)
 	d.home.switches = d.parts.switches
 	d.membership.home = d.home
--- a/pkg/entry/operator_view.go
+++ b/pkg/entry/operator_view.go
@@ -21,7 +21,7 @@
 	rules := d.follower.Status()
 	return operator.Status{
 		Daemon:     "entry",
-		ID:         d.settings.vmID(),
+		ID:         d.settings.VMID(),
 		Region:     oleanderline.RegionID(d.settings.Region),
 		Domain:     oleanderline.DomainID(d.settings.Domain),
 		Started:    d.started,
--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -71,7 +71,7 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.roster = newRoster(d, member.Member{
-		ID: settings.vmID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
+		ID: settings.VMID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
 		Incarnation: c.Clock.Now().UnixNano(),
 	})
 	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules),
@@ -217,7 +217,7 @@
 
 func (d *Daemon) coreConfig(id oleanderline.ShardID) shard.Config {
 	return shard.Config{
-		Self:    d.settings.vmID(),
+		Self:    d.settings.VMID(),
 		Address: d.settings.PeerListen,
 		Writer:  oleanderline.WriterID(fmt.Sprintf("%s/%x/%x", d.settings.ID, d.roster.self.Incarnation, rand.Uint32())),
 		Shard:   id,
--- a/pkg/sched/operator_service.go
+++ b/pkg/sched/operator_service.go
@@ -22,7 +22,7 @@
 func (o *operatorView) Status() operator.Status {
 	d := o.daemon
 	status := operator.Status{
-		Daemon: "sched", ID: d.settings.vmID(), Region: d.settings.region(),
+		Daemon: "sched", ID: d.settings.VMID(), Region: d.settings.region(),
 		Domain: oleanderline.DomainID(d.settings.Domain), Started: o.started, Stopping: d.stopping.Load(),
 		VMList: d.workers.service(d.common.Clock.Now()), Members: d.roster.members(),
 	}
