--- a/pkg/entry/vm_poller.go
+++ b/pkg/entry/vm_poller.go
@@ -20,12 +20,12 @@
 	dispatcher *dispatcher
 	applied    func()
 	read       atomic.Int64 // time of the last read in nanoseconds; zero: none
-	failing    bool
+	failed     atomic.Bool  // the last read failed
 }
 
 func newVMPoller(c *common.Common, list oleanderline.VMList, interval time.Duration) *vmPoller {
 	p := &vmPoller{common: c, list: list, interval: interval}
-	c.Metrics.NewGauge("oleander_entry_vm_list_age_seconds", func() float64 {
+	c.Metrics.NewGauge("oleander_entry_vm_list_age_seconds", func() float64 { // time since the VM list was read; -1 if it never was
 		read := p.read.Load()
 		if read == 0 {
 			return -1
@@ -53,13 +53,13 @@
 	defer cancel()
 	rows, err := p.list.List(call)
 	if err != nil {
-		if !p.failing && ctx.Err() == nil {
+		if !p.failed.Load() && ctx.Err() == nil {
 			p.common.Event(common.EventVMListFailed).WithError(err).Warn("VM list cannot be read, the last one is kept")
 		}
-		p.failing = true
+		p.failed.Store(true)
 		return
 	}
-	p.failing = false
+	p.failed.Store(false)
 	p.read.Store(p.common.Clock.Now().UnixNano())
 	p.members.setListed(rows)
 	if list := p.minions.setRows(rows); list != nil {
--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/platform"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/vmlist"
@@ -63,17 +64,18 @@
 	d := &Daemon{
 		common:   c,
 		settings: settings,
-		log:      logservice.NewClient(settings.LogService),
-		vms:      vmlist.NewClient(settings.VMList),
+		log:      logservice.NewClient(settings.LogService, platform.WithByteCounter(c.PlatformBytes())),
+		vms:      vmlist.NewClient(settings.VMList, platform.WithByteCounter(c.PlatformBytes())),
 		metrics:  newShardMetrics(c.Metrics),
 		workers:  &workerList{},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.roster = newRoster(d, member.Member{
-		ID: settings.vmID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
+		ID: settings.VMID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
 		Incarnation: c.Clock.Now().UnixNano(),
 	})
-	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules))
+	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules),
+		rules.WithKeep(settings.Retention/4, settings.ID))
 	return d, nil
 }
 
@@ -215,7 +217,7 @@
 
 func (d *Daemon) coreConfig(id oleanderline.ShardID) shard.Config {
 	return shard.Config{
-		Self:    d.settings.vmID(),
+		Self:    d.settings.VMID(),
 		Address: d.settings.PeerListen,
 		Writer:  oleanderline.WriterID(fmt.Sprintf("%s/%x/%x", d.settings.ID, d.roster.self.Incarnation, rand.Uint32())),
 		Shard:   id,
@@ -225,7 +227,7 @@
 }
 
 func (d *Daemon) dialWorker(address string) oleanderline.Worker {
-	return worker.NewClient("http://" + address)
+	return worker.NewClient("http://"+address, platform.WithByteCounter(d.common.PlatformBytes()))
 }
 
 func (d *Daemon) ready() bool { return !d.stopping.Load() && d.workers.known() }
