Accept a completion that its worker reports after the attempt was given up

Cause: the schedules' check ignored every task that was completed twice.

Change: the outcomes in an inventory count at once, also before the renewal; a done record for the last attempt of a waiting task completes it, if no further attempt was assigned before it in the stream; the worker keeps the outcome until then. The checker follows when each worker could not be reached.

Ruled out: a late or lost read of the stream (the free record was in order) and the worker's lease table (it kept the outcome).

Conclusion: work is repeated only if its outcome cannot be learned.

--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -55,6 +55,7 @@
 		return
 	}
 	moved := t.state == taskMoved
+	last := t.worker
 	t.attempt = record.Attempt
 	c.workers.release(t)
 	if record.Checkpoint != "" {
@@ -76,6 +77,7 @@
 	case c.owning:
 		t.notBefore = c.now.Add(backoff(t.failures))
 		c.queue.pushFront(t)
+		c.finishLate(c.workers.byID[last], t)
 	}
 	if c.owning {
 		c.counters.Freed++
@@ -84,6 +86,9 @@
 
 func (c *Core) applyDone(record journal.Record, at time.Time) {
 	t := c.current(record)
+	if t == nil {
+		t = c.freed(record)
+	}
 	if t == nil {
 		return
 	}
@@ -108,6 +113,16 @@
 	}
 }
 
+// freed returns the task if the record is about its last attempt, which was given up before its outcome was known, and no
+// further attempt was assigned.
+func (c *Core) freed(record journal.Record) *task {
+	t := c.find(record.Task)
+	if t == nil || t.state != taskWaiting || record.Attempt != t.attempt {
+		return nil
+	}
+	return t
+}
+
 func (c *Core) applyCancel(record journal.Record, at time.Time) {
 	for _, id := range record.Jobs {
 		j := c.jobs[id]
--- a/pkg/shard/checker_test.go
+++ b/pkg/shard/checker_test.go
@@ -149,12 +149,27 @@
 		all = append(all, h.Runs()...)
 	}
 	for _, violation := range standin.Violations(all) {
-		// An attempt that was completed at a worker that was then out of reach for longer than its lease is repeated: its
-		// outcome is known only there. That is the page's rule for unreachable workers.
 		if !strings.Contains(violation, "completed twice") {
 			c.fault("%s", violation)
 		}
 	}
+	c.completions(all)
+}
+
+// completions checks that a task is completed again only if its first outcome could not be learned: it is known only at
+// the worker, which was lost, or out of reach of some process for a lease or longer, before the later attempt began.
+func (c *checker) completions(runs []standin.Run) {
+	first := map[oleanderline.TaskID]standin.Run{}
+	slices.SortStableFunc(runs, func(a, b standin.Run) int { return a.Begin.Compare(b.Begin) })
+	for _, run := range runs {
+		if run.State != oleanderline.OutcomeDone {
+			continue
+		}
+		if before, ok := first[run.Task]; ok && !c.world.outOfReach(before.Worker, before.End, run.Begin) {
+			c.fault("task %s: completed at %s and again at %s, although the first could be asked", run.Task, before.Worker, run.Worker)
+		}
+		first[run.Task] = run
+	}
 }
 
 // unfinished returns the accepted jobs that are not finished. A job that the owner does not know finished long ago, or
--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -29,10 +29,8 @@
 	c.replaceGhosts(w, ghosts)
 	for _, outcome := range inventory.Outcomes {
 		leased[outcome.AttemptKey] = true
-		if t := c.assignedTo(w, outcome.AttemptKey); t != nil && t.pending == "" && !t.ended {
-			c.finish(t, outcome)
-		}
 	}
+	c.takeOutcomes(w)
 	for _, t := range w.tasks {
 		if t.ended || t.pending != "" || leased[t.key()] {
 			continue
@@ -47,6 +45,19 @@
 	}
 }
 
+// takeOutcomes queues the records of the outcomes that a worker has reported.
+func (c *Core) takeOutcomes(w *worker) {
+	for _, outcome := range w.outcomes {
+		t := c.assignedTo(w, outcome.AttemptKey)
+		switch {
+		case t == nil:
+			c.finishLate(w, c.find(outcome.Task))
+		case t.pending == "" && !t.ended:
+			c.finish(t, outcome)
+		}
+	}
+}
+
 func (w *worker) ghost(lease oleanderline.Lease) ghost {
 	for _, g := range w.ghosts {
 		if g.AttemptKey == lease.AttemptKey {
@@ -83,6 +94,23 @@
 	}
 }
 
+// finishLate queues the completion of a waiting task whose last attempt was given up as expired although it had
+// completed: its worker has told so before another attempt was assigned.
+func (c *Core) finishLate(w *worker, t *task) {
+	if w == nil || t == nil || t.state != taskWaiting || t.pending != "" {
+		return
+	}
+	for _, outcome := range w.outcomes {
+		if outcome.AttemptKey != t.key() || outcome.State != oleanderline.OutcomeDone {
+			continue
+		}
+		c.queue.drop(t)
+		t.pending = journal.KindDone
+		c.record(t.job.Urgent, journal.Record{Kind: journal.KindDone, Task: t.id, Attempt: t.attempt, Ran: outcome.Ran})
+		return
+	}
+}
+
 // finish queues the record of an outcome. The worker keeps the outcome until the record is read back.
 func (c *Core) finish(t *task, outcome oleanderline.Outcome) {
 	c.workers.unreserve(t)
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -66,7 +66,11 @@
 
 // settled reports whether the stream no longer needs the outcome of an attempt.
 func (c *Core) settled(w *worker, key oleanderline.AttemptKey) bool {
-	return c.assignedTo(w, key) == nil
+	if c.assignedTo(w, key) != nil {
+		return false
+	}
+	t := c.find(key.Task)
+	return t == nil || t.pending != journal.KindDone || t.attempt != key.Attempt
 }
 
 // assignedTo returns the task if this attempt is assigned to the worker.
@@ -193,6 +197,10 @@
 	switch call.Kind {
 	case CallInventory:
 		w.renewedAt = time.Time{} // renew at once
+		// Only the outcomes count, because they do not change any more: what runs may change before the renewal that
+		// fences earlier owners.
+		w.outcomes = e.Inventory.Outcomes
+		c.takeOutcomes(w)
 	case CallRenew:
 		first := !w.fenced
 		w.fenced, w.renewedAt = true, c.now
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -63,6 +63,13 @@
 	moves       int       // messages between shards
 	submitted   time.Time // when the newest key was first used
 	drains      map[oleanderline.WorkerID]bool
+	gaps        map[oleanderline.WorkerID][]gap
+}
+
+// gap is a time in which some process could not reach a worker.
+type gap struct {
+	begin, end time.Time
+	lost       bool // the worker lost its state
 }
 
 // mail is something that happens later.
@@ -107,6 +114,7 @@
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
 		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+		gaps:      map[oleanderline.WorkerID][]gap{},
 		linkToken: 1 << 32, linkReplies: map[shard.Token]func(shard.Verdict){},
 	}
 	w.log = standin.NewLog(w.clock, standin.WithKeepAge(worldLimits().Retention))
@@ -159,8 +167,10 @@
 
 // step advances the clock, delivers what is due and lets every process work.
 func (w *world) step(d time.Duration) {
+	before := w.clock.Now()
 	w.clock.Advance(d)
 	now := w.clock.Now()
+	w.noteGaps(before, now)
 	w.wake(now)
 	w.deliver(now)
 	for _, p := range w.processes {
@@ -209,6 +219,30 @@
 	}
 }
 
+// noteGaps extends or begins the gap of each worker that some process cannot reach now.
+func (w *world) noteGaps(before, now time.Time) {
+	for id, h := range w.workers {
+		cut := slices.ContainsFunc(w.processes, func(p *process) bool { return now.Before(p.cutFrom[id]) })
+		if !h.dead && h.frozenTo.IsZero() && !cut {
+			continue
+		}
+		gaps := w.gaps[id]
+		if n := len(gaps); n > 0 && gaps[n-1].end.Equal(before) && gaps[n-1].lost == h.dead {
+			gaps[n-1].end = now
+			continue
+		}
+		w.gaps[id] = append(gaps, gap{begin: before, end: now, lost: h.dead})
+	}
+}
+
+// outOfReach reports whether a worker was lost, or out of reach for a lease, between two moments.
+func (w *world) outOfReach(id oleanderline.WorkerID, from, to time.Time) bool {
+	return slices.ContainsFunc(w.gaps[id], func(g gap) bool {
+		long := g.end.Sub(g.begin) >= worldLimits().Lease
+		return g.begin.Before(to) && g.end.After(from) && (g.lost || long)
+	})
+}
+
 func (w *world) runs(p *process) bool { return p.alive && !w.clock.Now().Before(p.pausedTo) }
 
 // deliver passes on what is due, in order. What it causes comes with a later step.
