Order batch tasks by learned run times, with a reserve for short work

Cause: in order of arrival a wave of long tasks held up every short one. Change: pkg/queue with three levels, learned run times per team and class, a reserve that follows the demand of short work, and a bound on the wait of long work. A large starving task does not reserve a worker yet.

--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/vmlist"
@@ -220,6 +221,7 @@
 		Writer:  oleanderline.WriterID(fmt.Sprintf("%s/%x/%x", d.settings.ID, d.roster.self.Incarnation, rand.Uint32())),
 		Shard:   id,
 		Chooser: placement.BestFit{},
+		Queue:   queue.DefaultSettings(),
 		Limits:  d.settings.limits(),
 	}
 }
--- a/pkg/sched/worker_list.go
+++ b/pkg/sched/worker_list.go
@@ -108,6 +108,7 @@
 	}
 	for i, s := range d.shards {
 		s.deliver(shard.Drains{Workers: drains[i]})
+		s.deliver(shard.Rules{Set: set})
 	}
 }
 
--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -27,10 +27,10 @@
 }
 
 func (c *Core) addTask(j *job, index int, at time.Time) *task {
-	t := &task{job: j, id: taskID(j.ID, index), index: index, since: at, keptAt: at}
+	t := &task{job: j, id: taskID(j.ID, index), index: index, since: at, entered: at, keptAt: at}
 	j.tasks[index] = t
 	if c.owning {
-		c.queue.push(t)
+		c.enqueue(t)
 	}
 	return t
 }
@@ -56,6 +56,9 @@
 		t.checkpoint = record.Checkpoint
 	}
 	t.job.reason = record.Reason
+	if t.running {
+		t.ran += at.Sub(t.since)
+	}
 	t.state, t.worker, t.since = taskWaiting, "", at
 	if record.Kind == journal.KindFail {
 		t.failures++
@@ -70,7 +73,7 @@
 		c.remove(t, at)
 	case c.owning:
 		t.notBefore = c.now.Add(backoff(t.failures))
-		c.queue.pushFront(t)
+		c.enqueue(t)
 	}
 	if c.owning {
 		c.counters.Freed++
@@ -84,6 +87,8 @@
 	}
 	c.workers.release(t)
 	t.job.counts.Done++
+	c.classes.Done(t.job.class(), record.Ran+t.ran)
+	c.queue.Learned(t.job.class())
 	if c.owning {
 		c.counters.Done++
 	}
@@ -127,7 +132,7 @@
 // remove forgets a finished task.
 func (c *Core) remove(t *task, at time.Time) {
 	delete(t.job.tasks, t.index)
-	c.queue.drop(t)
+	c.queue.Drop(t)
 	if len(t.job.tasks) == 0 {
 		t.job.finishedAt = at
 	}
@@ -164,7 +169,7 @@
 	t.attempt, t.checkpoint, t.cancelled, t.failures = kept.Attempt, kept.Checkpoint, kept.Cancelled, kept.Failures
 	if kept.Worker != "" {
 		t.state, t.worker = taskAssigned, kept.Worker
-		c.queue.drop(t)
+		c.queue.Drop(t)
 		c.workers.assign(t)
 	}
 }
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -13,6 +13,7 @@
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 )
 
 // Config is what a Core needs to know about its process and its bounds.
@@ -23,6 +24,7 @@
 	Shard   oleanderline.ShardID
 	Chooser placement.Chooser
 	Limits  Limits
+	Queue   queue.Settings
 	Without Without
 }
 
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -5,6 +5,8 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/queue"
+	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Times that are not worth a setting.
@@ -36,7 +38,9 @@
 	jobs     map[oleanderline.JobID]*job
 	jobOrder []*job
 	workers  workerTable
-	queue    queue
+	queue    *queue.Queue[*task]
+	classes  *queue.Classes
+	rules    *rules.Set
 	waiters  waiters
 	largest  []oleanderline.Size
 	callID   uint64
@@ -61,7 +65,7 @@
 
 // New returns a core that knows nothing and owns nothing.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg}
+	c := &Core{cfg: cfg, rules: &rules.Set{}}
 	c.writer = journal.NewWriter(cfg.Writer)
 	c.waiters = newWaiters()
 	c.workers = newWorkerTable()
@@ -80,6 +84,9 @@
 		c.setVMs(e)
 	case Drains:
 		c.workers.drains = e.Workers
+	case Rules:
+		c.rules = e.Set
+		c.queue.SetRules(e.Set)
 	case ReadDone:
 		c.readDone(e)
 	case AppendDone:
@@ -148,7 +155,8 @@
 	c.order = journal.NewOrder(c.cfg.Without.Journal)
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
-	c.queue = queue{}
+	c.classes = queue.NewClasses()
+	c.queue = c.newQueue()
 	c.workers.dropTasks()
 	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
 }
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Event is an input of a Core: one of the types in this file.
@@ -36,6 +37,11 @@
 	Workers map[oleanderline.WorkerID]bool
 }
 
+// Rules is the newest revision of the operators' rules.
+type Rules struct {
+	Set *rules.Set
+}
+
 // ReadDone answers a Read. Its entries are decoded.
 type ReadDone struct {
 	Asked  time.Time // when the read was sent
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -215,7 +215,7 @@
 	for _, j := range c.jobOrder {
 		for index := range j.Count {
 			if t := j.tasks[index]; t != nil && t.state == taskWaiting {
-				c.queue.push(t)
+				c.enqueue(t)
 			}
 		}
 	}
@@ -237,7 +237,7 @@
 }
 
 func (c *Core) resetOwned() {
-	c.queue = queue{}
+	c.queue = c.newQueue()
 	for _, j := range c.jobOrder {
 		j.cancelPending, j.keptAt = false, time.Time{}
 		for _, t := range j.tasks {
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -6,13 +6,12 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 )
 
 // Bounds of one placement pass.
 const (
-	maxExamined = 2000 // waiting tasks looked at
-	maxMisfits  = 16   // different sizes that fit nowhere
-	maxMoves    = 16   // tasks that are taken back from a worker's queue
+	maxMoves = 16 // tasks that are taken back from a worker's queue
 	// stalledFor is how long an append may lack its answer before placement pauses: its records would only pile up.
 	stalledFor = time.Second
 )
@@ -22,7 +21,7 @@
 	if c.releasing || c.writer.Stalled(c.now) > stalledFor || c.writer.Waiting() > c.cfg.Limits.MaxWait/2 {
 		return
 	}
-	if c.queue.len() == 0 && !c.anyAhead() {
+	if c.queue.Len() == 0 && !c.anyAhead() {
 		return
 	}
 	workers, candidates := c.candidates()
@@ -30,7 +29,7 @@
 		return
 	}
 	c.placeWaiting(workers, candidates)
-	if c.queue.len() == 0 {
+	if c.queue.Len() == 0 {
 		c.takeBack(candidates)
 	}
 }
@@ -58,23 +57,18 @@
 }
 
 func (c *Core) placeWaiting(workers []*worker, candidates []placement.Candidate) {
-	misfits := map[oleanderline.Size]bool{}
-	c.queue.each(maxExamined, func(t *task) (placed, more bool) {
-		if t.pending != "" || c.now.Before(t.notBefore) || misfits[t.size()] {
-			return false, true
-		}
+	c.queue.Each(c.now, c.load(), func(t *task, _ bool) queue.Verdict {
 		if i, ok := c.cfg.Chooser.Choose(t.need(), candidates); ok {
 			candidates[i].Free = candidates[i].Free.Sub(t.size())
 			c.workers.reserve(t, workers[i])
 			c.assign(t, workers[i])
-			return true, true
+			return queue.Placed
 		}
 		if w := c.chooseAhead(t, workers); w != nil {
 			c.assign(t, w)
-			return true, true
+			return queue.Placed
 		}
-		misfits[t.size()] = true
-		return false, len(misfits) < maxMisfits
+		return queue.Misfit
 	})
 }
 
--- a/pkg/shard/queue.go
+++ b/pkg/shard/queue.go
@@ -1,72 +1,63 @@
 package shard
 
-// queue orders the waiting tasks: urgent ones first, otherwise by arrival.
-type queue struct {
-	urgent, normal []*task
-	size           int
-}
+import (
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/queue"
+)
 
-func (q *queue) len() int { return q.size }
+// Kinds of length of an assigned task, remembered when the task is first looked at.
+const (
+	lengthUnknown = iota
+	lengthShort
+	lengthLong
+)
 
-func (q *queue) push(t *task) {
-	if t.queued {
-		return
-	}
-	t.queued = true
-	q.size++
-	if t.job.Urgent {
-		q.urgent = append(q.urgent, t)
-		return
-	}
-	q.normal = append(q.normal, t)
+func (c *Core) newQueue() *queue.Queue[*task] {
+	q := queue.New[*task](c.cfg.Queue, c.classes)
+	q.SetRules(c.rules)
+	return q
 }
 
-// pushFront returns a task that had its turn before.
-func (q *queue) pushFront(t *task) {
-	if t.queued {
-		return
-	}
-	t.queued = true
-	q.size++
-	if t.job.Urgent {
-		q.urgent = append([]*task{t}, q.urgent...)
-		return
+// enqueue lets a task wait for a worker.
+func (c *Core) enqueue(t *task) {
+	c.queue.Push(t, t.shape(), t.entered, t.notBefore, c.now)
+}
+
+// shape tells the queue which tasks are alike.
+func (t *task) shape() queue.Shape {
+	return queue.Shape{
+		ClassKey: t.job.class(), Kind: t.job.Kind, Size: t.size(), Urgent: t.job.Urgent, Sunk: queue.LevelOf(t.ran),
 	}
-	q.normal = append([]*task{t}, q.normal...)
 }
 
-// drop marks a task as gone. Its place is cleared when the queue is next walked.
-func (q *queue) drop(t *task) {
-	if t.queued {
-		t.queued = false
-		q.size--
+func (j *job) class() queue.ClassKey { return queue.ClassKey{Team: j.Team, Class: j.Class} }
+
+// load returns what the listed workers offer, and what of it is committed to long batch tasks.
+func (c *Core) load() queue.Load {
+	var load queue.Load
+	for _, w := range c.workers.order {
+		if w.listed {
+			load.Capacity += w.vm.Size.CPU
+		}
+		for _, t := range w.tasks {
+			load.Long += c.longCPU(t)
+		}
+		for _, t := range w.incoming {
+			load.Long += c.longCPU(t)
+		}
 	}
+	return load
 }
 
-// each offers at most limit tasks in order. visit returns whether the task was placed, which removes it, and whether to
-// go on.
-func (q *queue) each(limit int, visit func(*task) (placed, more bool)) {
-	more := true
-	walk := func(list []*task) []*task {
-		kept := list[:0]
-		for i, t := range list {
-			if !more || limit == 0 {
-				return append(kept, list[i:]...)
-			}
-			if !t.queued {
-				continue
-			}
-			limit--
-			var placed bool
-			if placed, more = visit(t); placed {
-				t.queued = false
-				q.size--
-				continue
-			}
-			kept = append(kept, t)
+func (c *Core) longCPU(t *task) oleanderline.Millicores {
+	if t.length == lengthUnknown {
+		t.length = lengthLong
+		if t.job.Kind != oleanderline.KindBatch || t.job.Urgent || c.queue.Short(t.shape()) {
+			t.length = lengthShort
 		}
-		return kept
 	}
-	q.urgent = walk(q.urgent)
-	q.normal = walk(q.normal)
+	if t.length == lengthShort {
+		return 0
+	}
+	return t.size().CPU
 }
--- a/pkg/shard/task.go
+++ b/pkg/shard/task.go
@@ -30,8 +30,10 @@
 	checkpoint string
 	cancelled  bool
 	failures   int
-	since      time.Time // of the last change of state
-	keptAt     time.Time // of the entry that last held everything about the task
+	since      time.Time     // of the last change of state
+	entered    time.Time     // when it was submitted
+	ran        time.Duration // over earlier attempts, at most
+	keptAt     time.Time     // of the entry that last held everything about the task
 
 	owned
 }
@@ -49,7 +51,7 @@
 	retryAt   time.Time             // earliest next start or stop
 	stopTries int
 	notBefore time.Time // backoff of a waiting task
-	queued    bool      // in the queue of waiting tasks
+	length    uint8     // short or long, while assigned
 }
 
 func (t *task) key() oleanderline.AttemptKey {
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/standin"
 )
@@ -148,7 +149,7 @@
 	for id := range worldShards {
 		p.cores = append(p.cores, shard.New(shard.Config{
 			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
-			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Without: w.without,
+			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Without: w.without,
 		}))
 	}
 }
