--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -28,6 +28,23 @@
 	Timeout    time.Duration `arg:"--timeout,env:OLEANDER_TIMEOUT" help:"bound of the whole command" placeholder:"TIME"`
 }
 
+// Description implements the interface of go-arg.
+func (Settings) Description() string {
+	return "oleanderctl checks, shows, compares and publishes the rules, and shows how the own VMs are."
+}
+
+// Epilogue implements the interface of go-arg.
+func (Settings) Epilogue() string {
+	return `Exit codes:
+  0  done
+  1  failure: nothing was changed, or what was asked for could not be shown
+  2  wrong arguments or settings, or rules with errors
+  3  lost a race: another revision than the base was accepted last
+  4  outcome unknown: the file may be published or not
+
+"oleanderctl COMMAND --help" shows the arguments of a command. See docs/rules.md and docs/operations.md.`
+}
+
 // CheckCommand are the arguments of check.
 type CheckCommand struct {
 	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
@@ -46,11 +63,12 @@
 
 // PublishCommand are the arguments of publish.
 type PublishCommand struct {
-	File string `arg:"positional,required" help:"file of rules, or - for standard input"`
-	Base *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
-	By   string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
-	ID   string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
-	Wait bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
+	File  string `arg:"positional,required" help:"file of rules, or - for standard input"`
+	Base  *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
+	By    string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
+	ID    string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
+	Begin bool   `arg:"--begin" help:"publish although no own VM and no entry of the stream tells the newest revision; read docs/operations.md first"`
+	Wait  bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
 }
 
 // StatusCommand has no arguments.
@@ -83,7 +101,7 @@
 
 // DefaultSettings returns the settings without any argument.
 func DefaultSettings() Settings {
-	return Settings{Timeout: 10 * time.Second}
+	return Settings{Timeout: 30 * time.Second}
 }
 
 // Validate reports every setting that is not allowed, or that the command needs and that is missing.
--- a/pkg/dispatch/exchange.go
+++ b/pkg/dispatch/exchange.go
@@ -101,7 +101,7 @@
 	}
 	c.removeIdle(m)
 	if !m.removed {
-		s.update(m)
+		s.update(m, now)
 	}
 	return s.serve(now, actions)
 }
@@ -112,7 +112,7 @@
 	if finish.Result == oleanderline.ResultAnswered && !finish.Failed {
 		ratio, _ = s.classes.Ratio(r.class, finish.Latency)
 		s.classes.Observe(r.class, finish.Latency)
-		m.limit.Observe(ratio, m.candidate.Load+1, now)
+		m.limit.Observe(ratio, finish.Latency, m.candidate.Load+1, now)
 	}
 	if s.ejector.Observe(&m.health, finish.Failed, ratio, now) {
 		s.refresh(now)
@@ -146,6 +146,16 @@
 	return c.enqueue(r, now, actions)
 }
 
+// HedgeAfter returns how long after its ActionSend a request is worth a call of Hedge, because most of its class have been
+// answered by then. Zero means never: the request may not be hedged, or its class is not learned yet.
+func (c *Core) HedgeAfter(id RequestID) time.Duration {
+	r, ok := c.requests[id]
+	if !ok || !r.Idempotent {
+		return 0
+	}
+	return r.service.classes.Straggles(r.class)
+}
+
 // Hedge sends a second copy of an idempotent request in flight to another minion, if the hedge budget and a free slot
 // allow it and no request waits.
 func (c *Core) Hedge(id RequestID, now time.Time, actions []Action) []Action {
@@ -165,8 +175,8 @@
 	m := s.minions[candidate.Owner]
 	slot, ok := m.slots.Take(now)
 	if !ok {
-		s.update(m)
+		s.update(m, now)
 		return actions
 	}
-	return s.send(r, m, slot, true, actions)
+	return s.send(r, m, slot, true, now, actions)
 }
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -27,6 +27,7 @@
 	Kind   oleanderline.TaskKind
 	Size   oleanderline.Size
 	Urgent bool
+	Guest  bool  // of a job of another shard
 	Sunk   Level // least level, from the time that the task has already run
 }
 
@@ -93,6 +94,17 @@
 // Len returns the number of waiting tasks.
 func (q *Queue[T]) Len() int { return len(q.entries) }
 
+// Urgent returns the number of urgent tasks that may start.
+func (q *Queue[T]) Urgent() int {
+	n := 0
+	for _, g := range q.groups {
+		if g.shape.Urgent {
+			n += len(g.entries)
+		}
+	}
+	return n
+}
+
 // Push adds a task that waits since a time and may not start before another. A task that is already there stays as it is.
 func (q *Queue[T]) Push(item T, shape Shape, since, notBefore, now time.Time) {
 	if q.entries[item] != nil {
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -64,6 +64,8 @@
 	ReadBack  bool // acts on an assignment before it is read back
 	LeaseWait bool // treats the lease at an unreachable worker as expired at once
 	Inventory bool // places before the workers' inventories are known
+	Preempt   bool // never stops a task for an urgent one
+	Holds     bool // lets batch work use what operators hold
 	SelfFence bool // acts after a pause or past the outage horizon without reading the stream
 }
 
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -35,14 +36,16 @@
 	stream
 	ownership
 
-	jobs     map[oleanderline.JobID]*job
-	jobOrder []*job
-	workers  workerTable
-	queue    *queue.Queue[*task]
-	classes  *queue.Classes
-	rules    *rules.Set
-	waiters  waiters
-	largest  []oleanderline.Size
+	jobs      map[oleanderline.JobID]*job
+	jobOrder  []*job
+	workers   workerTable
+	queue     *queue.Queue[*task]
+	classes   *queue.Classes
+	rules     *rules.Set
+	preempted []*task // stopped to make room for urgent ones
+	waiters   waiters
+	largest   []oleanderline.Size
+	links
 	callID   uint64
 	keepNext int
 	sweptAt  time.Time // when finished jobs were last looked for
@@ -60,7 +63,7 @@
 type Counters struct {
 	Starts, Done, Failed, Freed, Cancelled, Lapsed int
 	Claims, Lost, Gaps, Rebuilt                    int
-	Refused                                        int
+	Refused, Preempted                             int
 }
 
 // New returns a core that knows nothing and owns nothing.
@@ -99,6 +102,14 @@
 		c.cancel(e)
 	case Leave:
 		c.leaving = true
+	case Rooms:
+		c.rooms = maps.Clone(e.ByShard)
+	case Offer:
+		c.offered(e)
+	case Report:
+		c.reported(e)
+	case LinkDone:
+		c.linkDone(e)
 	}
 	c.advance(event)
 	out := c.out
@@ -117,7 +128,7 @@
 		c.advanceAll()
 	}
 	if c.mayAppend() {
-		if group, ok := c.writer.Next(c.order.Term(), c.now); ok {
+		if group, ok := c.writer.Next(c.order.Term(), c.next, c.now); ok {
 			c.emit(Append{Group: group})
 		}
 	}
@@ -131,6 +142,8 @@
 			c.operateWorker(w)
 		}
 		c.place()
+		c.moveOut()
+		c.talkToShards()
 		c.keepLive()
 	}
 	c.expireWaiters()
@@ -153,10 +166,12 @@
 // forget drops everything that the stream says, to read it again from an offset on.
 func (c *Core) forget(from oleanderline.Offset) {
 	c.order = journal.NewOrder(c.cfg.Without.Journal)
+	c.order.Begin(from)
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
 	c.classes = queue.NewClasses()
 	c.queue = c.newQueue()
+	c.links = links{rooms: c.rooms, linkID: c.linkID}
 	c.workers.dropTasks()
 	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
 }
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -178,7 +178,7 @@
 		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
 			continue
 		}
-		if !t.reserved && !t.size().Fits(w.free()) {
+		if !t.reserved && !c.startable(w, t) {
 			continue
 		}
 		c.workers.reserve(t, w)
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -214,8 +214,11 @@
 	c.resetOwned()
 	for _, j := range c.jobOrder {
 		for index := range j.Count {
-			if t := j.tasks[index]; t != nil && t.state == taskWaiting {
+			switch t := j.tasks[index]; {
+			case t != nil && t.state == taskWaiting:
 				c.enqueue(t)
+			case t != nil && t.state == taskMoved:
+				c.away = append(c.away, t)
 			}
 		}
 	}
@@ -238,12 +241,15 @@
 
 func (c *Core) resetOwned() {
 	c.queue = c.newQueue()
+	c.preempted = nil
 	for _, j := range c.jobOrder {
 		j.cancelPending, j.keptAt = false, time.Time{}
+		j.guest.reset()
 		for _, t := range j.tasks {
 			t.owned = owned{}
 		}
 	}
+	c.links = links{rooms: c.rooms, linkID: c.linkID}
 	c.workers.resetOwned(c.cfg.Without.Inventory)
 }
 
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -42,13 +42,45 @@
 			continue
 		}
 		workers = append(workers, w)
-		candidates = append(candidates, placement.Candidate{
-			Worker: w.id, Domain: w.vm.Domain, Rack: w.vm.Rack, Capacity: w.vm.Size, Free: w.free().Sub(w.aheadSize()),
-		})
+		candidate := placement.Candidate{
+			Worker: w.id, Domain: w.vm.Domain, Rack: w.vm.Rack, Capacity: w.vm.Size, Free: w.free(), Ahead: w.aheadSize(),
+		}
+		candidate.Batch, candidate.Holds = c.batchRoom(w)
+		candidates = append(candidates, candidate)
 	}
 	return workers, candidates
 }
 
+// batchRoom returns what holds leave to further batch tasks on a worker, and whether any hold applies.
+func (c *Core) batchRoom(w *worker) (oleanderline.Size, bool) {
+	held, applies := placement.Held(c.rules, w.vm, c.now)
+	if !applies || c.cfg.Without.Holds {
+		return oleanderline.Size{}, false
+	}
+	room := w.vm.Size.Sub(held)
+	take := func(t *task) {
+		if t.reserved && t.room == w.id && t.job.Kind == oleanderline.KindBatch {
+			room = room.Sub(t.size())
+		}
+	}
+	for _, t := range w.tasks {
+		take(t)
+	}
+	for _, t := range w.incoming {
+		take(t)
+	}
+	return room, true
+}
+
+// startable reports whether a task that waits at its worker may start there now.
+func (c *Core) startable(w *worker, t *task) bool {
+	if !t.size().Fits(w.free()) || (!t.job.Urgent && c.now.Before(w.claimedTo)) {
+		return false
+	}
+	room, held := c.batchRoom(w)
+	return !held || t.job.Kind != oleanderline.KindBatch || t.size().Fits(room)
+}
+
 // aheadSize is what the tasks that wait at the worker need. They have a claim to the room that becomes free.
 func (w *worker) aheadSize() oleanderline.Size {
 	var sum oleanderline.Size
@@ -57,13 +89,17 @@
 }
 
 func (c *Core) placeWaiting(workers []*worker, candidates []placement.Candidate) {
+	spreads := map[*job]*placement.Spread{}
 	c.queue.Each(c.now, c.load(), func(t *task, _ bool) queue.Verdict {
-		if i, ok := c.cfg.Chooser.Choose(t.need(), candidates); ok {
-			candidates[i].Free = candidates[i].Free.Sub(t.size())
+		need := t.need()
+		need.Spread = c.spreadOf(t.job, spreads)
+		if i, ok := c.cfg.Chooser.Choose(need, candidates); ok {
+			candidates[i].Take(&need)
 			c.workers.reserve(t, workers[i])
 			c.assign(t, workers[i])
 			return queue.Placed
 		}
+		c.preempt(t)
 		if w := c.chooseAhead(t, workers); w != nil {
 			c.assign(t, w)
 			return queue.Placed
@@ -73,13 +109,30 @@
 }
 
 func (t *task) need() placement.Need {
-	return placement.Need{Size: t.size(), Kind: t.job.Kind, Team: t.job.Team, Job: t.job.ID}
+	return placement.Need{Size: t.size(), Kind: t.job.Kind, Team: t.job.Team, Job: t.job.ID, Urgent: t.job.Urgent}
+}
+
+// spreadOf counts where the instances of a latency-critical job are. The count is kept for one pass.
+func (c *Core) spreadOf(j *job, known map[*job]*placement.Spread) *placement.Spread {
+	if j.Kind != oleanderline.KindCritical || known[j] != nil {
+		return known[j]
+	}
+	spread := placement.NewSpread()
+	for _, t := range j.tasks {
+		for _, id := range []oleanderline.WorkerID{t.worker, t.target} {
+			if w := c.workers.byID[id]; w != nil {
+				spread.Add(w.id, w.vm.Domain, w.vm.Rack)
+			}
+		}
+	}
+	known[j] = spread
+	return spread
 }
 
 // chooseAhead returns the worker with the shortest queue that is large enough for the task.
 func (c *Core) chooseAhead(t *task, workers []*worker) *worker {
-	if t.job.Kind != oleanderline.KindBatch {
-		return nil
+	if t.job.Kind != oleanderline.KindBatch || t.job.Urgent {
+		return nil // urgent tasks wait for the first room anywhere, not for room at one worker
 	}
 	var best *worker
 	bestLength := c.cfg.Limits.Ahead
@@ -124,8 +177,9 @@
 			if t.reserved || t.ended || t.stop || t.pending != "" || !c.neverRan(w, t) || t.size().Fits(w.free()) {
 				continue
 			}
-			if i, ok := c.cfg.Chooser.Choose(t.need(), candidates); ok && candidates[i].Worker != w.id {
-				candidates[i].Free = candidates[i].Free.Sub(t.size())
+			need := t.need()
+			if i, ok := c.cfg.Chooser.Choose(need, candidates); ok && candidates[i].Worker != w.id {
+				candidates[i].Take(&need)
 				c.free(t, "another worker has room", "")
 				moves++
 			}
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -38,6 +38,7 @@
 	incoming  []*task // assigned by records that are not yet read back
 	ghosts    []ghost // leases that the stream does not know
 	outcomes  []oleanderline.Outcome
+	claimedTo time.Time // until then an urgent task goes before the tasks that wait here
 }
 
 // ghost is an attempt that runs although it is not assigned to the worker any more.
