--- a/pkg/placement/best_fit.go
+++ b/pkg/placement/best_fit.go
@@ -106,19 +106,21 @@
 
 func (f BestFit) score(need *Need, c *Candidate) score {
 	s := score{left: leftover(need.Size, c)}
+	if !f.Without.Accelerators {
+		s.wasted = need.Size.Accelerators == 0 && c.Capacity.Accelerators > 0
+		s.left += share(int64(c.Free.Accelerators-need.Size.Accelerators), int64(c.Capacity.Accelerators))
+	}
 	if need.Spread != nil && !f.Without.Spread {
 		s.together = need.Spread.count(c)
 	}
-	s.wasted = need.Size.Accelerators == 0 && c.Capacity.Accelerators > 0 && !f.Without.Accelerators
 	return s
 }
 
-// leftover is the sum of the shares of each resource that stay free.
+// leftover is the sum of the shares of processors and memory that stay free.
 func leftover(size oleanderline.Size, c *Candidate) float64 {
 	left := c.Free.Sub(size)
 	return share(int64(left.CPU), int64(c.Capacity.CPU)) +
-		share(int64(left.Memory), int64(c.Capacity.Memory)) +
-		share(int64(left.Accelerators), int64(c.Capacity.Accelerators))
+		share(int64(left.Memory), int64(c.Capacity.Memory))
 }
 
 func share(part, whole int64) float64 {
