Bound what a team's batch tasks are committed to in a shard

Cause: quotas were parsed but nothing acted on them. Change: pkg/quota divides a quota over the shards by capacity; a task beyond its team's portion waits, and a job that no portion can hold is refused with the reason.

--- a/pkg/queue/each.go
+++ b/pkg/queue/each.go
@@ -68,8 +68,10 @@
 			p.long += g.shape.Size.CPU
 		}
 		p.q.Drop(e.item)
-	case Misfit:
-		p.misfits[g.bucket]++
+	case Misfit, Blocked:
+		if verdict == Misfit {
+			p.misfits[g.bucket]++
+		}
 		heap.Remove(&p.q.buckets[g.bucket], g.at)
 		p.aside = append(p.aside, g)
 	default:
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -56,9 +56,10 @@
 
 // Verdicts.
 const (
-	Misfit Verdict = iota // there is no room for it or others of its shape
-	Placed                // it leaves the queue
-	Enough                // it stays, and the pass ends
+	Misfit  Verdict = iota // there is no room for it or others of its shape
+	Placed                 // it leaves the queue
+	Blocked                // it may not be placed now; this says nothing about the room for others
+	Enough                 // it stays, and the pass ends
 )
 
 // Queue holds the waiting tasks. T is the caller's task.
--- a/pkg/sched/worker_list.go
+++ b/pkg/sched/worker_list.go
@@ -70,6 +70,7 @@
 
 func (d *Daemon) passVMs(rows []oleanderline.VM, asked time.Time) {
 	byShard := make([][]oleanderline.VM, len(d.shards))
+	shards := make([]oleanderline.Size, len(d.shards))
 	var largest []oleanderline.Size
 	for _, vm := range rows {
 		if vm.Role != oleanderline.RoleWorker {
@@ -77,10 +78,11 @@
 		}
 		id := shard.ForWorker(vm, len(d.shards))
 		byShard[id] = append(byShard[id], vm)
+		shards[id] = shards[id].Add(vm.Size)
 		largest = addLargest(largest, vm.Size)
 	}
 	for i, s := range d.shards {
-		s.deliver(shard.VMs{Workers: byShard[i], Asked: asked, Largest: largest})
+		s.deliver(shard.VMs{Workers: byShard[i], Asked: asked, Shards: shards, Largest: largest})
 	}
 }
 
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -65,6 +65,7 @@
 	LeaseWait bool // treats the lease at an unreachable worker as expired at once
 	Inventory bool // places before the workers' inventories are known
 	Preempt   bool // never stops a task for an urgent one
+	Quotas    bool // lets teams exceed their quotas
 	Holds     bool // lets batch work use what operators hold
 	SelfFence bool // acts after a pause or past the outage horizon without reading the stream
 }
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/queue"
+	"github.com/oleanderline/oleanderline/pkg/quota"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
@@ -40,6 +41,7 @@
 	jobOrder  []*job
 	workers   workerTable
 	queue     *queue.Queue[*task]
+	quotas    *quota.Book
 	classes   *queue.Classes
 	rules     *rules.Set
 	preempted []*task // stopped to make room for urgent ones
@@ -68,7 +70,7 @@
 
 // New returns a core that knows nothing and owns nothing.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg, rules: &rules.Set{}}
+	c := &Core{cfg: cfg, rules: &rules.Set{}, quotas: quota.NewBook(cfg.Shard)}
 	c.writer = journal.NewWriter(cfg.Writer)
 	c.waiters = newWaiters()
 	c.workers = newWorkerTable()
@@ -90,6 +92,7 @@
 	case Rules:
 		c.rules = e.Set
 		c.queue.SetRules(e.Set)
+		c.quotas.SetRules(e.Set)
 	case ReadDone:
 		c.readDone(e)
 	case AppendDone:
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -29,6 +29,7 @@
 type VMs struct {
 	Workers []oleanderline.VM
 	Asked   time.Time           // when the list was asked for
+	Shards  []oleanderline.Size // capacity of each shard of the region
 	Largest []oleanderline.Size // sizes of workers of the region that no other exceeds
 }
 
--- a/pkg/shard/move.go
+++ b/pkg/shard/move.go
@@ -59,7 +59,7 @@
 		if t.pending != "" || t.job.guest != nil || c.now.Sub(t.since) < t.patience() {
 			return queue.Misfit
 		}
-		to, ok := c.shardWithRoom(t.size())
+		to, ok := c.shardWithRoom(t)
 		if !ok {
 			return queue.Misfit
 		}
@@ -79,10 +79,11 @@
 
 // shardWithRoom returns the shard with the most free processors among those that can take the size at once, and reduces
 // its room until the next news of it.
-func (c *Core) shardWithRoom(size oleanderline.Size) (oleanderline.ShardID, bool) {
+func (c *Core) shardWithRoom(t *task) (oleanderline.ShardID, bool) {
+	size := t.size()
 	best, found := oleanderline.ShardID(0), false
 	for id, room := range c.rooms {
-		if id == c.cfg.Shard || room.Waiting > 0 || !size.Fits(room.Largest) || !size.Fits(room.Free) {
+		if id == c.cfg.Shard || room.Waiting > 0 || !size.Fits(room.Largest) || !size.Fits(room.Free) || !c.quotas.Holds(t.job.Team, size, id) {
 			continue
 		}
 		better := room.Free.CPU > c.rooms[best].Free.CPU || (room.Free.CPU == c.rooms[best].Free.CPU && id < best)
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -91,6 +91,9 @@
 func (c *Core) placeWaiting(workers []*worker, candidates []placement.Candidate) {
 	spreads := map[*job]*placement.Spread{}
 	c.queue.Each(c.now, c.load(), func(t *task, _ bool) queue.Verdict {
+		if !c.withinQuota(t) {
+			return queue.Blocked
+		}
 		need := t.need()
 		need.Spread = c.spreadOf(t.job, spreads)
 		if i, ok := c.cfg.Chooser.Choose(need, candidates); ok {
@@ -149,6 +152,7 @@
 
 func (c *Core) assign(t *task, w *worker) {
 	t.pending = journal.KindAssign
+	c.countQuota(t)
 	c.workers.expect(t, w)
 	record := journal.Record{Kind: journal.KindAssign, Task: t.id, Attempt: t.attempt + 1, Worker: w.id}
 	c.record(t.job.Urgent, record)
--- a/pkg/shard/policy_test.go
+++ b/pkg/shard/policy_test.go
@@ -103,3 +103,39 @@
 		})
 	}
 }
+
+// Guards against a team that is committed to more than its portion, and against a refusal without a reason.
+func TestQuotaBoundsATeam(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		t.Run(fmt.Sprintf("without=%t", without), func(t *testing.T) {
+			w, owner := calmWorld(shard.Without{Quotas: without})
+			set, report := rules.Parse("quota team=routes cpu=3 # depot planning\n")
+			require.Empty(t, report.Errors)
+			for _, p := range w.processes {
+				for id := range p.cores {
+					w.feed(p, id, shard.Rules{Set: set})
+				}
+			}
+			job := whole(oleanderline.KindBatch, "0-a", 8*worldWorkers)
+			job.Size = oleanderline.Size{CPU: 1000, Memory: 500}
+			w.give(owner, job)
+			w.pass(5 * time.Second)
+			var sum oleanderline.Size
+			for _, h := range w.hosted() {
+				sum = sum.Add(h.Committed())
+			}
+			require.Equal(t, without, sum.CPU > 3000, sum)
+			require.NotZero(t, sum.CPU)
+			answers := owner.cores[0].Step(shard.Submit{Job: whole(oleanderline.KindBatch, "0-b", 1)}, w.clock.Now())
+			require.Empty(t, answers, "the team of the job has no quota")
+			big := whole(oleanderline.KindBatch, "0-c", 1)
+			big.Team = "routes"
+			answers = owner.cores[0].Step(shard.Submit{Job: big}, w.clock.Now())
+			require.Len(t, answers, 1)
+			answer, ok := answers[0].(shard.Answer)
+			require.True(t, ok)
+			require.Equal(t, shard.Impossible, answer.Verdict)
+			require.Contains(t, answer.Reason, "quota of team routes")
+		})
+	}
+}
--- a/pkg/shard/queue.go
+++ b/pkg/shard/queue.go
@@ -33,23 +33,38 @@
 
 func (j *job) class() queue.ClassKey { return queue.ClassKey{Team: j.Team, Class: j.Class} }
 
-// load returns what the listed workers offer, and what of it is committed to long batch tasks.
+// load returns what the listed workers offer, and what of it is committed to long batch tasks. It also counts what the
+// teams are committed to, including the tasks that wait at workers.
 func (c *Core) load() queue.Load {
 	var load queue.Load
+	c.quotas.Clear()
 	for _, w := range c.workers.order {
 		if w.listed {
 			load.Capacity += w.vm.Size.CPU
 		}
 		for _, t := range w.tasks {
 			load.Long += c.longCPU(t)
+			c.countQuota(t)
 		}
 		for _, t := range w.incoming {
 			load.Long += c.longCPU(t)
+			c.countQuota(t)
 		}
 	}
 	return load
 }
 
+func (c *Core) countQuota(t *task) {
+	if c.quotas.Active() && t.job.Kind == oleanderline.KindBatch {
+		c.quotas.Commit(t.job.Team, t.size())
+	}
+}
+
+// withinQuota reports whether a further task of a team stays within the team's portion.
+func (c *Core) withinQuota(t *task) bool {
+	return t.job.Kind != oleanderline.KindBatch || c.cfg.Without.Quotas || c.quotas.Allows(t.job.Team, t.size())
+}
+
 func (c *Core) longCPU(t *task) oleanderline.Millicores {
 	if t.length == lengthUnknown {
 		t.length = lengthLong
--- a/pkg/shard/status.go
+++ b/pkg/shard/status.go
@@ -70,6 +70,8 @@
 		e.explain("the log service does not answer")
 	case c.releasing:
 		e.explain("the shard is being handed over")
+	case !c.withinQuota(t):
+		e.explain("team %s has used its portion of its quota in this shard", t.job.Team)
 	default:
 		e.explain("no worker of the shard has %s free", t.size())
 	}
--- a/pkg/shard/waiters.go
+++ b/pkg/shard/waiters.go
@@ -75,6 +75,8 @@
 		return NotRun, "too many records wait for the log"
 	case !c.possible(spec.Size):
 		return Impossible, "no worker of the region is large enough"
+	case spec.Kind == oleanderline.KindBatch && c.quotas.Refuse(spec.Team, spec.Size) != "":
+		return Impossible, c.quotas.Refuse(spec.Team, spec.Size)
 	default:
 		return 0, ""
 	}
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -189,6 +189,7 @@
 
 func (c *Core) setVMs(e VMs) {
 	c.largest = e.Largest
+	c.quotas.SetShards(e.Shards)
 	for _, w := range c.workers.order {
 		w.listed = false
 	}
