Quarantine workers that fail what succeeds elsewhere

Cause: a worker that fails everything always has room, and used up the attempts of good jobs. Change: pkg/health; a task avoids workers on which it failed; failures at quarantined workers do not count; at most a third of a shard is quarantined, and probed with one task.

--- /dev/null
+++ b/pkg/health/watch_test.go
@@ -0,0 +1,122 @@
+package health_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/health"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+// event is one end of a task in a recorded trace.
+type event struct {
+	At     time.Duration         `json:"at"`
+	Worker oleanderline.WorkerID `json:"worker"`
+	Job    oleanderline.JobID    `json:"job"`
+	Failed bool                  `json:"failed"`
+}
+
+// replay enters a trace and returns the watch and the time of its last event.
+func replay(t *testing.T, name string, settings health.Settings) (*health.Watch, time.Time) {
+	file, err := os.Open("testdata/" + name + ".jsonl")
+	require.NoError(t, err)
+	defer file.Close()
+	watch := health.New(settings)
+	watch.SetSize(6)
+	now := start
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var e event
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &e))
+		now = start.Add(e.At)
+		if e.Failed {
+			watch.Failed(e.Worker, e.Job, now)
+			continue
+		}
+		watch.Done(e.Worker, e.Job, now)
+	}
+	return watch, now
+}
+
+// Guards against a bad worker that goes on taking work, and against blame for a worker on which only bad jobs failed.
+// Stated outcomes: in fails_everything, w-1 alone is quarantined; in bad_jobs, none is.
+func TestTraces(t *testing.T) {
+	off := health.DefaultSettings()
+	off.Without = true
+	scenarios := []struct {
+		trace    string
+		settings health.Settings
+		bad      []oleanderline.WorkerID
+	}{
+		{"fails_everything", health.DefaultSettings(), []oleanderline.WorkerID{"w-1"}},
+		{"fails_everything", off, nil},
+		{"bad_jobs", health.DefaultSettings(), nil},
+	}
+	for _, s := range scenarios {
+		t.Run(fmt.Sprintf("%s without=%t", s.trace, s.settings.Without), func(t *testing.T) {
+			watch, now := replay(t, s.trace, s.settings)
+			var bad []oleanderline.WorkerID
+			for n := range 6 {
+				id := oleanderline.WorkerID(fmt.Sprintf("w-%d", n))
+				require.Equal(t, watch.Good(id), watch.Accepts(id, 0, now))
+				if !watch.Good(id) {
+					bad = append(bad, id)
+				}
+			}
+			require.Equal(t, s.bad, bad)
+		})
+	}
+}
+
+// Guards against a quarantine that never ends, that ends without proof, or that probes with more than one task.
+func TestProbes(t *testing.T) {
+	settings := health.DefaultSettings()
+	watch, now := replay(t, "fails_everything", settings)
+	require.False(t, watch.Accepts("w-1", 0, now))
+	now = now.Add(settings.ProbeFirst)
+	require.True(t, watch.Accepts("w-1", 0, now))
+	require.False(t, watch.Accepts("w-1", 1, now))
+	watch.Failed("w-1", "x", now)
+	require.False(t, watch.Accepts("w-1", 0, now.Add(settings.ProbeFirst)), "the pause doubles")
+	now = now.Add(2 * settings.ProbeFirst)
+	watch.Done("w-1", "y", now)
+	require.False(t, watch.Good("w-1"))
+	watch.Done("w-1", "z", now)
+	require.True(t, watch.Good("w-1"))
+	require.Zero(t, watch.Quarantined())
+}
+
+// Guards against the quarantine of more than a third of the workers, whatever fails where.
+func TestQuarantineIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		watch := health.New(health.DefaultSettings())
+		workers := rapid.IntRange(1, 9).Draw(t, "workers")
+		watch.SetSize(workers)
+		for n := range rapid.IntRange(1, 300).Draw(t, "events") {
+			id := oleanderline.WorkerID(fmt.Sprint(rapid.IntRange(0, workers-1).Draw(t, "worker")))
+			job := oleanderline.JobID(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "job")))
+			at := start.Add(time.Duration(n) * time.Second)
+			if rapid.IntRange(0, 3).Draw(t, "outcome") > 0 {
+				watch.Failed(id, job, at)
+			} else {
+				watch.Done(id, job, at)
+			}
+			bad := 0
+			for i := range workers {
+				if !watch.Good(oleanderline.WorkerID(fmt.Sprint(i))) {
+					bad++
+				}
+			}
+			require.Equal(t, bad, watch.Quarantined())
+			require.LessOrEqual(t, 3*bad, workers)
+		}
+	})
+}
--- a/pkg/placement/best_fit.go
+++ b/pkg/placement/best_fit.go
@@ -1,7 +1,11 @@
 // Package placement chooses the worker for a task from committed amounts. It never looks at lagging usage.
 package placement
 
-import "github.com/oleanderline/oleanderline"
+import (
+	"slices"
+
+	"github.com/oleanderline/oleanderline"
+)
 
 // Need is what a task requires of a worker.
 type Need struct {
@@ -10,7 +14,8 @@
 	Team   oleanderline.TeamID
 	Job    oleanderline.JobID
 	Urgent bool
-	Spread *Spread // latency-critical tasks: where the instances of the job are; may be nil
+	Avoid  []oleanderline.WorkerID // workers on which the task failed
+	Spread *Spread                 // latency-critical tasks: where the instances of the job are; may be nil
 }
 
 // Candidate is a worker that accepts work.
@@ -77,7 +82,7 @@
 	best := -1
 	var bestScore score
 	for i := range workers {
-		if room := workers[i].Room(&need); !need.Size.Fits(room) {
+		if room := workers[i].Room(&need); !need.Size.Fits(room) || slices.Contains(need.Avoid, workers[i].Worker) {
 			continue
 		}
 		if s := f.score(&need, &workers[i]); best < 0 || s.less(bestScore) {
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -24,11 +24,12 @@
 // others are not tried in the same pass, and a task costs logarithmic time however many wait.
 type Shape struct {
 	ClassKey
-	Kind   oleanderline.TaskKind
-	Size   oleanderline.Size
-	Urgent bool
-	Guest  bool  // of a job of another shard
-	Sunk   Level // least level, from the time that the task has already run
+	Kind     oleanderline.TaskKind
+	Size     oleanderline.Size
+	Urgent   bool
+	Guest    bool  // of a job of another shard
+	Failures int   // a task avoids the workers on which it failed
+	Sunk     Level // least level, from the time that the task has already run
 }
 
 // Settings are the bounds of the order.
--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/health"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/operator"
@@ -222,6 +223,7 @@
 		Shard:   id,
 		Chooser: placement.BestFit{},
 		Queue:   queue.DefaultSettings(),
+		Health:  health.DefaultSettings(),
 		Limits:  d.settings.limits(),
 	}
 }
--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 )
 
@@ -54,7 +55,7 @@
 	if t == nil {
 		return
 	}
-	moved := t.state == taskMoved
+	moved, ranOn := t.state == taskMoved, t.worker
 	t.attempt = record.Attempt
 	c.workers.release(t)
 	if record.Checkpoint != "" {
@@ -67,6 +68,7 @@
 	t.state, t.worker, t.since = taskWaiting, "", at
 	if record.Kind == journal.KindFail {
 		t.failures++
+		c.failedOn(t, ranOn, at)
 	}
 	t.owned = owned{}
 	switch {
@@ -90,6 +92,9 @@
 	if t == nil {
 		return
 	}
+	if t.worker != "" {
+		c.health.Done(t.worker, t.job.ID, at)
+	}
 	c.workers.release(t)
 	t.job.counts.Done++
 	c.classes.Done(t.job.class(), record.Ran+t.ran)
@@ -100,6 +105,14 @@
 	c.remove(t, record, at)
 }
 
+// failedOn enters the evidence of a failure, unless the task ran in another shard.
+func (c *Core) failedOn(t *task, id oleanderline.WorkerID, at time.Time) {
+	if id != "" {
+		t.failedOn = append(t.failedOn, id)
+		c.health.Failed(id, t.job.ID, at)
+	}
+}
+
 // current returns the task if the record is about its assigned attempt, or about its end in another shard.
 func (c *Core) current(record journal.Record) *task {
 	t := c.find(record.Task)
@@ -203,6 +216,7 @@
 func (c *Core) forgetFinished() {
 	for len(c.jobOrder) > 0 && c.forgettable(c.jobOrder[0]) {
 		delete(c.jobs, c.jobOrder[0].ID)
+		c.health.Forget(c.jobOrder[0].ID)
 		c.jobOrder = c.jobOrder[1:]
 	}
 	if c.now.Sub(c.sweptAt) < c.cfg.Limits.Keep/4 {
@@ -213,6 +227,7 @@
 	for _, j := range c.jobOrder {
 		if c.forgettable(j) {
 			delete(c.jobs, j.ID)
+			c.health.Forget(j.ID)
 			continue
 		}
 		kept = append(kept, j)
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/health"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
@@ -25,6 +26,7 @@
 	Chooser placement.Chooser
 	Limits  Limits
 	Queue   queue.Settings
+	Health  health.Settings
 	Without Without
 }
 
@@ -60,14 +62,15 @@
 
 // Without switches safety mechanisms off. It is used only in tests, which show that the checks notice.
 type Without struct {
-	Journal   journal.Checks
-	ReadBack  bool // acts on an assignment before it is read back
-	LeaseWait bool // treats the lease at an unreachable worker as expired at once
-	Inventory bool // places before the workers' inventories are known
-	Preempt   bool // never stops a task for an urgent one
-	Quotas    bool // lets teams exceed their quotas
-	Holds     bool // lets batch work use what operators hold
-	SelfFence bool // acts after a pause or past the outage horizon without reading the stream
+	Journal    journal.Checks
+	ReadBack   bool // acts on an assignment before it is read back
+	LeaseWait  bool // treats the lease at an unreachable worker as expired at once
+	Inventory  bool // places before the workers' inventories are known
+	Preempt    bool // never stops a task for an urgent one
+	Quarantine bool // goes on using workers that fail everything
+	Quotas     bool // lets teams exceed their quotas
+	Holds      bool // lets batch work use what operators hold
+	SelfFence  bool // acts after a pause or past the outage horizon without reading the stream
 }
 
 // ForKey returns the shard that owns the job with this idempotency key.
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/health"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/quota"
@@ -41,6 +42,7 @@
 	jobOrder  []*job
 	workers   workerTable
 	queue     *queue.Queue[*task]
+	health    *health.Watch
 	quotas    *quota.Book
 	classes   *queue.Classes
 	rules     *rules.Set
@@ -70,6 +72,7 @@
 
 // New returns a core that knows nothing and owns nothing.
 func New(cfg Config) *Core {
+	cfg.Health.Without = cfg.Health.Without || cfg.Without.Quarantine
 	c := &Core{cfg: cfg, rules: &rules.Set{}, quotas: quota.NewBook(cfg.Shard)}
 	c.writer = journal.NewWriter(cfg.Writer)
 	c.waiters = newWaiters()
@@ -173,6 +176,8 @@
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
 	c.classes = queue.NewClasses()
+	c.health = health.New(c.cfg.Health)
+	c.health.SetSize(c.workers.listed())
 	c.queue = c.newQueue()
 	c.links = links{rooms: c.rooms, linkID: c.linkID}
 	c.workers.dropTasks()
--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -92,7 +92,8 @@
 	case oleanderline.OutcomeDone:
 		record.Kind, record.Ran = journal.KindDone, outcome.Ran
 	case oleanderline.OutcomeFailed:
-		record.Kind, record.Final = journal.KindFail, t.failures+1 >= c.cfg.Limits.Failures
+		t.final = c.exhausted(t)
+		record.Kind, record.Final = journal.KindFail, t.final
 		c.counters.Failed++
 	default:
 		record.Kind, record.Checkpoint = journal.KindFree, outcome.Checkpoint
@@ -100,3 +101,21 @@
 	t.pending = record.Kind
 	c.record(t.job.Urgent, record)
 }
+
+// maxFailures bounds the attempts of a task, as a multiple of the failures on good workers after which it is given up.
+const maxFailures = 3
+
+// exhausted reports whether a task that has just failed again is given up. Failures at workers that are known to be bad
+// by now do not count, up to a bound.
+func (c *Core) exhausted(t *task) bool {
+	if t.failures+1 >= maxFailures*c.cfg.Limits.Failures {
+		return true
+	}
+	counted := t.failures - len(t.failedOn)
+	for _, id := range append(slices.Clone(t.failedOn), t.worker) {
+		if c.health.Good(id) {
+			counted++
+		}
+	}
+	return counted >= c.cfg.Limits.Failures
+}
--- a/pkg/shard/keep.go
+++ b/pkg/shard/keep.go
@@ -79,7 +79,7 @@
 		switch {
 		case t.pending == journal.KindDone:
 			counts.Done++
-		case t.pending == journal.KindFail && t.failures+1 >= c.cfg.Limits.Failures && !t.cancelled:
+		case t.pending == journal.KindFail && t.final && !t.cancelled:
 			counts.Failed++
 		case (t.pending == journal.KindFree || t.pending == journal.KindFail) && t.cancelled:
 			counts.Cancelled++
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -89,7 +89,7 @@
 		if leave {
 			t.stop = true
 		}
-		lost := w.failures >= lostAfter || w.absent
+		lost := w.failures >= lostAfter || w.absent || !c.health.Accepts(w.id, 0, c.now)
 		if (t.stop || lost) && c.neverRan(w, t) {
 			c.free(t, "not started", "")
 		}
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -38,7 +39,7 @@
 	var workers []*worker
 	var candidates []placement.Candidate
 	for _, w := range c.workers.order {
-		if !c.workers.usable(w) {
+		if !c.workers.usable(w) || !c.health.Accepts(w.id, len(w.tasks)+len(w.incoming), c.now) {
 			continue
 		}
 		workers = append(workers, w)
@@ -96,8 +97,14 @@
 		}
 		need := t.need()
 		need.Spread = c.spreadOf(t.job, spreads)
+		if len(t.failedOn) < len(candidates) {
+			need.Avoid = t.failedOn // one of the others can still show whether the task or the worker is at fault
+		}
 		if i, ok := c.cfg.Chooser.Choose(need, candidates); ok {
 			candidates[i].Take(&need)
+			if !c.health.Good(workers[i].id) {
+				candidates[i].Free = oleanderline.Size{} // a probe is one task at a time
+			}
 			c.workers.reserve(t, workers[i])
 			c.assign(t, workers[i])
 			return queue.Placed
@@ -140,7 +147,7 @@
 	var best *worker
 	bestLength := c.cfg.Limits.Ahead
 	for _, w := range workers {
-		if !t.size().Fits(w.vm.Size) {
+		if !t.size().Fits(w.vm.Size) || !c.health.Good(w.id) || slices.Contains(t.failedOn, w.id) {
 			continue
 		}
 		if length := w.ahead(); length < bestLength {
--- a/pkg/shard/policy_test.go
+++ b/pkg/shard/policy_test.go
@@ -139,3 +139,59 @@
 		})
 	}
 }
+
+// Guards against a job that is tried for ever, and against an end without a reason.
+func TestBadJobFailsForGood(t *testing.T) {
+	w, owner := calmWorld(shard.Without{})
+	job := whole(oleanderline.KindBatch, "0-bad", 1)
+	job.Command = "fail"
+	id := w.give(owner, job)
+	var status shard.JobStatus
+	for range 300 {
+		w.step(100 * time.Millisecond)
+		if status = owner.cores[0].JobStatus(id); status.Finished() {
+			break
+		}
+	}
+	require.Equal(t, 1, status.Failed, "%+v", status)
+	require.NotEmpty(t, status.Reason)
+	require.Equal(t, worldLimits().Failures, owner.cores[0].Counters().Failed)
+}
+
+// badWorker runs short jobs on six workers of which one fails everything, and returns the failures and the lost jobs.
+func badWorker(t *testing.T, without shard.Without) (failures, lost int) {
+	w, owner := calmWorld(without)
+	for n := range 4 {
+		w.boot(oleanderline.VM{
+			ID: oleanderline.VMID(fmt.Sprintf("w-x%d", n)), Role: oleanderline.RoleWorker, Size: workerSize, Domain: "d-0",
+			Address: fmt.Sprintf("10.0.1.%d:1", n), Rack: oleanderline.RackID(fmt.Sprintf("rack-%d", 10+2*n)),
+		})
+	}
+	w.pass(10 * time.Second)
+	require.Len(t, w.hosted(), 6)
+	w.hosted()[0].SetFailing(true)
+	failed := map[oleanderline.JobID]bool{}
+	for n := range 120 {
+		job := whole(oleanderline.KindBatch, fmt.Sprintf("0-%d", n), 1)
+		job.Command = "sleep 1s"
+		w.give(owner, job)
+		w.pass(time.Second)
+		for k := range n {
+			id := oleanderline.JobID(fmt.Sprintf("0-%d", k))
+			if owner.cores[0].JobStatus(id).Failed > 0 {
+				failed[id] = true
+			}
+		}
+	}
+	return owner.cores[0].Counters().Failed, len(failed)
+}
+
+// Guards against a bad worker that goes on failing tasks of good jobs, and against jobs that are given up because of it.
+func TestBadWorkerIsQuarantined(t *testing.T) {
+	failures, lost := badWorker(t, shard.Without{})
+	require.Zero(t, lost)
+	require.Positive(t, failures)
+	without, _ := badWorker(t, shard.Without{Quarantine: true})
+	require.Less(t, failures, without/2, "%d failures with quarantine", failures)
+	t.Logf("%d failures with quarantine, %d without", failures, without)
+}
--- a/pkg/shard/queue.go
+++ b/pkg/shard/queue.go
@@ -27,7 +27,7 @@
 func (t *task) shape() queue.Shape {
 	return queue.Shape{
 		ClassKey: t.job.class(), Kind: t.job.Kind, Size: t.size(), Urgent: t.job.Urgent, Sunk: queue.LevelOf(t.ran),
-		Guest: t.job.guest != nil,
+		Guest: t.job.guest != nil, Failures: t.failures,
 	}
 }
 
--- a/pkg/shard/task.go
+++ b/pkg/shard/task.go
@@ -33,10 +33,11 @@
 	movedAt    oleanderline.Offset  // of the move record in the stream of the task's own shard
 	cancelled  bool
 	failures   int
-	since      time.Time     // of the last change of state
-	entered    time.Time     // when it was submitted
-	ran        time.Duration // over earlier attempts, at most
-	keptAt     time.Time     // of the entry that last held everything about the task
+	failedOn   []oleanderline.WorkerID // of the failures, the newest last
+	since      time.Time               // of the last change of state
+	entered    time.Time               // when it was submitted
+	ran        time.Duration           // over earlier attempts, at most
+	keptAt     time.Time               // of the entry that last held everything about the task
 
 	owned
 }
@@ -54,6 +55,7 @@
 	retryAt   time.Time             // earliest next start or stop
 	stopTries int
 	notBefore time.Time // backoff of a waiting task
+	final     bool      // the failure that is not yet read back is the last
 	length    uint8     // short or long, while assigned
 	taken     bool      // the shard that the task moved to has recorded that
 	takenBack bool      // and it has recorded the cancellation
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -177,6 +177,17 @@
 	}
 }
 
+// listed returns the number of workers in the newest VM list.
+func (wt *workerTable) listed() int {
+	n := 0
+	for _, w := range wt.order {
+		if w.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // draining reports whether batch tasks must leave the worker.
 func (wt *workerTable) draining(w *worker) bool {
 	return wt.drains[w.id] || (w.listed && w.vm.State == oleanderline.VMLeaving)
@@ -189,6 +200,7 @@
 
 func (c *Core) setVMs(e VMs) {
 	c.largest = e.Largest
+	defer func() { c.health.SetSize(c.workers.listed()) }()
 	c.quotas.SetShards(e.Shards)
 	for _, w := range c.workers.order {
 		w.listed = false
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/health"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
@@ -153,7 +154,7 @@
 	for id := range worldShards {
 		p.cores = append(p.cores, shard.New(shard.Config{
 			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
-			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Without: w.without,
+			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(), Without: w.without,
 		}))
 	}
 }
