Keep a worker free for a large task that has waited too long; report quarantine

Cause: a task of the size of a worker never started while small tasks took what became free, and did not start when it was assigned ahead of them at one worker. Change: one worker is kept for it, and tasks behind it at its worker do not pass it. Quarantine has events, preemption a metric. The evidence is looked at once per worker.

--- a/pkg/health/watch.go
+++ b/pkg/health/watch.go
@@ -67,12 +67,18 @@
 
 // Good reports whether failures at a worker count against the job.
 func (w *Watch) Good(id oleanderline.WorkerID) bool {
+	if w.quarantined == 0 {
+		return true
+	}
 	known := w.workers[id]
 	return known == nil || !known.bad
 }
 
 // Accepts reports whether a worker may get a task while it has so many.
 func (w *Watch) Accepts(id oleanderline.WorkerID, tasks int, now time.Time) bool {
+	if w.quarantined == 0 {
+		return true
+	}
 	known := w.workers[id]
 	return known == nil || !known.bad || (tasks == 0 && !now.Before(known.probeAt))
 }
--- a/pkg/sched/observe.go
+++ b/pkg/sched/observe.go
@@ -15,6 +15,8 @@
 	s.metrics.lapsed.Add(now.Lapsed - before.Lapsed)
 	s.metrics.claims.Add(now.Claims - before.Claims)
 	s.metrics.refused.Add(now.Refused - before.Refused)
+	s.metrics.preempted.Add(now.Preempted - before.Preempted)
+	s.observeQuarantine()
 	if now.Lost > before.Lost {
 		owner, _ := s.core.Owner()
 		s.common.Event(common.EventShardLost).WithField("shard", s.id).WithField("owner", owner).Info("shard has a new owner")
@@ -28,6 +30,19 @@
 	s.observeLog()
 }
 
+func (s *shardDuty) observeQuarantine() {
+	now := s.core.Quarantined()
+	before := s.quarantined
+	s.quarantined = now
+	event := common.EventWorkerQuarantined
+	if now < before {
+		event = common.EventWorkerReadmitted
+	}
+	if now != before {
+		s.common.Event(event).WithField("shard", s.id).WithField("quarantined", now).Warn("workers in quarantine have changed")
+	}
+}
+
 func (s *shardDuty) observeLog() {
 	slow := s.core.LogStalled()
 	if slow == s.slow {
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -43,12 +43,13 @@
 	links   *duty.Duty
 
 	// Used only by the main duty.
-	core    *shard.Core
-	calls   map[oleanderline.WorkerID]*workerDuty
-	tokens  shard.Token
-	callers map[shard.Token]chan shard.Answer
-	seen    shard.Counters
-	slow    bool
+	core        *shard.Core
+	calls       map[oleanderline.WorkerID]*workerDuty
+	tokens      shard.Token
+	callers     map[shard.Token]chan shard.Answer
+	seen        shard.Counters
+	slow        bool
+	quarantined int // workers
 }
 
 func newShardDuty(d *Daemon, id oleanderline.ShardID) *shardDuty {
--- a/pkg/sched/shard_metrics.go
+++ b/pkg/sched/shard_metrics.go
@@ -13,6 +13,7 @@
 	starts       *metrics.Counter
 	done         *metrics.Counter
 	freed        *metrics.Counter
+	preempted    *metrics.Counter
 	lapsed       *metrics.Counter
 	claims       *metrics.Counter
 	refused      *metrics.Counter
@@ -28,6 +29,7 @@
 		callErrors:   set.GetOrCreateCounter("oleander_sched_worker_failures_total"), // times at which a worker stopped answering
 		starts:       set.GetOrCreateCounter("oleander_sched_starts_total"),          // attempts that a worker has confirmed
 		done:         set.GetOrCreateCounter("oleander_sched_done_total"),            // tasks that are recorded as done
+		preempted:    set.GetOrCreateCounter("oleander_sched_preempted_total"),       // batch tasks stopped by checkpoint for urgent ones
 		freed:        set.GetOrCreateCounter("oleander_sched_freed_total"),           // attempts that ended without completing their task
 		lapsed:       set.GetOrCreateCounter("oleander_sched_lapsed_total"),          // attempts given up because their lease expired at a worker that does not answer
 		claims:       set.GetOrCreateCounter("oleander_sched_claims_total"),          // times at which this process became the owner of a shard
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -67,6 +67,7 @@
 	LeaseWait  bool // treats the lease at an unreachable worker as expired at once
 	Inventory  bool // places before the workers' inventories are known
 	Preempt    bool // never stops a task for an urgent one
+	Clear      bool // keeps no worker free for a large task that has waited too long
 	Quarantine bool // goes on using workers that fail everything
 	Quotas     bool // lets teams exceed their quotas
 	Holds      bool // lets batch work use what operators hold
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -46,7 +46,8 @@
 	quotas    *quota.Book
 	classes   *queue.Classes
 	rules     *rules.Set
-	preempted []*task // stopped to make room for urgent ones
+	clearing  oleanderline.WorkerID // kept for a task that has waited too long
+	preempted []*task               // stopped to make room for urgent ones
 	waiters   waiters
 	largest   []oleanderline.Size
 	links
@@ -197,5 +198,8 @@
 	return j.tasks[index]
 }
 
+// Quarantined returns the number of workers in quarantine.
+func (c *Core) Quarantined() int { return c.health.Quarantined() }
+
 // Counters returns the totals so far.
 func (c *Core) Counters() Counters { return c.counters }
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -81,6 +81,7 @@
 // dismiss marks the tasks that must leave the worker, and frees those that were never sent to it.
 func (c *Core) dismiss(w *worker) {
 	draining := c.workers.draining(w)
+	lost := w.failures >= lostAfter || w.absent || !c.health.Accepts(w.id, 0, c.now)
 	for _, t := range w.tasks {
 		if t.pending != "" || t.ended {
 			continue
@@ -89,7 +90,6 @@
 		if leave {
 			t.stop = true
 		}
-		lost := w.failures >= lostAfter || w.absent || !c.health.Accepts(w.id, 0, c.now)
 		if (t.stop || lost) && c.neverRan(w, t) {
 			c.free(t, "not started", "")
 		}
@@ -174,11 +174,13 @@
 	if c.releasing || !c.readAt.After(w.failedAt) {
 		return false
 	}
+	overdue := false // a task that has waited too long goes next here
 	for _, t := range w.tasks {
 		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
 			continue
 		}
-		if !t.reserved && !c.startable(w, t) {
+		if !t.reserved && (overdue && !t.job.Urgent || !c.startable(w, t)) {
+			overdue = overdue || c.overdue(t)
 			continue
 		}
 		c.workers.reserve(t, w)
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -241,7 +241,7 @@
 
 func (c *Core) resetOwned() {
 	c.queue = c.newQueue()
-	c.preempted = nil
+	c.preempted, c.clearing = nil, ""
 	for _, j := range c.jobOrder {
 		j.cancelPending, j.keptAt = false, time.Time{}
 		j.guest.reset()
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -36,8 +36,8 @@
 }
 
 func (c *Core) candidates() ([]*worker, []placement.Candidate) {
-	var workers []*worker
-	var candidates []placement.Candidate
+	workers := make([]*worker, 0, len(c.workers.order))
+	candidates := make([]placement.Candidate, 0, len(c.workers.order))
 	for _, w := range c.workers.order {
 		if !c.workers.usable(w) || !c.health.Accepts(w.id, len(w.tasks)+len(w.incoming), c.now) {
 			continue
@@ -75,7 +75,7 @@
 
 // startable reports whether a task that waits at its worker may start there now.
 func (c *Core) startable(w *worker, t *task) bool {
-	if !t.size().Fits(w.free()) || (!t.job.Urgent && c.now.Before(w.claimedTo)) {
+	if !t.size().Fits(w.free()) || (!t.job.Urgent && (w.id == c.clearing || c.now.Before(w.claimedTo))) {
 		return false
 	}
 	room, held := c.batchRoom(w)
@@ -90,8 +90,10 @@
 }
 
 func (c *Core) placeWaiting(workers []*worker, candidates []placement.Candidate) {
+	earlier := c.clearing
+	c.clearing = ""
 	spreads := map[*job]*placement.Spread{}
-	c.queue.Each(c.now, c.load(), func(t *task, _ bool) queue.Verdict {
+	c.queue.Each(c.now, c.load(), func(t *task, starved bool) queue.Verdict {
 		if !c.withinQuota(t) {
 			return queue.Blocked
 		}
@@ -110,6 +112,9 @@
 			return queue.Placed
 		}
 		c.preempt(t)
+		if starved {
+			c.clear(t, earlier, workers, candidates)
+		}
 		if w := c.chooseAhead(t, workers); w != nil {
 			c.assign(t, w)
 			return queue.Placed
@@ -147,7 +152,7 @@
 	var best *worker
 	bestLength := c.cfg.Limits.Ahead
 	for _, w := range workers {
-		if !t.size().Fits(w.vm.Size) || !c.health.Good(w.id) || slices.Contains(t.failedOn, w.id) {
+		if !t.size().Fits(w.vm.Size) || w.id == c.clearing || !c.health.Good(w.id) || slices.Contains(t.failedOn, w.id) {
 			continue
 		}
 		if length := w.ahead(); length < bestLength {
--- a/pkg/shard/policy_test.go
+++ b/pkg/shard/policy_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 )
@@ -195,3 +196,32 @@
 	require.Less(t, failures, without/2, "%d failures with quarantine", failures)
 	t.Logf("%d failures with quarantine, %d without", failures, without)
 }
+
+// Guards against a task of the size of a worker that waits for ever because small tasks take what becomes free.
+func TestLargeTaskGetsAWorker(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		t.Run(fmt.Sprintf("without=%t", without), func(t *testing.T) {
+			w, owner := calmWorld(shard.Without{Clear: without})
+			small := func(id, n int) {
+				job := whole(oleanderline.KindBatch, fmt.Sprintf("%d-s%d", id, n), 1)
+				job.Key, job.Team, job.Command = string(job.ID), "credits", fmt.Sprintf("sleep %ds", 9+n%5)
+				job.Size = oleanderline.Size{CPU: 1000, Memory: 500}
+				w.feed(w.ownerOf(id), id, shard.Submit{Job: job})
+			}
+			for n := range 60 {
+				small(0, n)
+				small(1, n)
+			}
+			w.pass(5 * time.Second)
+			large := w.give(owner, whole(oleanderline.KindBatch, "0-large", 1))
+			bound := 2 * queue.DefaultSettings().MaxWait
+			for n := 60; n < 60+int(bound/time.Second); n++ {
+				small(0, n)
+				small(1, n)
+				w.pass(time.Second)
+			}
+			state := owner.cores[0].Why(oleanderline.TaskID(large + "/0")).State
+			require.Equal(t, !without, state == "running", state)
+		})
+	}
+}
