Restrain batch tasks that slow latency-critical instances down

Cause: usage reports were not read, and nothing protected instances from their neighbours. Change: pkg/interference learns slowdowns per pair and load band, throttles first, then moves at most one task in a wave; the shard reads usage of workers that run both kinds.

--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/operator"
@@ -224,6 +225,7 @@
 		Chooser: placement.BestFit{},
 		Queue:   queue.DefaultSettings(),
 		Health:  health.DefaultSettings(),
+		Guard:   interference.DefaultSettings(),
 		Limits:  d.settings.limits(),
 	}
 }
--- a/pkg/sched/worker_duty.go
+++ b/pkg/sched/worker_duty.go
@@ -55,6 +55,10 @@
 		done.Stop, done.Err = w.client.Stop(ctx, call.Stop)
 	case shard.CallInventory:
 		done.Inventory, done.Err = w.client.Inventory(ctx, w.shard.id)
+	case shard.CallUsage:
+		done.Usage, done.Err = w.client.Usage(ctx)
+	case shard.CallThrottle:
+		done.Err = w.client.Throttle(ctx, call.Throttle)
 	}
 }
 
--- a/pkg/shard/action.go
+++ b/pkg/shard/action.go
@@ -30,6 +30,8 @@
 	CallRenew
 	CallStop
 	CallInventory
+	CallUsage
+	CallThrottle
 )
 
 // Call asks for a call to a worker, answered by CallDone. At most one is outstanding for each worker.
@@ -41,6 +43,8 @@
 	Start   oleanderline.StartRequest
 	Renew   oleanderline.RenewRequest
 	Stop    oleanderline.StopRequest
+	// Throttle is set for CallThrottle.
+	Throttle oleanderline.ThrottleRequest
 	// Before is when the call expires. A process that was paused between the decision and the call must not send it.
 	Before time.Time
 }
--- a/pkg/shard/bench_test.go
+++ b/pkg/shard/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/placement"
 	"github.com/oleanderline/oleanderline/pkg/queue"
@@ -64,7 +65,7 @@
 		for id := range benchShards {
 			l.cores[role][id] = shard.New(shard.Config{
 				Self: own(role), Address: string(own(role)), Writer: oleanderline.WriterID(own(role)),
-				Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: shard.DefaultLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(),
+				Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: shard.DefaultLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(), Guard: interference.DefaultSettings(),
 			})
 			l.feed(role, id, shard.Members{Ranked: []shard.Candidate{{ID: own(0), Domain: "d-0"}, {ID: own(1), Domain: "d-1"}}})
 			l.feed(role, id, shard.VMs{Workers: rows[id], Asked: l.clock.Now()})
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
@@ -27,6 +28,7 @@
 	Limits  Limits
 	Queue   queue.Settings
 	Health  health.Settings
+	Guard   interference.Settings
 	Without Without
 }
 
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/quota"
@@ -42,6 +43,7 @@
 	jobOrder  []*job
 	workers   workerTable
 	queue     *queue.Queue[*task]
+	model     *interference.Model
 	health    *health.Watch
 	quotas    *quota.Book
 	classes   *queue.Classes
@@ -68,13 +70,13 @@
 type Counters struct {
 	Starts, Done, Failed, Freed, Cancelled, Lapsed int
 	Claims, Lost, Gaps, Rebuilt                    int
-	Refused, Preempted                             int
+	Refused, Preempted, Throttled, Evicted         int
 }
 
 // New returns a core that knows nothing and owns nothing.
 func New(cfg Config) *Core {
 	cfg.Health.Without = cfg.Health.Without || cfg.Without.Quarantine
-	c := &Core{cfg: cfg, rules: &rules.Set{}, quotas: quota.NewBook(cfg.Shard)}
+	c := &Core{cfg: cfg, rules: &rules.Set{}, quotas: quota.NewBook(cfg.Shard), model: interference.NewModel()}
 	c.writer = journal.NewWriter(cfg.Writer)
 	c.waiters = newWaiters()
 	c.workers = newWorkerTable()
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -74,6 +74,7 @@
 	Sent      bool // false if the call was dropped because it had expired
 	Inventory oleanderline.Inventory
 	Stop      oleanderline.StopResult
+	Usage     oleanderline.Usage
 	Err       error
 }
 
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -38,6 +38,7 @@
 		c.renew(w)
 	case c.sendStop(w):
 	case c.sendStart(w):
+	case c.sendThrottle(w), c.sendUsage(w):
 	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.ghosts) > 0):
 		c.renew(w)
 	}
@@ -212,6 +213,9 @@
 	if e.Sent && (call.Kind == CallRenew || call.Kind == CallStart) {
 		w.sentAt = c.now
 	}
+	if (call.Kind == CallUsage || call.Kind == CallThrottle) && (!e.Sent || e.Err != nil) {
+		return // advisory: the next renewal shows whether the worker answers
+	}
 	if !e.Sent || failed(e.Err) {
 		c.startNotSent(w, call, e)
 		c.callFailed(w)
@@ -238,11 +242,15 @@
 		c.startAnswered(w, call.Start, e.Err)
 	case CallStop:
 		c.stopAnswered(w, call.Stop, e.Stop)
+	case CallUsage:
+		c.judgeUsage(w, e.Usage)
+	case CallThrottle:
+		c.throttled(w, call.Throttle)
 	}
 }
 
 func (call *Call) term() oleanderline.Term {
-	return max(call.Start.Term, call.Renew.Term, call.Stop.Term)
+	return max(call.Start.Term, call.Renew.Term, call.Stop.Term, call.Throttle.Term)
 }
 
 func failed(err error) bool {
--- a/pkg/shard/place.go
+++ b/pkg/shard/place.go
@@ -47,6 +47,9 @@
 			Worker: w.id, Domain: w.vm.Domain, Rack: w.vm.Rack, Capacity: w.vm.Size, Free: w.free(), Ahead: w.aheadSize(),
 		}
 		candidate.Batch, candidate.Holds = c.batchRoom(w)
+		if w.inWave() {
+			candidate.Batch, candidate.Holds = oleanderline.Size{}, true
+		}
 		candidates = append(candidates, candidate)
 	}
 	return workers, candidates
@@ -152,7 +155,7 @@
 	var best *worker
 	bestLength := c.cfg.Limits.Ahead
 	for _, w := range workers {
-		if !t.size().Fits(w.vm.Size) || w.id == c.clearing || !c.health.Good(w.id) || slices.Contains(t.failedOn, w.id) {
+		if !t.size().Fits(w.vm.Size) || w.id == c.clearing || w.inWave() || !c.health.Good(w.id) || slices.Contains(t.failedOn, w.id) {
 			continue
 		}
 		if length := w.ahead(); length < bestLength {
--- a/pkg/shard/policy_test.go
+++ b/pkg/shard/policy_test.go
@@ -8,10 +8,12 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
+	"github.com/oleanderline/oleanderline/pkg/standin"
 )
 
 // calmWorld runs without faults until shard 0 has an owner with inventories, and returns the owner's process.
@@ -225,3 +227,65 @@
 		})
 	}
 }
+
+// noisy runs a latency-critical instance beside batch tasks while usage reports, which lag by 10 s, show a slowdown for
+// three minutes, and returns what was done and the batch tasks that run of a job given two minutes after the end of the wave.
+func noisy(without interference.Without) (shard.Counters, int) {
+	w := newWorld(1, shard.Without{}, false)
+	w.calm, w.guard = true, without
+	until := w.clock.Now().Add(4 * time.Minute)
+	for _, h := range w.hosts {
+		slow := func(oleanderline.AttemptKey) float64 {
+			if w.clock.Now().Before(until) {
+				return 2.5
+			}
+			return 1
+		}
+		h.Worker = standin.NewWorker(oleanderline.WorkerID(h.vm.ID), h.vm.Size, w.clock, standin.WithUsageLag(10*time.Second), standin.WithSlowdown(slow))
+	}
+	for _, p := range w.processes {
+		w.launch(p)
+	}
+	w.pass(20 * time.Second)
+	owner := w.ownerOf(0)
+	critical := whole(oleanderline.KindCritical, "0-c", len(w.hosted()))
+	critical.Size = oleanderline.Size{CPU: 1000, Memory: 1000}
+	w.give(owner, critical)
+	w.pass(10 * time.Second)
+	batch := whole(oleanderline.KindBatch, "0-b", 6)
+	batch.Size = critical.Size
+	w.give(owner, batch)
+	w.pass(8 * time.Minute)
+	later := batch
+	later.ID = "0-d"
+	w.give(owner, later)
+	w.pass(10 * time.Second)
+	return owner.cores[0].Counters(), runningHere(owner, "0-d", later.Count)
+}
+
+// runningHere counts the tasks of a job that run in shard 0.
+func runningHere(p *process, id string, count int) int {
+	n := 0
+	for index := range count {
+		if p.cores[0].Why(oleanderline.TaskID(fmt.Sprintf("%s/%d", id, index))).State == "running" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against evictions that follow reports from before the last action, against a slowdown that nothing is done
+// about, and against a VM that gets no batch work again after a wave.
+func TestNoiseCausesAtMostOneEvictionPerVM(t *testing.T) {
+	counters, running := noisy(interference.Without{})
+	require.Positive(t, running)
+	t.Logf("throttled %d, evicted %d", counters.Throttled, counters.Evicted)
+	require.Positive(t, counters.Throttled)
+	require.Positive(t, counters.Evicted)
+	require.LessOrEqual(t, counters.Evicted, worldWorkers/worldShards)
+	counters, _ = noisy(interference.Without{Hysteresis: true})
+	require.Greater(t, counters.Evicted, worldWorkers/worldShards)
+	t.Logf("without hysteresis: throttled %d, evicted %d", counters.Throttled, counters.Evicted)
+	counters, _ = noisy(interference.Without{All: true})
+	require.Zero(t, counters.Throttled)
+}
--- a/pkg/shard/task.go
+++ b/pkg/shard/task.go
@@ -55,6 +55,9 @@
 	retryAt   time.Time             // earliest next start or stop
 	stopTries int
 	notBefore time.Time // backoff of a waiting task
+	share     float64   // of its processors that a throttled task keeps, 0 while not throttled
+	shareSent float64   // what the worker has confirmed
+	shareAt   time.Time // when it was last asked
 	final     bool      // the failure that is not yet read back is the last
 	length    uint8     // short or long, while assigned
 	taken     bool      // the shard that the task moved to has recorded that
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 )
 
 // worker is what the core knows about one worker of the shard. The tasks come from the stream; the rest is reset when
@@ -38,6 +39,9 @@
 	incoming  []*task // assigned by records that are not yet read back
 	ghosts    []ghost // leases that the stream does not know
 	outcomes  []oleanderline.Outcome
+	usageAt   time.Time // when the newest usage report was asked for
+	learnedAt time.Time // of the newest report that was learned from
+	guard     *interference.Guard
 	claimedTo time.Time // until then an urgent task goes before the tasks that wait here
 }
 
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -12,6 +12,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
@@ -54,6 +55,7 @@
 	workers     map[oleanderline.WorkerID]*host
 	hosts       []*host // also those that were replaced, with what ran there
 	without     shard.Without
+	guard       interference.Without
 	forget      bool // workers do not remember stops of unknown attempts
 	mail        []mail
 	calm        bool // no new faults
@@ -154,11 +156,17 @@
 	for id := range worldShards {
 		p.cores = append(p.cores, shard.New(shard.Config{
 			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
-			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(), Without: w.without,
+			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(), Guard: w.guardSettings(), Without: w.without,
 		}))
 	}
 }
 
+func (w *world) guardSettings() interference.Settings {
+	settings := interference.DefaultSettings()
+	settings.Without = w.guard
+	return settings
+}
+
 // step advances the clock, delivers what is due and lets every process work.
 func (w *world) step(d time.Duration) {
 	w.clock.Advance(d)
@@ -541,6 +549,10 @@
 		done.Stop, done.Err = h.Stop(ctx, call.Stop)
 	case shard.CallInventory:
 		done.Inventory, done.Err = h.Inventory(ctx, oleanderline.ShardID(id))
+	case shard.CallUsage:
+		done.Usage, done.Err = h.Usage(ctx)
+	case shard.CallThrottle:
+		done.Err = h.Throttle(ctx, call.Throttle)
 	}
 }
 
