--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -13,12 +13,15 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/placement"
 	"github.com/oleanderline/oleanderline/pkg/platform"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/vmlist"
@@ -222,6 +225,9 @@
 		Writer:  oleanderline.WriterID(fmt.Sprintf("%s/%x/%x", d.settings.ID, d.roster.self.Incarnation, rand.Uint32())),
 		Shard:   id,
 		Chooser: placement.BestFit{},
+		Queue:   queue.DefaultSettings(),
+		Health:  health.DefaultSettings(),
+		Guard:   interference.DefaultSettings(),
 		Limits:  d.settings.limits(),
 	}
 }
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -5,7 +5,12 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/queue"
+	"github.com/oleanderline/oleanderline/pkg/quota"
+	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Times that are not worth a setting.
@@ -34,12 +39,19 @@
 	stream
 	ownership
 
-	jobs     map[oleanderline.JobID]*job
-	jobOrder []*job
-	workers  workerTable
-	queue    queue
-	waiters  waiters
-	largest  []oleanderline.Size
+	jobs      map[oleanderline.JobID]*job
+	jobOrder  []*job
+	workers   workerTable
+	queue     *queue.Queue[*task]
+	model     *interference.Model
+	health    *health.Watch
+	quotas    *quota.Book
+	classes   *queue.Classes
+	rules     *rules.Set
+	clearing  oleanderline.WorkerID // kept for a task that has waited too long
+	preempted []*task               // stopped to make room for urgent ones
+	waiters   waiters
+	largest   []oleanderline.Size
 	links
 	callID   uint64
 	keepNext int
@@ -58,12 +70,13 @@
 type Counters struct {
 	Starts, Done, Failed, Freed, Cancelled, Lapsed int
 	Claims, Lost, Gaps, Rebuilt                    int
-	Refused                                        int
+	Refused, Preempted, Throttled, Evicted         int
 }
 
 // New returns a core that knows nothing and owns nothing.
 func New(cfg Config) *Core {
-	c := &Core{cfg: cfg}
+	cfg.Health.Without = cfg.Health.Without || cfg.Without.Quarantine
+	c := &Core{cfg: cfg, rules: &rules.Set{}, quotas: quota.NewBook(cfg.Shard), model: interference.NewModel()}
 	c.writer = journal.NewWriter(cfg.Writer)
 	c.waiters = newWaiters()
 	c.workers = newWorkerTable()
@@ -82,6 +95,10 @@
 		c.setVMs(e)
 	case Drains:
 		c.workers.drains = e.Workers
+	case Rules:
+		c.rules = e.Set
+		c.queue.SetRules(e.Set)
+		c.quotas.SetRules(e.Set)
 	case ReadDone:
 		c.readDone(e)
 	case AppendDone:
@@ -161,8 +178,11 @@
 	c.order.Begin(from)
 	c.jobs = map[oleanderline.JobID]*job{}
 	c.jobOrder = nil
+	c.classes = queue.NewClasses()
+	c.health = health.New(c.cfg.Health)
+	c.health.SetSize(c.workers.listed())
+	c.queue = c.newQueue()
 	c.links = links{rooms: c.rooms, linkID: c.linkID}
-	c.queue = queue{}
 	c.workers.dropTasks()
 	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
 }
@@ -180,5 +200,8 @@
 	return j.tasks[index]
 }
 
+// Quarantined returns the number of workers in quarantine.
+func (c *Core) Quarantined() int { return c.health.Quarantined() }
+
 // Counters returns the totals so far.
 func (c *Core) Counters() Counters { return c.counters }
--- a/pkg/shard/move.go
+++ b/pkg/shard/move.go
@@ -1,11 +1,13 @@
 package shard
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 )
 
 // Bounds of work between shards.
@@ -45,22 +47,26 @@
 
 // moveOut moves tasks that wait in vain to shards that have room and no waiting tasks of their own.
 func (c *Core) moveOut() {
-	if c.releasing || c.LogStalled() || len(c.rooms) == 0 || c.queue.len() == 0 {
+	if c.releasing || c.LogStalled() || len(c.rooms) == 0 || c.queue.Len() == 0 {
 		return
 	}
 	moves := 0
-	c.queue.each(maxExamined, func(t *task) (placed, more bool) {
-		if t.pending != "" || t.job.guest != nil || c.now.Sub(t.since) < t.patience() || c.now.Before(t.notBefore) {
-			return false, true
+	// The reserve for short work is this shard's own; it does not keep long work from going elsewhere.
+	c.queue.Each(c.now, queue.Load{Capacity: math.MaxInt32}, func(t *task, _ bool) queue.Verdict {
+		if moves == maxMovesOnce {
+			return queue.Enough
 		}
-		to, ok := c.shardWithRoom(t.size())
+		if t.pending != "" || t.job.guest != nil || c.now.Sub(t.since) < t.patience() {
+			return queue.Misfit
+		}
+		to, ok := c.shardWithRoom(t)
 		if !ok {
-			return false, true
+			return queue.Misfit
 		}
 		moves++
 		t.pending = journal.KindMove
 		c.record(t.job.Urgent, journal.Record{Kind: journal.KindMove, Task: t.id, Attempt: t.attempt, To: to})
-		return true, moves < maxMovesOnce
+		return queue.Placed
 	})
 }
 
@@ -73,10 +79,11 @@
 
 // shardWithRoom returns the shard with the most free processors among those that can take the size at once, and reduces
 // its room until the next news of it.
-func (c *Core) shardWithRoom(size oleanderline.Size) (oleanderline.ShardID, bool) {
+func (c *Core) shardWithRoom(t *task) (oleanderline.ShardID, bool) {
+	size := t.size()
 	best, found := oleanderline.ShardID(0), false
 	for id, room := range c.rooms {
-		if id == c.cfg.Shard || room.Waiting > 0 || !size.Fits(room.Largest) || !size.Fits(room.Free) {
+		if id == c.cfg.Shard || room.Waiting > 0 || !size.Fits(room.Largest) || !size.Fits(room.Free) || !c.quotas.Holds(t.job.Team, size, id) {
 			continue
 		}
 		better := room.Free.CPU > c.rooms[best].Free.CPU || (room.Free.CPU == c.rooms[best].Free.CPU && id < best)
@@ -99,7 +106,7 @@
 	}
 	t.state, t.to, t.movedAt, t.since = taskMoved, record.To, at.Offset, at.Time
 	t.pending = ""
-	c.queue.drop(t)
+	c.queue.Drop(t)
 	if c.owning {
 		c.away = append(c.away, t)
 	}
@@ -262,6 +269,6 @@
 			room.Largest = free
 		}
 	}
-	room.Waiting = c.queue.len()
+	room.Waiting = c.queue.Len()
 	return room, true
 }
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -38,6 +38,7 @@
 		c.renew(w)
 	case c.sendStop(w):
 	case c.sendStart(w):
+	case c.sendThrottle(w), c.sendUsage(w):
 	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.ghosts) > 0):
 		c.renew(w)
 	}
@@ -85,6 +86,7 @@
 // dismiss marks the tasks that must leave the worker, and frees those that were never sent to it.
 func (c *Core) dismiss(w *worker) {
 	draining := c.workers.draining(w)
+	lost := w.failures >= lostAfter || w.absent || !c.health.Accepts(w.id, 0, c.now)
 	for _, t := range w.tasks {
 		if t.pending != "" || t.ended {
 			continue
@@ -93,7 +95,6 @@
 		if leave {
 			t.stop = true
 		}
-		lost := w.failures >= lostAfter || w.absent
 		if (t.stop || lost) && c.neverRan(w, t) {
 			c.free(t, "not started", "")
 		}
@@ -179,6 +180,9 @@
 	if e.Sent && (call.Kind == CallRenew || call.Kind == CallStart) {
 		w.sentAt = c.now
 	}
+	if (call.Kind == CallUsage || call.Kind == CallThrottle) && (!e.Sent || failed(e.Err)) {
+		return // advisory: the next renewal shows whether the worker answers
+	}
 	if !e.Sent || failed(e.Err) {
 		c.startNotSent(w, call, e)
 		c.callFailed(w)
@@ -209,11 +213,15 @@
 		c.startAnswered(w, call.Start, e.Err)
 	case CallStop:
 		c.stopAnswered(w, call.Stop, e.Stop)
+	case CallUsage:
+		c.judgeUsage(w, e.Usage)
+	case CallThrottle:
+		c.throttled(w, call.Throttle)
 	}
 }
 
 func (call *Call) term() oleanderline.Term {
-	return max(call.Start.Term, call.Renew.Term, call.Stop.Term)
+	return max(call.Start.Term, call.Renew.Term, call.Stop.Term, call.Throttle.Term)
 }
 
 func failed(err error) bool {
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -19,11 +19,13 @@
 	if c.releasing || !c.readAt.After(w.failedAt) {
 		return false
 	}
+	overdue := false // a task that has waited too long goes next here
 	for _, t := range w.tasks {
 		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
 			continue
 		}
-		if !t.reserved && !t.size().Fits(w.free()) {
+		if !t.reserved && (overdue && !t.job.Urgent || !c.startable(w, t)) {
+			overdue = overdue || c.overdue(t)
 			continue
 		}
 		c.workers.reserve(t, w)
