--- a/pkg/shard/stream.go
+++ b/pkg/shard/stream.go
@@ -40,7 +40,7 @@
 		c.readTime = c.now.Add(readRetry)
 		return
 	}
-	if e.From != c.next {
+	if e.From != c.next || !c.tails() {
 		return
 	}
 	if e.Oldest > c.next && !c.skipGap(e.Oldest) {
@@ -135,6 +135,12 @@
 		c.applyCancel(record, at.Time)
 	case journal.KindKeep:
 		c.applyKeep(record, at.Time)
+	case journal.KindMove:
+		c.applyMove(record, at)
+	case journal.KindAccept:
+		c.applyAccept(record, at.Time)
+	case journal.KindSettle:
+		c.applySettle(record, at.Time)
 	case journal.KindClaim:
 	}
 }
