--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -104,7 +104,7 @@
 		if outcome.AttemptKey != t.key() || outcome.State != oleanderline.OutcomeDone {
 			continue
 		}
-		c.queue.drop(t)
+		c.queue.Drop(t)
 		t.pending = journal.KindDone
 		c.record(t.job.Urgent, journal.Record{Kind: journal.KindDone, Task: t.id, Attempt: t.attempt, Ran: outcome.Ran})
 		return
