Count late answers of a worker as out of reach in the schedules' check

Change: the check follows, for each process, when a worker last answered in time, and allows a repeated completion only if that is a lease ago. Nothing else is narrowed.

--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -97,6 +97,8 @@
 	blind    map[oleanderline.VMID]bool // members that it takes for dead
 	blindTo  time.Time
 	cutFrom  map[oleanderline.WorkerID]time.Time // workers that it cannot reach until then
+	heard    map[oleanderline.WorkerID]time.Time // when workers last answered it in time
+	answered map[oleanderline.WorkerID]uint64    // the newest call to each worker that has ended
 	cores    []*shard.Core
 	stashed  []func()
 	nextList time.Time
@@ -159,6 +161,7 @@
 }
 
 func (w *world) launch(p *process) {
+	p.heard, p.answered = map[oleanderline.WorkerID]time.Time{}, map[oleanderline.WorkerID]uint64{}
 	p.life++
 	p.alive, p.cores, p.stashed, p.nextList = true, nil, nil, w.clock.Now().Add(w.upTo(time.Second))
 	for id := range worldShards {
@@ -245,6 +248,22 @@
 	}
 }
 
+// noteCall extends the gap in which a process gets no answer from a worker. An answer that comes after the caller has given
+// up counts as none: in seed 520 an owner asks a worker for 16 s, each answer is too late, and it gives the attempt up.
+func (w *world) noteCall(p *process, done shard.CallDone) {
+	if !done.Sent || done.ID <= p.answered[done.Worker] {
+		return
+	}
+	p.answered[done.Worker] = done.ID
+	now := w.clock.Now()
+	_, known := p.heard[done.Worker]
+	if !known || done.Err == nil || errors.Is(done.Err, oleanderline.ErrFenced) {
+		p.heard[done.Worker] = now
+		return
+	}
+	w.gaps[done.Worker] = append(w.gaps[done.Worker], gap{begin: p.heard[done.Worker], end: now})
+}
+
 // outOfReach reports whether a worker was lost, or out of reach for a lease, between two moments.
 func (w *world) outOfReach(id oleanderline.WorkerID, from, to time.Time) bool {
 	return slices.ContainsFunc(w.gaps[id], func(g gap) bool {
@@ -351,6 +370,9 @@
 
 // feed passes an event to a core and carries out its actions, at once or when a pause that begins here is over.
 func (w *world) feed(p *process, id int, event shard.Event) {
+	if done, ok := event.(shard.CallDone); ok {
+		w.noteCall(p, done)
+	}
 	actions := p.cores[id].Step(event, w.clock.Now())
 	if len(actions) > 0 && !w.calm && w.rng.IntN(2000) == 0 {
 		p.pausedTo = w.clock.Now().Add(w.upTo(70 * time.Second))
