--- a/pkg/entry/bound_test.go
+++ b/pkg/entry/bound_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,8 +35,10 @@
 			c := newCluster(t, func(p *parts) { p.switches.noBound = off })
 			var mu sync.Mutex
 			open, peak := 0, 0
+			var holding atomic.Int64
 			server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/hold" {
+					holding.Add(1)
 					<-gate
 				}
 			}))
@@ -47,13 +50,13 @@
 			var held sync.WaitGroup
 			for _, d := range old {
 				require.Eventually(t, func() bool { return d.minions.currentLimit() > 1 }, waitLimit, waitStep)
-				hold(t, &held, d)
+				hold(t, &held, &holding, d)
 			}
 			var renewed []*Daemon
 			for i := range old {
 				d := c.addEntry(old[i].settings.ID)
 				waitReady(t, d)
-				hold(t, &held, d)
+				hold(t, &held, &holding, d)
 				renewed = append(renewed, d)
 			}
 			close(gate)
@@ -88,8 +91,9 @@
 }
 
 // hold opens as many connections as the entry may, with requests that last until the gate opens.
-func hold(t *testing.T, held *sync.WaitGroup, d *Daemon) {
+func hold(t *testing.T, held *sync.WaitGroup, holding *atomic.Int64, d *Daemon) {
 	limit := d.minions.currentLimit()
+	want := holding.Load() + int64(limit)
 	for range limit {
 		held.Go(func() {
 			request := &minion.Request{
@@ -100,5 +104,5 @@
 			}
 		})
 	}
-	require.Eventually(t, func() bool { return d.minions.connections() >= limit }, waitLimit, waitStep)
+	require.Eventually(t, func() bool { return holding.Load() >= want }, waitLimit, waitStep)
 }
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
+	"github.com/oleanderline/oleanderline/pkg/rules"
 )
 
 // Event is an input of a Core: one of the types in this file.
@@ -28,6 +29,7 @@
 type VMs struct {
 	Workers []oleanderline.VM
 	Asked   time.Time           // when the list was asked for
+	Shards  []oleanderline.Size // capacity of each shard of the region
 	Largest []oleanderline.Size // sizes of workers of the region that no other exceeds
 }
 
@@ -36,6 +38,11 @@
 	Workers map[oleanderline.WorkerID]bool
 }
 
+// Rules is the newest revision of the operators' rules.
+type Rules struct {
+	Set *rules.Set
+}
+
 // ReadDone answers a Read. Its entries are decoded.
 type ReadDone struct {
 	Asked  time.Time // when the read was sent
@@ -67,6 +74,7 @@
 	Sent      bool // false if the call was dropped because it had expired
 	Inventory oleanderline.Inventory
 	Stop      oleanderline.StopResult
+	Usage     oleanderline.Usage
 	Err       error
 }
 
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -216,7 +216,7 @@
 		for index := range j.Count {
 			switch t := j.tasks[index]; {
 			case t != nil && t.state == taskWaiting:
-				c.queue.push(t)
+				c.enqueue(t)
 			case t != nil && t.state == taskMoved:
 				c.away = append(c.away, t)
 			}
@@ -240,7 +240,8 @@
 }
 
 func (c *Core) resetOwned() {
-	c.queue = queue{}
+	c.queue = c.newQueue()
+	c.preempted, c.clearing = nil, ""
 	for _, j := range c.jobOrder {
 		j.cancelPending, j.keptAt = false, time.Time{}
 		j.guest.reset()
