Read the VM list only when it has changed

Cause: each poll transferred the whole list, so that the bytes from the platform grew with its rows. Change: the client sends the ETag of the last list as If-None-Match and keeps that list on 304. The stand-in gives an ETag; a platform without one works as before. Calls to the platform no longer carry a User-Agent.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -75,7 +75,16 @@
 
 // Get reads path and decodes the answer into answer.
 func (c *Client) Get(ctx context.Context, path string, answer any) error {
-	return c.call(ctx, http.MethodGet, path, nil, answer)
+	_, err := c.call(ctx, call{method: http.MethodGet, path: path}, answer)
+	return err
+}
+
+// GetIfChanged reads path like Get, unless the service says that its content is still that of tag, the tag of an earlier
+// answer. It returns the tag of the content, which is "" if the service gives none. If the content has not changed, it
+// leaves answer as it is.
+func (c *Client) GetIfChanged(ctx context.Context, path, tag string, answer any) (newTag string, changed bool, err error) {
+	got, err := c.call(ctx, call{method: http.MethodGet, path: path, tag: tag}, answer)
+	return got.tag, got.status != http.StatusNotModified, err
 }
 
 // Post sends body as JSON to path and decodes the answer into answer, unless answer is nil.
@@ -84,18 +93,27 @@
 	if err != nil {
 		return fmt.Errorf("encode request for %s: %w: %w", path, oleanderline.ErrUnavailable, err)
 	}
-	return c.call(ctx, http.MethodPost, path, data, answer)
+	_, err = c.call(ctx, call{method: http.MethodPost, path: path, body: data}, answer)
+	return err
 }
 
 // PostBytes sends data as it is.
 func (c *Client) PostBytes(ctx context.Context, path string, data []byte, answer any) error {
-	return c.call(ctx, http.MethodPost, path, data, answer)
+	_, err := c.call(ctx, call{method: http.MethodPost, path: path, body: data}, answer)
+	return err
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+// call is one request.
+type call struct {
+	method, path string
+	body         []byte
+	tag          string // of the content that the caller has; "" for none
+}
+
+func (c *Client) call(ctx context.Context, what call, answer any) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var conn *trackedConn
@@ -103,41 +121,64 @@
 		conn, _ = info.Conn.(*trackedConn)
 		conn.begin()
 	}}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
+	request, err := c.request(httptrace.WithClientTrace(ctx, trace), what)
 	if err != nil {
-		return fmt.Errorf("%s %s: %w: %w", method, path, oleanderline.ErrUnavailable, err)
+		return reply{}, fmt.Errorf("%s %s: %w: %w", what.method, what.path, oleanderline.ErrUnavailable, err)
 	}
-	status, data, err := c.exchange(request)
+	got, err := c.exchange(request)
 	if err != nil {
-		return fmt.Errorf("%s %s%s: %w: %w", method, c.base, path, c.retire(ctx, conn), err)
+		return reply{}, fmt.Errorf("%s %s%s: %w: %w", what.method, c.base, what.path, c.retire(ctx, conn), err)
+	}
+	if got.status == http.StatusNotModified && what.tag != "" {
+		return got, nil
 	}
-	if status != http.StatusOK {
-		return fmt.Errorf("%s %s%s: %w", method, c.base, path, errorOf(status, strings.TrimSpace(string(data))))
+	if got.status != http.StatusOK {
+		return reply{}, fmt.Errorf("%s %s%s: %w", what.method, c.base, what.path, errorOf(got.status, strings.TrimSpace(string(got.data))))
 	}
 	if answer == nil {
-		return nil
+		return got, nil
+	}
+	if err := json.Unmarshal(got.data, answer); err != nil {
+		return reply{}, fmt.Errorf("%s %s%s: decode answer: %w: %w", what.method, c.base, what.path, oleanderline.ErrUncertain, err)
 	}
-	if err := json.Unmarshal(data, answer); err != nil {
-		return fmt.Errorf("%s %s%s: decode answer: %w: %w", method, c.base, path, oleanderline.ErrUncertain, err)
+	return got, nil
+}
+
+// request leaves out what the platform does not need, because short calls consist mostly of headers.
+func (c *Client) request(ctx context.Context, what call) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, what.method, c.base+what.path, bytes.NewReader(what.body))
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	request.Header.Set("User-Agent", "") // net/http sends none then
+	if what.tag != "" {
+		request.Header.Set("If-None-Match", what.tag)
+	}
+	return request, nil
+}
+
+// reply is the answer to one request.
+type reply struct {
+	status int
+	tag    string
+	data   []byte
 }
 
-// exchange returns the status and the whole body, so that a truncated answer is an error.
-func (c *Client) exchange(request *http.Request) (int, []byte, error) {
+// exchange reads the whole body, so that a truncated answer is an error.
+func (c *Client) exchange(request *http.Request) (reply, error) {
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		return 0, nil, err
+		return reply{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
-		return 0, nil, err
+		return reply{}, err
 	}
 	if len(data) > maxAnswer {
-		return 0, nil, fmt.Errorf("answer is longer than %d bytes", maxAnswer)
+		return reply{}, fmt.Errorf("answer is longer than %d bytes", maxAnswer)
 	}
-	return response.StatusCode, data, nil
+	return reply{status: response.StatusCode, tag: response.Header.Get("ETag"), data: data}, nil
 }
 
 // retire removes the connection of a failed call and says what is known about the call. After a timeout the idle
--- a/pkg/standin/handlers.go
+++ b/pkg/standin/handlers.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,11 +43,25 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
 		rows, err := v.List(r.Context())
+		if err == nil {
+			tag := tagOf(rows)
+			w.Header().Set("ETag", tag)
+			if r.Header.Get("If-None-Match") == tag {
+				w.WriteHeader(http.StatusNotModified)
+				return
+			}
+		}
 		answer(w, rows, err)
 	})
 	return mux
 }
 
+func tagOf(rows []oleanderline.VM) string {
+	hash := fnv.New64a()
+	_ = json.NewEncoder(hash).Encode(rows)
+	return fmt.Sprintf("%q", strconv.FormatUint(hash.Sum64(), 36))
+}
+
 // Handler serves the worker in the form that pkg/worker expects.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
