Treat a key's home as lost from the moment it is silent

Cause: a peer stops being alive when the heartbeat timeout passes, but its loss was noted only by the next round of heartbeats. In between, up to one interval long, the new home decided about the dead home's keys as if nobody had had them, and a non-idempotent request could run twice. Change: silent members that are not yet expired count as dead.

--- a/pkg/entry/member_keys.go
+++ b/pkg/entry/member_keys.go
@@ -66,12 +66,21 @@
 }
 
 // lostHomeLocked reports whether a member that has died would be the key's home. A process that has taken the name of
-// the dead one does not have its keys.
+// the dead one does not have its keys. A silent member counts at once, because it is no longer alive from then on, and
+// expire notes its loss only with the next round of heartbeats.
 func (m *members) lostHomeLocked(key string, alive []oleanderline.VMID) bool {
-	if len(m.lost) == 0 {
+	dead := map[oleanderline.VMID]bool{}
+	for id := range m.lost {
+		dead[id] = true
+	}
+	for id := range m.peers {
+		if !slices.Contains(alive, id) {
+			dead[id] = true
+		}
+	}
+	if len(dead) == 0 {
 		return false
 	}
-	all := slices.Concat(alive, slices.Collect(maps.Keys(m.lost)))
-	_, lost := m.lost[member.Home(key, all)]
-	return lost
+	all := slices.Concat(alive, slices.Collect(maps.Keys(dead)))
+	return dead[member.Home(key, all)]
 }
--- a/pkg/entry/members_test.go
+++ b/pkg/entry/members_test.go
@@ -136,3 +136,22 @@
 		require.EqualError(t, bad.Validate(), sc.want)
 	}
 }
+
+// Guards against a second run between the moment at which a home counts as dead and the next round of heartbeats, which
+// notes its loss: until then the new home must not take the key for one that nobody had.
+func TestHomeIsLostAsSoonAsItIsSilent(t *testing.T) {
+	clock := common.NewVirtualClock(time.Unix(1000, 0))
+	m := newTestMembers(clock)
+	clock.Advance(time.Millisecond)
+	m.tick(clock.Now())
+	m.hear(peerBeat("own-2", 1, "10.0.0.2", 0), clock.Now())
+	m.hear(peerBeat("own-3", 1, "10.0.0.3", 0), clock.Now())
+	m.settle(clock.Now())
+	clock.Advance(testTimeout)
+	m.tick(clock.Now())
+	m.hear(peerBeat("own-2", 1, "10.0.0.2", testTimeout), clock.Now())
+	require.False(t, lostHome(m, clock.Now()))
+	clock.Advance(1)
+	require.True(t, m.keysReady(clock.Now()))
+	require.True(t, lostHome(m, clock.Now()))
+}
