Exchange one short heartbeat for each pair of own VMs

Cause: both sides of a pair called each other at each interval, with their whole state in every call and reply, so that the bytes to peers grew with the square of the own VMs. Change: the process with the lower id calls. The other one calls too when nothing has come for 1.25 intervals, for some time after a change of the members, after a pause, and when a round is asked for at once, so that a pair that can talk in one direction only stays in touch before the timeout. The entry replaces state that the receiver has confirmed by a version, and sends only the sequence number of the statement and the one heard from the receiver. A short beat is restored to the full one before anything else sees it; one that cannot be restored is ignored, and the exchange is repeated in full. The schedulers take turns too; their heartbeats stay full. The number of pairs still grows with the square.

--- a/pkg/entry/beat.go
+++ b/pkg/entry/beat.go
@@ -18,6 +18,13 @@
 	Counted   []string      // hosts of the own VMs for which its connections to minions are within the bound
 	Lost      []Loss
 	Statement slots.Statement
+
+	Version   uint64 // of the sender's state; zero: not to be confirmed
+	Confirmed uint64 // version of the receiver's state that the sender holds
+	// Short means that the state of Version replaces all of the above but Member.ID.
+	Short bool
+	Seq   uint64 // of a short beat's statement, counted from Version
+	Heard uint64 // newest sequence number heard from the receiver, counted from Confirmed
 }
 
 // Loss is the end of an entry that did not hand over its idempotency keys.
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -132,6 +132,8 @@
 		switches:   d.parts.switches,
 		asking:     map[string]bool{},
 		now:        make(chan struct{}, 1),
+		codec:      newBeatCodec(self.ID),
+		turns:      member.NewTurns(self.ID, s.Heartbeat, 2*s.heartbeatTimeout()+d.parts.core.Slots.Drain),
 	}
 	d.poller = newVMPoller(d.common, d.parts.vmList, s.VMListPoll)
 	d.poller.minions, d.poller.members, d.poller.dispatcher = d.minions, d.members, d.dispatcher
--- a/pkg/entry/member_bound.go
+++ b/pkg/entry/member_bound.go
@@ -44,7 +44,7 @@
 	if !m.known {
 		m.known = m.countedByAllLocked(now)
 	}
-	return connectionBound(len(counted), m.known), slices.Collect(maps.Keys(counted))
+	return connectionBound(len(counted), m.known), slices.Sorted(maps.Keys(counted))
 }
 
 // countedByAllLocked reports whether every alive entry has few enough connections to leave this one its part. An old VM
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// isSettled reports whether every listed own VM was asked since the start or the last pause.
+func (m *members) isSettled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.settled
+}
+
 // setListed replaces the own VMs of the VM list.
 func (m *members) setListed(rows []oleanderline.VM) {
 	m.mu.Lock()
--- a/pkg/entry/membership.go
+++ b/pkg/entry/membership.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/dispatch"
 	"github.com/oleanderline/oleanderline/pkg/idempotency"
+	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/slots"
 )
 
@@ -26,6 +27,8 @@
 	port       string
 	joinDelay  time.Duration
 	switches   switches
+	codec      *beatCodec
+	turns      *member.Turns
 
 	mu      sync.Mutex
 	serving []oleanderline.VMID
@@ -35,31 +38,40 @@
 }
 
 func (m *membership) run(ctx context.Context) {
+	everyone := true
 	for ctx.Err() == nil {
-		m.round(ctx)
+		m.round(ctx, everyone)
+		everyone = false
 		timer := m.common.Clock.NewTimer(m.interval)
 		select {
 		case <-ctx.Done():
 		case <-m.now:
+			everyone = true
 		case <-timer.C():
 		}
 		timer.Stop()
 	}
 }
 
-// round sends one heartbeat to every target. It does not wait for the replies: a silent target is skipped until its call
+// round sends one heartbeat to every target, but for those whose turn it is to call unless everyone is set. It does not wait for the replies: a silent target is skipped until its call
 // has ended, so that at most one call to each target is open.
-func (m *membership) round(ctx context.Context) {
+func (m *membership) round(ctx context.Context, everyone bool) {
 	now := m.common.Clock.Now()
 	if m.members.tick(now) {
+		m.codec.reset()
 		m.common.Event(common.EventPaused).Warn("process stood still for longer than the heartbeat timeout")
 	}
 	targets := m.members.targets(m.port, now)
 	m.peers.keepOnly(targets)
+	m.codec.keepOnly(targets)
+	everyone = everyone || !m.members.isSettled()
 	beat := m.beat()
 	var calls sync.WaitGroup
 	skipped := false
 	for _, target := range targets {
+		if !everyone && m.turns.Theirs(target, now) {
+			continue
+		}
 		if !m.begin(target) {
 			skipped = true
 			continue
@@ -96,12 +108,32 @@
 	delete(m.asking, target)
 }
 
+// exchangeTries bounds the calls of one exchange: the first may show that the peer does not hold the own state, and the
+// second that this entry no longer holds the peer's.
+const exchangeTries = 3
+
+// exchange sends a heartbeat, and sends it again if one of the two sides cannot restore what a short one names.
 func (m *membership) exchange(ctx context.Context, target string, beat Beat) {
-	var reply Beat
-	if err := m.peers.at(target).Call(ctx, "Entry.Heartbeat", beat, &reply); err != nil {
-		return
+	for range exchangeTries {
+		sent := m.codec.forTarget(beat, target)
+		var reply Beat
+		if err := m.peers.at(target).Call(ctx, "Entry.Heartbeat", sent, &reply); err != nil {
+			return
+		}
+		confirmed := m.codec.replied(target, sent, &reply)
+		_, heard := m.heard(reply)
+		if heard && (confirmed || !sent.Short) {
+			return
+		}
 	}
-	m.heard(reply)
+}
+
+// answer takes in the heartbeat of a caller and returns the reply.
+func (m *membership) answer(beat Beat) Beat {
+	if full, ok := m.heard(beat); ok {
+		m.turns.Note(full.Member, m.common.Clock.Now())
+	}
+	return m.codec.forCaller(m.beat(), beat)
 }
 
 // beat returns this entry's heartbeat.
@@ -111,18 +143,23 @@
 		statement = core.Statement(now)
 		return actions
 	})
-	b := m.members.beat(m.common.Clock.Now())
+	now := m.common.Clock.Now()
+	b := m.members.beat(now)
 	b.Statement = statement
+	m.codec.stamp(&b, now)
 	return b
 }
 
-// heard takes in a peer's heartbeat.
-func (m *membership) heard(b Beat) {
+// heard takes in a peer's heartbeat and returns it in full. It is false for one that cannot be restored.
+func (m *membership) heard(received Beat) (b Beat, ok bool) {
 	now := m.common.Clock.Now()
+	if b, ok = m.codec.decode(received, now); !ok {
+		return Beat{}, false
+	}
 	if b.Left {
 		m.members.left(b.Member)
 		m.apply()
-		return
+		return b, true
 	}
 	joined, replaced := m.members.hear(b, now)
 	if replaced != nil {
@@ -136,6 +173,7 @@
 		m.common.Event(common.EventPeerJoined).WithField("peer", string(b.Member.ID)).Info("peer joined")
 		m.hurry()
 	}
+	return b, true
 }
 
 // hurry asks for a round at once, so that a change is known everywhere before the next interval.
@@ -148,6 +186,7 @@
 
 func (m *membership) expire(now time.Time) {
 	for _, gone := range m.members.expire(now) {
+		m.codec.forget(gone.ID)
 		m.common.Event(common.EventPeerLost).WithField("peer", string(gone.ID)).Warn("peer missed its heartbeats")
 		m.common.Event(common.EventKeysLost).WithField("peer", string(gone.ID)).Warn("retries of keys that the lost peer kept are answered 409")
 		m.home.executorLost(idempotency.Executor{ID: gone.ID, Incarnation: gone.Incarnation})
@@ -173,6 +212,7 @@
 		return
 	}
 	m.serving, m.applied = serving, true
+	m.turns.Disturb(now)
 	self := m.members.self()
 	m.dispatcher.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
 		return core.SetMembers(self, serving, now, actions)
--- a/pkg/entry/peer_service.go
+++ b/pkg/entry/peer_service.go
@@ -16,8 +16,7 @@
 
 // Heartbeat exchanges heartbeats.
 func (s *peerService) Heartbeat(args Beat, reply *Beat) error {
-	s.daemon.membership.heard(args)
-	*reply = s.daemon.membership.beat()
+	*reply = s.daemon.membership.answer(args)
 	return nil
 }
 
--- a/pkg/sched/peer_service.go
+++ b/pkg/sched/peer_service.go
@@ -53,6 +53,7 @@
 // Heartbeat takes the caller's state and returns the own one.
 func (p *peerService) Heartbeat(caller Beat, reply *Beat) error {
 	p.daemon.roster.heard(caller)
+	p.daemon.roster.turns.Note(caller.Member, p.daemon.common.Clock.Now())
 	*reply = p.daemon.roster.me()
 	return nil
 }
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -24,7 +24,8 @@
 	mu      sync.Mutex
 	view    *member.View
 	clients map[string]*peer.Client // by address
-	asking  map[string]bool         // a heartbeat is on its way to this address
+	turns   *member.Turns
+	asking  map[string]bool // a heartbeat is on its way to this address
 	rooms   map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room
 }
 
@@ -34,12 +35,13 @@
 		self:    self,
 		view:    member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
 		clients: map[string]*peer.Client{},
+		turns:   member.NewTurns(self.ID, d.settings.Heartbeat, 0),
 		asking:  map[string]bool{},
 		rooms:   map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room{},
 	}
 }
 
-// beat sends a heartbeat to every own VM of the region and passes the members to the shards.
+// beat sends a heartbeat to every own VM of the region whose turn it is not, and passes the members to the shards.
 func (r *roster) beat() {
 	d := r.daemon
 	rooms := d.collectRooms()
@@ -48,7 +50,9 @@
 	r.mu.Unlock()
 	for _, vm := range d.workers.get() {
 		if vm.Role == oleanderline.RoleOwn && vm.ID != r.self.ID {
-			r.greet(d.settings.peerAddress(vm.Address))
+			if address := d.settings.peerAddress(vm.Address); !r.turns.Theirs(address, d.common.Clock.Now()) {
+				r.greet(address)
+			}
 		}
 	}
 	r.mu.Lock()
--- a/pkg/slots/statement.go
+++ b/pkg/slots/statement.go
@@ -21,6 +21,7 @@
 			statement.Left = append(statement.Left, id)
 		}
 	}
+	slices.Sort(statement.Left) // so that equal statements are recognized
 	for _, m := range t.order {
 		for i := range m.slots {
 			s := &m.slots[i]
