Leave the name of the method out of replies to peers

Cause: gob sends names of fields once for each connection, and connections are kept, but net/rpc repeats the name of the method in every request and every reply. A heartbeat's name takes 17 of about 25 bytes of the reply's header. Change: the server has its own codec, which writes replies without the name. The client of net/rpc matches replies by number and reads them as before. Requests keep the name, because the server of net/rpc needs it.

--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -111,7 +111,7 @@
 	}
 	s.track(conn, true)
 	defer s.track(conn, false)
-	s.rpc.ServeConn(common.CountBytes(conn, s.common.PeerBytes()))
+	s.rpc.ServeCodec(newServerCodec(common.CountBytes(conn, s.common.PeerBytes())))
 }
 
 func (s *Server) track(conn net.Conn, add bool) {
