Make the actor system only in daemons that use it

Cause: the registry of protoactor-go has 1,024 maps and takes 5 MB of heap; a heap profile of an idle entry showed it as 44% of what the process holds. The entry has no actors. Change: common.Common makes the actor system on first use. The tests of pkg/duty only call the method that replaces the field.

--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
@@ -18,7 +19,8 @@
 	Log     *logrus.Entry
 	Clock   oleanderline.Clock
 	Metrics *metrics.Set
-	Actors  *actor.ActorSystem
+
+	actors func() *actor.ActorSystem
 }
 
 // Option changes a Common while it is built.
@@ -45,12 +47,18 @@
 		option(c)
 	}
 	c.Log = c.Log.WithField("daemon", name)
-	c.Actors = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(newSlogHandler(c.Log))
-	}))
+	c.actors = sync.OnceValue(func() *actor.ActorSystem {
+		return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+			return slog.New(newSlogHandler(c.Log))
+		}))
+	})
 	return c
 }
 
+// Actors returns the actor system. It is made on first use, because its registry takes 5 MB, which a daemon without
+// actors does not need.
+func (c *Common) Actors() *actor.ActorSystem { return c.actors() }
+
 // NewLogger returns a logger that writes one JSON object a line.
 func NewLogger(out io.Writer, level logrus.Level) *logrus.Logger {
 	logger := logrus.New()
--- a/pkg/duty/duty_test.go
+++ b/pkg/duty/duty_test.go
@@ -16,7 +16,7 @@
 	const limit = 8
 	release := make(chan struct{})
 	var got []int
-	d := New(c.Actors, limit, func(message any) {
+	d := New(c.Actors(), limit, func(message any) {
 		<-release
 		got = append(got, message.(int))
 	})
@@ -38,7 +38,7 @@
 func TestPostAfterPanic(t *testing.T) {
 	c := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.InfoLevel)))
 	handled := make(chan int, 2)
-	d := New(c.Actors, 1, func(message any) {
+	d := New(c.Actors(), 1, func(message any) {
 		if message.(int) == 0 {
 			panic("message 0")
 		}
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -60,10 +60,10 @@
 		callers: map[shard.Token]chan shard.Answer{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.main = duty.New(d.common.Actors, shardMailbox, s.handle)
-	s.appends = duty.New(d.common.Actors, ioMailbox, s.append)
-	s.reads = duty.New(d.common.Actors, ioMailbox, s.read)
-	s.links = duty.New(d.common.Actors, linkMailbox, s.link)
+	s.main = duty.New(d.common.Actors(), shardMailbox, s.handle)
+	s.appends = duty.New(d.common.Actors(), ioMailbox, s.append)
+	s.reads = duty.New(d.common.Actors(), ioMailbox, s.read)
+	s.links = duty.New(d.common.Actors(), linkMailbox, s.link)
 	return s
 }
 
--- a/pkg/sched/worker_duty.go
+++ b/pkg/sched/worker_duty.go
@@ -21,7 +21,7 @@
 
 func newWorkerDuty(s *shardDuty, id oleanderline.WorkerID) *workerDuty {
 	w := &workerDuty{shard: s, id: id}
-	w.duty = duty.New(s.common.Actors, ioMailbox, w.handle)
+	w.duty = duty.New(s.common.Actors(), ioMailbox, w.handle)
 	return w
 }
 
