Tick less often while nothing is due

Cause: an idle entry looked at all services, minions and slots every 10 ms, and each shard of an idle scheduler at all its state every 20 ms. A shard in which no caller, record or task waits gets every fifth tick.

--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -18,6 +18,7 @@
 	clock oleanderline.Clock
 	// probe is called with the mutex held; it must not block.
 	probe func(oleanderline.MinionID)
+	wake  chan struct{} // has a value when the core is no longer idle
 
 	mu      sync.Mutex
 	core    *dispatch.Core
@@ -25,6 +26,7 @@
 	last    dispatch.RequestID
 	actions []dispatch.Action
 	refused map[dispatch.Reason]*metrics.Counter
+	resting bool // the core was idle at the last tick
 }
 
 // ticket stands for one request that waits for a decision.
@@ -43,6 +45,7 @@
 	return &dispatcher{
 		clock:   c.Clock,
 		probe:   probe,
+		wake:    make(chan struct{}, 1),
 		core:    core,
 		tickets: map[dispatch.RequestID]*ticket{},
 		refused: refusalCounters(c.Metrics),
@@ -92,6 +95,29 @@
 		}
 		t.decision <- next
 	}
+	d.wakeLocked()
+}
+
+// rest returns how long the next tick may wait, unless wake gets a value.
+func (d *dispatcher) rest() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.resting = d.core.Idle()
+	if d.resting {
+		return dispatch.IdleTick
+	}
+	return tickInterval
+}
+
+func (d *dispatcher) wakeLocked() {
+	if !d.resting || d.core.Idle() {
+		return
+	}
+	d.resting = false
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 // arrive passes a new request to the core. The request's id is set.
--- a/pkg/entry/loans.go
+++ b/pkg/entry/loans.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// tickInterval is how often the core sees the time pass.
+	// tickInterval is how often the core sees the time pass while it is not idle.
 	tickInterval = 10 * time.Millisecond
 	loanQueue    = 256
 	loanWorkers  = 8
@@ -39,10 +39,11 @@
 	}
 	for ctx.Err() == nil {
 		l.tick()
-		timer := l.common.Clock.NewTimer(tickInterval)
+		timer := l.common.Clock.NewTimer(l.dispatcher.rest())
 		select {
 		case <-ctx.Done():
 		case <-timer.C():
+		case <-l.dispatcher.wake:
 		}
 		timer.Stop()
 	}
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -43,6 +43,9 @@
 // NewWriter returns a writer for one incarnation of a process and one stream.
 func NewWriter(id oleanderline.WriterID) *Writer { return &Writer{id: id} }
 
+// Idle reports whether no record waits or is on its way.
+func (w *Writer) Idle() bool { return len(w.queue) == 0 && w.inflight == nil }
+
 // Add queues records for the next group.
 func (w *Writer) Add(now time.Time, urgent bool, records ...Record) {
 	if len(records) == 0 {
--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -28,6 +28,7 @@
 // Times of the daemon's loops.
 const (
 	tickInterval  = 20 * time.Millisecond
+	quietTicks    = 5 // a shard in which nothing waits gets every fifth tick
 	drainInterval = 250 * time.Millisecond
 	leavePoll     = 20 * time.Millisecond
 	// headerTimeout bounds how long a caller's connection may take to send the header of a request.
@@ -54,6 +55,7 @@
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
 	stopping atomic.Bool
+	ticks    int // used only by the loop of ticks
 }
 
 // New returns a daemon that does nothing until Start.
@@ -210,8 +212,11 @@
 }
 
 func (d *Daemon) tick() {
-	for _, s := range d.shards {
-		s.main.Post(shard.Tick{})
+	d.ticks++
+	for i, s := range d.shards {
+		if !s.quiet.Load() || (d.ticks+i)%quietTicks == 0 {
+			s.main.Post(shard.Tick{})
+		}
 	}
 }
 
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -42,6 +43,8 @@
 	reads   *duty.Duty
 	links   *duty.Duty
 
+	quiet atomic.Bool // after the last event
+
 	// Used only by the main duty.
 	core    *shard.Core
 	calls   map[oleanderline.WorkerID]*workerDuty
@@ -93,6 +96,7 @@
 	for _, action := range s.core.Step(event, s.common.Clock.Now()) {
 		s.carryOut(action)
 	}
+	s.quiet.Store(s.core.Quiet())
 	s.observe()
 }
 
--- a/pkg/slots/table.go
+++ b/pkg/slots/table.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// Idle reports whether nothing in the table depends on the passing of time.
+func (t *Table) Idle() bool {
+	if t.pending > 0 {
+		return false
+	}
+	for _, p := range t.peers {
+		if !p.lost.IsZero() {
+			return false
+		}
+	}
+	for _, m := range t.order {
+		for i := range m.slots {
+			if m.slots[i].borrower != "" || m.slots[i].lender != "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
