--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -13,12 +13,15 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/logservice"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/operator"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/placement"
 	"github.com/oleanderline/oleanderline/pkg/platform"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/rules"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/vmlist"
@@ -73,7 +76,7 @@
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.roster = newRoster(d, member.Member{
-		ID: settings.vmID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
+		ID: settings.VMID(), Domain: oleanderline.DomainID(settings.Domain), Address: settings.PeerListen,
 		Incarnation: c.Clock.Now().UnixNano(),
 	})
 	d.rules = rules.NewFollower(c, d.log, rules.WithPeers(d.roster.askRules),
@@ -222,11 +225,14 @@
 
 func (d *Daemon) coreConfig(id oleanderline.ShardID) shard.Config {
 	return shard.Config{
-		Self:    d.settings.vmID(),
+		Self:    d.settings.VMID(),
 		Address: d.settings.PeerListen,
 		Writer:  oleanderline.WriterID(fmt.Sprintf("%s/%x/%x", d.settings.ID, d.roster.self.Incarnation, rand.Uint32())),
 		Shard:   id,
 		Chooser: placement.BestFit{},
+		Queue:   queue.DefaultSettings(),
+		Health:  health.DefaultSettings(),
+		Guard:   interference.DefaultSettings(),
 		Limits:  d.settings.limits(),
 	}
 }
--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 )
 
@@ -30,10 +31,10 @@
 }
 
 func (c *Core) addTask(j *job, index int, at time.Time) *task {
-	t := &task{job: j, id: taskID(j.ID, index), index: index, since: at, keptAt: at}
+	t := &task{job: j, id: taskID(j.ID, index), index: index, since: at, entered: at, keptAt: at}
 	j.tasks[index] = t
 	if c.owning {
-		c.queue.push(t)
+		c.enqueue(t)
 	}
 	return t
 }
@@ -54,16 +55,20 @@
 	if t == nil {
 		return
 	}
-	moved := t.state == taskMoved
+	moved, ranOn := t.state == taskMoved, t.worker
 	t.attempt = record.Attempt
 	c.workers.release(t)
 	if record.Checkpoint != "" {
 		t.checkpoint = record.Checkpoint
 	}
 	t.job.reason = record.Reason
+	if t.running {
+		t.ran += at.Sub(t.since)
+	}
 	t.state, t.worker, t.since = taskWaiting, "", at
 	if record.Kind == journal.KindFail {
 		t.failures++
+		c.failedOn(t, ranOn, at)
 	}
 	t.owned = owned{}
 	switch {
@@ -75,7 +80,8 @@
 		c.remove(t, journal.Record{Kind: journal.KindFree, Attempt: t.attempt}, at)
 	case c.owning:
 		t.notBefore = c.now.Add(backoff(t.failures))
-		c.queue.pushFront(t)
+		c.enqueue(t)
+		c.finishLate(c.workers.byID[ranOn], t)
 	}
 	if c.owning {
 		c.counters.Freed++
@@ -84,17 +90,33 @@
 
 func (c *Core) applyDone(record journal.Record, at time.Time) {
 	t := c.current(record)
+	if t == nil {
+		t = c.freed(record)
+	}
 	if t == nil {
 		return
 	}
+	if t.worker != "" {
+		c.health.Done(t.worker, t.job.ID, at)
+	}
 	c.workers.release(t)
 	t.job.counts.Done++
+	c.classes.Done(t.job.class(), record.Ran+t.ran)
+	c.queue.Learned(t.job.class())
 	if c.owning {
 		c.counters.Done++
 	}
 	c.remove(t, record, at)
 }
 
+// failedOn enters the evidence of a failure, unless the task ran in another shard.
+func (c *Core) failedOn(t *task, id oleanderline.WorkerID, at time.Time) {
+	if id != "" {
+		t.failedOn = append(t.failedOn, id)
+		c.health.Failed(id, t.job.ID, at)
+	}
+}
+
 // current returns the task if the record is about its assigned attempt, or about its end in another shard.
 func (c *Core) current(record journal.Record) *task {
 	t := c.find(record.Task)
@@ -108,6 +130,16 @@
 	}
 }
 
+// freed returns the task if the record is about its last attempt, which was given up before its outcome was known, and no
+// further attempt was assigned.
+func (c *Core) freed(record journal.Record) *task {
+	t := c.find(record.Task)
+	if t == nil || t.state != taskWaiting || record.Attempt != t.attempt {
+		return nil
+	}
+	return t
+}
+
 func (c *Core) applyCancel(record journal.Record, at time.Time) {
 	for _, id := range record.Jobs {
 		j := c.jobs[id]
@@ -136,7 +168,7 @@
 // remove forgets a finished task. The end of a task of another shard is remembered until that shard has recorded it.
 func (c *Core) remove(t *task, end journal.Record, at time.Time) {
 	delete(t.job.tasks, t.index)
-	c.queue.drop(t)
+	c.queue.Drop(t)
 	if t.job.guest != nil {
 		t.job.guest.ends[t.index] = &guestEnd{
 			End:    End{Task: t.id, Attempt: t.attempt, At: t.movedAt, Kind: end.Kind, Reason: end.Reason, Ran: end.Ran},
@@ -179,10 +211,10 @@
 	switch {
 	case kept.Moved:
 		t.state, t.to = taskMoved, kept.To
-		c.queue.drop(t)
+		c.queue.Drop(t)
 	case kept.Worker != "":
 		t.state, t.worker = taskAssigned, kept.Worker
-		c.queue.drop(t)
+		c.queue.Drop(t)
 		c.workers.assign(t)
 	}
 }
@@ -198,6 +230,7 @@
 func (c *Core) forgetFinished() {
 	for len(c.jobOrder) > 0 && c.forgettable(c.jobOrder[0]) {
 		delete(c.jobs, c.jobOrder[0].ID)
+		c.health.Forget(c.jobOrder[0].ID)
 		c.jobOrder = c.jobOrder[1:]
 	}
 	if c.now.Sub(c.sweptAt) < c.cfg.Limits.Keep/4 {
@@ -208,6 +241,7 @@
 	for _, j := range c.jobOrder {
 		if c.forgettable(j) {
 			delete(c.jobs, j.ID)
+			c.health.Forget(j.ID)
 			continue
 		}
 		kept = append(kept, j)
--- a/pkg/shard/config.go
+++ b/pkg/shard/config.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 )
 
 // Config is what a Core needs to know about its process and its bounds.
@@ -23,6 +26,9 @@
 	Shard   oleanderline.ShardID
 	Chooser placement.Chooser
 	Limits  Limits
+	Queue   queue.Settings
+	Health  health.Settings
+	Guard   interference.Settings
 	Without Without
 }
 
@@ -58,11 +64,16 @@
 
 // Without switches safety mechanisms off. It is used only in tests, which show that the checks notice.
 type Without struct {
-	Journal   journal.Checks
-	ReadBack  bool // acts on an assignment before it is read back
-	LeaseWait bool // treats the lease at an unreachable worker as expired at once
-	Inventory bool // places before the workers' inventories are known
-	SelfFence bool // acts after a pause or past the outage horizon without reading the stream
+	Journal    journal.Checks
+	ReadBack   bool // acts on an assignment before it is read back
+	LeaseWait  bool // treats the lease at an unreachable worker as expired at once
+	Inventory  bool // places before the workers' inventories are known
+	Preempt    bool // never stops a task for an urgent one
+	Clear      bool // keeps no worker free for a large task that has waited too long
+	Quarantine bool // goes on using workers that fail everything
+	Quotas     bool // lets teams exceed their quotas
+	Holds      bool // lets batch work use what operators hold
+	SelfFence  bool // acts after a pause or past the outage horizon without reading the stream
 }
 
 // ForKey returns the shard that owns the job with this idempotency key.
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -38,6 +38,7 @@
 		c.renew(w)
 	case c.sendStop(w):
 	case c.sendStart(w):
+	case c.sendThrottle(w), c.sendUsage(w):
 	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.ghosts) > 0):
 		c.renew(w)
 	}
@@ -66,7 +67,11 @@
 
 // settled reports whether the stream no longer needs the outcome of an attempt.
 func (c *Core) settled(w *worker, key oleanderline.AttemptKey) bool {
-	return c.assignedTo(w, key) == nil
+	if c.assignedTo(w, key) != nil {
+		return false
+	}
+	t := c.find(key.Task)
+	return t == nil || t.pending != journal.KindDone || t.attempt != key.Attempt
 }
 
 // assignedTo returns the task if this attempt is assigned to the worker.
@@ -81,6 +86,7 @@
 // dismiss marks the tasks that must leave the worker, and frees those that were never sent to it.
 func (c *Core) dismiss(w *worker) {
 	draining := c.workers.draining(w)
+	lost := w.failures >= lostAfter || w.absent || !c.health.Accepts(w.id, 0, c.now)
 	for _, t := range w.tasks {
 		if t.pending != "" || t.ended {
 			continue
@@ -89,7 +95,6 @@
 		if leave {
 			t.stop = true
 		}
-		lost := w.failures >= lostAfter || w.absent
 		if (t.stop || lost) && c.neverRan(w, t) {
 			c.free(t, "not started", "")
 		}
@@ -132,14 +137,6 @@
 	}
 }
 
-// startMayArrive reports whether a start without an answer may still take effect. A frozen VM handles the requests that
-// it received before as soon as it goes on, so the wait for such a start is as long as after a change of the owner.
-func (c *Core) startMayArrive(w *worker, t *task) bool {
-	unanswered := t.sent && !t.running && !w.absent && !c.cfg.Without.LeaseWait
-	limits := c.cfg.Limits
-	return unanswered && c.now.Sub(w.sentAt) <= limits.Horizon+limits.Lease+limits.Margin
-}
-
 // free queues the record that an attempt does not run any more.
 func (c *Core) free(t *task, reason, checkpoint string) {
 	c.workers.unreserve(t)
@@ -169,33 +166,6 @@
 	return false
 }
 
-func (c *Core) sendStart(w *worker) bool {
-	// A worker that failed a call may have lost its memory of newer terms, so this owner must first see that there is none.
-	if c.releasing || !c.readAt.After(w.failedAt) {
-		return false
-	}
-	for _, t := range w.tasks {
-		if t.sent || t.running || t.ended || t.stop || t.pending != "" {
-			continue
-		}
-		if !t.reserved && !t.size().Fits(w.free()) {
-			continue
-		}
-		c.workers.reserve(t, w)
-		t.sent = true
-		c.send(w, Call{Kind: CallStart, Start: c.startRequest(t)})
-		return true
-	}
-	return false
-}
-
-func (c *Core) startRequest(t *task) oleanderline.StartRequest {
-	return oleanderline.StartRequest{
-		Shard: c.cfg.Shard, Term: c.term, Task: t.id, Attempt: t.attempt, Kind: t.job.Kind, Class: t.job.Class,
-		Command: t.job.Command, Size: t.size(), Lease: c.cfg.Limits.Lease, Checkpoint: t.checkpoint,
-	}
-}
-
 // callDone handles the answer of a worker.
 func (c *Core) callDone(e CallDone) {
 	w := c.workers.byID[e.Worker]
@@ -210,6 +180,9 @@
 	if e.Sent && (call.Kind == CallRenew || call.Kind == CallStart) {
 		w.sentAt = c.now
 	}
+	if (call.Kind == CallUsage || call.Kind == CallThrottle) && (!e.Sent || failed(e.Err)) {
+		return // advisory: the next renewal shows whether the worker answers
+	}
 	if !e.Sent || failed(e.Err) {
 		c.startNotSent(w, call, e)
 		c.callFailed(w)
@@ -228,6 +201,10 @@
 	switch call.Kind {
 	case CallInventory:
 		w.renewedAt = time.Time{} // renew at once
+		// Only the outcomes count, because they do not change any more: what runs may change before the renewal that
+		// fences earlier owners.
+		w.outcomes = e.Inventory.Outcomes
+		c.takeOutcomes(w)
 	case CallRenew:
 		first := !w.fenced
 		w.fenced, w.renewedAt = true, c.now
@@ -236,51 +213,27 @@
 		c.startAnswered(w, call.Start, e.Err)
 	case CallStop:
 		c.stopAnswered(w, call.Stop, e.Stop)
+	case CallUsage:
+		c.judgeUsage(w, e.Usage)
+	case CallThrottle:
+		c.throttled(w, call.Throttle)
 	}
 }
 
 func (call *Call) term() oleanderline.Term {
-	return max(call.Start.Term, call.Renew.Term, call.Stop.Term)
+	return max(call.Start.Term, call.Renew.Term, call.Stop.Term, call.Throttle.Term)
 }
 
 func failed(err error) bool {
 	return err != nil && !errors.Is(err, oleanderline.ErrFenced) && !errors.Is(err, oleanderline.ErrCapacity)
 }
 
-// startNotSent takes back that a start was sent if it is proved to have had no effect.
-func (c *Core) startNotSent(w *worker, call Call, e CallDone) {
-	if call.Kind != CallStart || (e.Sent && !errors.Is(e.Err, oleanderline.ErrUnavailable)) {
-		return
-	}
-	if t := c.assignedTo(w, oleanderline.AttemptKey{Task: call.Start.Task, Attempt: call.Start.Attempt}); t != nil {
-		t.sent = false
-	}
-}
-
 func (c *Core) callFailed(w *worker) {
 	w.failures++
 	w.failedAt = c.now
 	w.retryAt = c.now.Add(min(callRetryFirst<<min(w.failures-1, 8), callRetryMost))
 }
 
-func (c *Core) startAnswered(w *worker, request oleanderline.StartRequest, err error) {
-	t := c.assignedTo(w, oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt})
-	if t == nil {
-		return
-	}
-	if err == nil {
-		t.running = true
-		c.counters.Starts++
-		return
-	}
-	// Either a newer owner exists, which the next read shows, or the attempt was stopped before. A confirmed stop
-	// settles the second case.
-	t.stop = true
-	if errors.Is(err, oleanderline.ErrFenced) {
-		c.suspect(c.now)
-	}
-}
-
 func (c *Core) stopAnswered(w *worker, request oleanderline.StopRequest, result oleanderline.StopResult) {
 	key := oleanderline.AttemptKey{Task: request.Task, Attempt: request.Attempt}
 	t := c.assignedTo(w, key)
--- a/pkg/shard/quiet.go
+++ b/pkg/shard/quiet.go
@@ -5,6 +5,6 @@
 func (c *Core) Quiet() bool {
 	ownership := !c.leaving && !c.claiming && !c.releasing && c.suspectSince.IsZero()
 	callers := len(c.waiters.submitOrder) == 0 && len(c.waiters.cancelOrder) == 0
-	tasks := c.queue.len() == 0 && len(c.away) == 0 && len(c.messages) == 0 && len(c.accepting) == 0
+	tasks := c.queue.Len() == 0 && len(c.preempted) == 0 && len(c.away) == 0 && len(c.messages) == 0 && len(c.accepting) == 0
 	return ownership && callers && tasks && !c.readSoon && c.writer.Idle()
 }
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 )
 
 // worker is what the core knows about one worker of the shard. The tasks come from the stream; the rest is reset when
@@ -38,6 +39,10 @@
 	incoming  []*task // assigned by records that are not yet read back
 	ghosts    []ghost // leases that the stream does not know
 	outcomes  []oleanderline.Outcome
+	usageAt   time.Time // when the newest usage report was asked for
+	learnedAt time.Time // of the newest report that was learned from
+	guard     *interference.Guard
+	claimedTo time.Time // until then an urgent task goes before the tasks that wait here
 }
 
 // ghost is an attempt that runs although it is not assigned to the worker any more.
@@ -176,6 +181,17 @@
 	}
 }
 
+// listed returns the number of workers in the newest VM list.
+func (wt *workerTable) listed() int {
+	n := 0
+	for _, w := range wt.order {
+		if w.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // draining reports whether batch tasks must leave the worker.
 func (wt *workerTable) draining(w *worker) bool {
 	return wt.drains[w.id] || (w.listed && w.vm.State == oleanderline.VMLeaving)
@@ -188,6 +204,8 @@
 
 func (c *Core) setVMs(e VMs) {
 	c.largest = e.Largest
+	defer func() { c.health.SetSize(c.workers.listed()) }()
+	c.quotas.SetShards(e.Shards)
 	for _, w := range c.workers.order {
 		w.listed = false
 	}
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -11,9 +11,12 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/health"
+	"github.com/oleanderline/oleanderline/pkg/interference"
 	"github.com/oleanderline/oleanderline/pkg/journal"
 	"github.com/oleanderline/oleanderline/pkg/member"
 	"github.com/oleanderline/oleanderline/pkg/placement"
+	"github.com/oleanderline/oleanderline/pkg/queue"
 	"github.com/oleanderline/oleanderline/pkg/shard"
 	"github.com/oleanderline/oleanderline/pkg/standin"
 )
@@ -52,6 +55,7 @@
 	workers     map[oleanderline.WorkerID]*host
 	hosts       []*host // also those that were replaced, with what ran there
 	without     shard.Without
+	guard       interference.Without
 	forget      bool // workers do not remember stops of unknown attempts
 	mail        []mail
 	calm        bool // no new faults
@@ -63,6 +67,13 @@
 	moves       int       // messages between shards
 	submitted   time.Time // when the newest key was first used
 	drains      map[oleanderline.WorkerID]bool
+	gaps        map[oleanderline.WorkerID][]gap
+}
+
+// gap is a time in which some process could not reach a worker.
+type gap struct {
+	begin, end time.Time
+	lost       bool // the worker lost its state
 }
 
 // mail is something that happens later.
@@ -107,6 +118,7 @@
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
 		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+		gaps:      map[oleanderline.WorkerID][]gap{},
 		linkToken: 1 << 32, linkReplies: map[shard.Token]func(shard.Verdict){},
 	}
 	w.log = standin.NewLog(w.clock, standin.WithKeepAge(worldLimits().Retention))
@@ -152,15 +164,23 @@
 	for id := range worldShards {
 		p.cores = append(p.cores, shard.New(shard.Config{
 			Self: p.id, Address: string(p.id), Writer: oleanderline.WriterID(fmt.Sprintf("%s/%d", p.id, p.life)),
-			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Without: w.without,
+			Shard: oleanderline.ShardID(id), Chooser: placement.BestFit{}, Limits: worldLimits(), Queue: queue.DefaultSettings(), Health: health.DefaultSettings(), Guard: w.guardSettings(), Without: w.without,
 		}))
 	}
 }
 
+func (w *world) guardSettings() interference.Settings {
+	settings := interference.DefaultSettings()
+	settings.Without = w.guard
+	return settings
+}
+
 // step advances the clock, delivers what is due and lets every process work.
 func (w *world) step(d time.Duration) {
+	before := w.clock.Now()
 	w.clock.Advance(d)
 	now := w.clock.Now()
+	w.noteGaps(before, now)
 	w.wake(now)
 	w.deliver(now)
 	for _, p := range w.processes {
@@ -209,6 +229,30 @@
 	}
 }
 
+// noteGaps extends or begins the gap of each worker that some process cannot reach now.
+func (w *world) noteGaps(before, now time.Time) {
+	for id, h := range w.workers {
+		cut := slices.ContainsFunc(w.processes, func(p *process) bool { return now.Before(p.cutFrom[id]) })
+		if !h.dead && h.frozenTo.IsZero() && !cut {
+			continue
+		}
+		gaps := w.gaps[id]
+		if n := len(gaps); n > 0 && gaps[n-1].end.Equal(before) && gaps[n-1].lost == h.dead {
+			gaps[n-1].end = now
+			continue
+		}
+		w.gaps[id] = append(gaps, gap{begin: before, end: now, lost: h.dead})
+	}
+}
+
+// outOfReach reports whether a worker was lost, or out of reach for a lease, between two moments.
+func (w *world) outOfReach(id oleanderline.WorkerID, from, to time.Time) bool {
+	return slices.ContainsFunc(w.gaps[id], func(g gap) bool {
+		long := g.end.Sub(g.begin) >= worldLimits().Lease
+		return g.begin.Before(to) && g.end.After(from) && (g.lost || long)
+	})
+}
+
 func (w *world) runs(p *process) bool { return p.alive && !w.clock.Now().Before(p.pausedTo) }
 
 // deliver passes on what is due, in order. What it causes comes with a later step.
@@ -539,6 +583,10 @@
 		done.Stop, done.Err = h.Stop(ctx, call.Stop)
 	case shard.CallInventory:
 		done.Inventory, done.Err = h.Inventory(ctx, oleanderline.ShardID(id))
+	case shard.CallUsage:
+		done.Usage, done.Err = h.Usage(ctx)
+	case shard.CallThrottle:
+		done.Err = h.Throttle(ctx, call.Throttle)
 	}
 }
 
