Send a version instead of unchanged state between schedulers

Cause: each heartbeat of a scheduler carried its row and the room of all its shards in both directions. Change: as at the entry, state that the receiver has confirmed is replaced by a version, here a hash of the state. A heartbeat that cannot be restored is ignored, and the exchange is repeated in full.

--- a/pkg/sched/peer_service.go
+++ b/pkg/sched/peer_service.go
@@ -36,6 +36,10 @@
 type Beat struct {
 	Member member.Member
 	Rooms  map[oleanderline.ShardID]shard.Room // of the shards that the sender owns
+
+	Version   uint64 // of the sender's state
+	Confirmed uint64 // version of the receiver's state that the sender holds
+	Short     bool   // the state of Version replaces Rooms and Member, but for its ID
 }
 
 // OfferArgs brings tasks that move to a shard.
@@ -52,9 +56,7 @@
 
 // Heartbeat takes the caller's state and returns the own one.
 func (p *peerService) Heartbeat(caller Beat, reply *Beat) error {
-	p.daemon.roster.heard(caller)
-	p.daemon.roster.turns.Note(caller.Member, p.daemon.common.Clock.Now())
-	*reply = p.daemon.roster.me()
+	*reply = p.daemon.roster.answer(caller)
 	return nil
 }
 
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -21,6 +21,8 @@
 	daemon *Daemon
 	self   member.Member
 
+	versions *beatVersions
+
 	mu      sync.Mutex
 	view    *member.View
 	clients map[string]*peer.Client // by address
@@ -31,13 +33,14 @@
 
 func newRoster(d *Daemon, self member.Member) *roster {
 	return &roster{
-		daemon:  d,
-		self:    self,
-		view:    member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
-		clients: map[string]*peer.Client{},
-		turns:   member.NewTurns(self.ID, d.settings.Heartbeat, 0),
-		asking:  map[string]bool{},
-		rooms:   map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room{},
+		daemon:   d,
+		self:     self,
+		view:     member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
+		clients:  map[string]*peer.Client{},
+		versions: newBeatVersions(),
+		turns:    member.NewTurns(self.ID, d.settings.Heartbeat, 0),
+		asking:   map[string]bool{},
+		rooms:    map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room{},
 	}
 }
 
@@ -72,6 +75,7 @@
 func (r *roster) forget(id oleanderline.VMID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.versions.forget(id)
 	delete(r.rooms, id)
 }
 
@@ -97,16 +101,45 @@
 	r.daemon.loops.Go(func() {
 		ctx, cancel := context.WithTimeout(r.daemon.ctx, heartbeatsMissed*r.daemon.settings.Heartbeat)
 		defer cancel()
-		var reply Beat
-		if err := client.Call(ctx, serviceName+".Heartbeat", r.me(), &reply); err == nil {
-			r.heard(reply)
-		}
+		r.exchange(ctx, client, address)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.asking, address)
 	})
 }
 
+// exchangeTries bounds the calls of one exchange: the first may show that the peer does not hold the own state, and the
+// second that this process no longer holds the peer's.
+const exchangeTries = 3
+
+// exchange sends a heartbeat, and sends it again if one of the two sides cannot restore what a short one names.
+func (r *roster) exchange(ctx context.Context, client *peer.Client, address string) {
+	for range exchangeTries {
+		sent := r.versions.forTarget(r.me(), address)
+		var reply Beat
+		if err := client.Call(ctx, serviceName+".Heartbeat", sent, &reply); err != nil {
+			return
+		}
+		confirmed := r.versions.replied(address, sent, reply)
+		full, ok := r.versions.decode(reply)
+		if ok {
+			r.heard(full)
+		}
+		if ok && (confirmed || !sent.Short) {
+			return
+		}
+	}
+}
+
+// answer takes in the heartbeat of a caller and returns the reply.
+func (r *roster) answer(caller Beat) Beat {
+	if full, ok := r.versions.decode(caller); ok {
+		r.heard(full)
+		r.turns.Note(full.Member, r.daemon.common.Clock.Now())
+	}
+	return r.versions.forCaller(r.me(), caller)
+}
+
 // client returns the connection to an address. The caller holds mu.
 func (r *roster) client(address string) *peer.Client {
 	client := r.clients[address]
