--- a/pkg/sched/observe.go
+++ b/pkg/sched/observe.go
@@ -16,6 +16,9 @@
 	s.metrics.claims.Add(now.Claims - before.Claims)
 	s.metrics.refused.Add(now.Refused - before.Refused)
 	s.metrics.preempted.Add(now.Preempted - before.Preempted)
+	s.metrics.throttled.Add(now.Throttled - before.Throttled)
+	s.metrics.evicted.Add(now.Evicted - before.Evicted)
+	s.observePredictions()
 	s.observeQuarantine()
 	if now.Lost > before.Lost {
 		owner, _ := s.core.Owner()
@@ -30,6 +33,14 @@
 	s.observeLog()
 }
 
+func (s *shardDuty) observePredictions() {
+	mean, compared := s.core.Interference()
+	sum := mean * float64(compared)
+	s.metrics.slowdownErrors.Add(sum - s.slowdownErrors)
+	s.metrics.slowdowns.Add(compared - s.slowdowns)
+	s.slowdownErrors, s.slowdowns = sum, compared
+}
+
 func (s *shardDuty) observeQuarantine() {
 	now := s.core.Quarantined()
 	before := s.quarantined
--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -43,13 +43,15 @@
 	links   *duty.Duty
 
 	// Used only by the main duty.
-	core        *shard.Core
-	calls       map[oleanderline.WorkerID]*workerDuty
-	tokens      shard.Token
-	callers     map[shard.Token]chan shard.Answer
-	seen        shard.Counters
-	slow        bool
-	quarantined int // workers
+	core           *shard.Core
+	calls          map[oleanderline.WorkerID]*workerDuty
+	tokens         shard.Token
+	callers        map[shard.Token]chan shard.Answer
+	seen           shard.Counters
+	slow           bool
+	quarantined    int // workers
+	slowdowns      int
+	slowdownErrors float64
 }
 
 func newShardDuty(d *Daemon, id oleanderline.ShardID) *shardDuty {
