--- a/pkg/shard/apply.go
+++ b/pkg/shard/apply.go
@@ -81,6 +81,7 @@
 	case c.owning:
 		t.notBefore = c.now.Add(backoff(t.failures))
 		c.enqueue(t)
+		c.finishLate(c.workers.byID[ranOn], t)
 	}
 	if c.owning {
 		c.counters.Freed++
@@ -89,6 +90,9 @@
 
 func (c *Core) applyDone(record journal.Record, at time.Time) {
 	t := c.current(record)
+	if t == nil {
+		t = c.freed(record)
+	}
 	if t == nil {
 		return
 	}
@@ -126,6 +130,16 @@
 	}
 }
 
+// freed returns the task if the record is about its last attempt, which was given up before its outcome was known, and no
+// further attempt was assigned.
+func (c *Core) freed(record journal.Record) *task {
+	t := c.find(record.Task)
+	if t == nil || t.state != taskWaiting || record.Attempt != t.attempt {
+		return nil
+	}
+	return t
+}
+
 func (c *Core) applyCancel(record journal.Record, at time.Time) {
 	for _, id := range record.Jobs {
 		j := c.jobs[id]
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -67,6 +67,13 @@
 	moves       int       // messages between shards
 	submitted   time.Time // when the newest key was first used
 	drains      map[oleanderline.WorkerID]bool
+	gaps        map[oleanderline.WorkerID][]gap
+}
+
+// gap is a time in which some process could not reach a worker.
+type gap struct {
+	begin, end time.Time
+	lost       bool // the worker lost its state
 }
 
 // mail is something that happens later.
@@ -90,6 +97,8 @@
 	blind    map[oleanderline.VMID]bool // members that it takes for dead
 	blindTo  time.Time
 	cutFrom  map[oleanderline.WorkerID]time.Time // workers that it cannot reach until then
+	heard    map[oleanderline.WorkerID]time.Time // when workers last answered it in time
+	answered map[oleanderline.WorkerID]uint64    // the newest call to each worker that has ended
 	cores    []*shard.Core
 	stashed  []func()
 	nextList time.Time
@@ -111,6 +120,7 @@
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
 		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+		gaps:      map[oleanderline.WorkerID][]gap{},
 		linkToken: 1 << 32, linkReplies: map[shard.Token]func(shard.Verdict){},
 	}
 	w.log = standin.NewLog(w.clock, standin.WithKeepAge(worldLimits().Retention))
@@ -151,6 +161,7 @@
 }
 
 func (w *world) launch(p *process) {
+	p.heard, p.answered = map[oleanderline.WorkerID]time.Time{}, map[oleanderline.WorkerID]uint64{}
 	p.life++
 	p.alive, p.cores, p.stashed, p.nextList = true, nil, nil, w.clock.Now().Add(w.upTo(time.Second))
 	for id := range worldShards {
@@ -169,8 +180,10 @@
 
 // step advances the clock, delivers what is due and lets every process work.
 func (w *world) step(d time.Duration) {
+	before := w.clock.Now()
 	w.clock.Advance(d)
 	now := w.clock.Now()
+	w.noteGaps(before, now)
 	w.wake(now)
 	w.deliver(now)
 	for _, p := range w.processes {
@@ -219,6 +232,46 @@
 	}
 }
 
+// noteGaps extends or begins the gap of each worker that some process cannot reach now.
+func (w *world) noteGaps(before, now time.Time) {
+	for id, h := range w.workers {
+		cut := slices.ContainsFunc(w.processes, func(p *process) bool { return now.Before(p.cutFrom[id]) })
+		if !h.dead && h.frozenTo.IsZero() && !cut {
+			continue
+		}
+		gaps := w.gaps[id]
+		if n := len(gaps); n > 0 && gaps[n-1].end.Equal(before) && gaps[n-1].lost == h.dead {
+			gaps[n-1].end = now
+			continue
+		}
+		w.gaps[id] = append(gaps, gap{begin: before, end: now, lost: h.dead})
+	}
+}
+
+// noteCall extends the gap in which a process gets no answer from a worker. An answer that comes after the caller has given
+// up counts as none: in seed 520 an owner asks a worker for 16 s, each answer is too late, and it gives the attempt up.
+func (w *world) noteCall(p *process, done shard.CallDone) {
+	if !done.Sent || done.ID <= p.answered[done.Worker] {
+		return
+	}
+	p.answered[done.Worker] = done.ID
+	now := w.clock.Now()
+	_, known := p.heard[done.Worker]
+	if !known || done.Err == nil || errors.Is(done.Err, oleanderline.ErrFenced) {
+		p.heard[done.Worker] = now
+		return
+	}
+	w.gaps[done.Worker] = append(w.gaps[done.Worker], gap{begin: p.heard[done.Worker], end: now})
+}
+
+// outOfReach reports whether a worker was lost, or out of reach for a lease, between two moments.
+func (w *world) outOfReach(id oleanderline.WorkerID, from, to time.Time) bool {
+	return slices.ContainsFunc(w.gaps[id], func(g gap) bool {
+		long := g.end.Sub(g.begin) >= worldLimits().Lease
+		return g.begin.Before(to) && g.end.After(from) && (g.lost || long)
+	})
+}
+
 func (w *world) runs(p *process) bool { return p.alive && !w.clock.Now().Before(p.pausedTo) }
 
 // deliver passes on what is due, in order. What it causes comes with a later step.
@@ -317,6 +370,9 @@
 
 // feed passes an event to a core and carries out its actions, at once or when a pause that begins here is over.
 func (w *world) feed(p *process, id int, event shard.Event) {
+	if done, ok := event.(shard.CallDone); ok {
+		w.noteCall(p, done)
+	}
 	actions := p.cores[id].Step(event, w.clock.Now())
 	if len(actions) > 0 && !w.calm && w.rng.IntN(2000) == 0 {
 		p.pausedTo = w.clock.Now().Add(w.upTo(70 * time.Second))
