--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -42,6 +43,8 @@
 	reads   *duty.Duty
 	links   *duty.Duty
 
+	quiet atomic.Bool // after the last event
+
 	// Used only by the main duty.
 	core           *shard.Core
 	calls          map[oleanderline.WorkerID]*workerDuty
@@ -63,10 +66,10 @@
 		callers: map[shard.Token]chan shard.Answer{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.main = duty.New(d.common.Actors, shardMailbox, s.handle)
-	s.appends = duty.New(d.common.Actors, ioMailbox, s.append)
-	s.reads = duty.New(d.common.Actors, ioMailbox, s.read)
-	s.links = duty.New(d.common.Actors, linkMailbox, s.link)
+	s.main = duty.New(d.common.Actors(), shardMailbox, s.handle)
+	s.appends = duty.New(d.common.Actors(), ioMailbox, s.append)
+	s.reads = duty.New(d.common.Actors(), ioMailbox, s.read)
+	s.links = duty.New(d.common.Actors(), linkMailbox, s.link)
 	return s
 }
 
@@ -96,6 +99,7 @@
 	for _, action := range s.core.Step(event, s.common.Clock.Now()) {
 		s.carryOut(action)
 	}
+	s.quiet.Store(s.core.Quiet())
 	s.observe()
 }
 
