--- a/pkg/sched/shard_duty.go
+++ b/pkg/sched/shard_duty.go
@@ -46,13 +46,15 @@
 	quiet atomic.Bool // after the last event
 
 	// Used only by the main duty.
-	core        *shard.Core
-	calls       map[oleanderline.WorkerID]*workerDuty
-	tokens      shard.Token
-	callers     map[shard.Token]chan shard.Answer
-	seen        shard.Counters
-	slow        bool
-	quarantined int // workers
+	core           *shard.Core
+	calls          map[oleanderline.WorkerID]*workerDuty
+	tokens         shard.Token
+	callers        map[shard.Token]chan shard.Answer
+	seen           shard.Counters
+	slow           bool
+	quarantined    int // workers
+	slowdowns      int
+	slowdownErrors float64
 }
 
 func newShardDuty(d *Daemon, id oleanderline.ShardID) *shardDuty {
