Measure the control cost of one region at the size to design for

Cause: the page of capacity would otherwise extrapolate from 200 workers. Change: BenchmarkControl has a scenario with 435 workers, 435 minions, 4,750 tasks. Conclusion: none yet.

--- a/pkg/demo/control_bench_test.go
+++ b/pkg/demo/control_bench_test.go
@@ -35,6 +35,7 @@
 		{7, 200, 50, 0},
 		{7, 50, 200, 0},
 		{7, 200, 200, 2000},
+		{7, 435, 435, 4750}, // one of two regions at the size to design for
 	}
 	for _, s := range scenarios {
 		b.Run(fmt.Sprintf("own=%d/workers=%d/minions=%d/tasks=%d", s.own, s.workers, s.minions, s.tasks), func(b *testing.B) {
