Make two tests of the entry independent of other processes and of timing

Change: each test process has loopback addresses of its own and ports below those of outgoing connections; the stop waits until the minion has the upload.

Ruled out: a stop that interrupts requests in flight (the refusal was 503 stopping, not run).

Conclusion: the checks are as strict as before.

--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,13 +70,31 @@
 	}
 }
 
+// loopbackHost returns a loopback address of this process, so that test processes that run at the same time do not take
+// each other's ports.
+func loopbackHost(n int) string {
+	const networks, hosts = 100, 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid%networks, 1+pid/networks%hosts, n)
+}
+
+// freePort returns a port below those that the system gives to outgoing connections. Test processes begin at different
+// ones, and a port that is taken at 127.0.0.1 is passed over.
 func freePort(tb testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(tb, err)
-	defer func() { require.NoError(tb, listener.Close()) }()
-	return portOf(listener.Addr().String())
+	const first, count = 12_000, 8_000
+	for i := range count {
+		port := strconv.Itoa(first + (os.Getpid()+int(nextPort.Add(1))+i)%count)
+		if listener, err := net.Listen("tcp", "127.0.0.1:"+port); err == nil {
+			require.NoError(tb, listener.Close())
+			return port
+		}
+	}
+	require.Fail(tb, "no free port")
+	return ""
 }
 
+var nextPort atomic.Int64
+
 // addMinion lists a minion with a handler of its own.
 func (c *cluster) addMinion(id string, handler http.HandlerFunc) *httptest.Server {
 	server := httptest.NewServer(handler)
@@ -94,7 +115,7 @@
 // addEntry lists and starts an entry on the next loopback address.
 func (c *cluster) addEntry(id string, options ...Option) *Daemon {
 	c.hosts++
-	host := fmt.Sprintf("127.0.7.%d", c.hosts)
+	host := loopbackHost(c.hosts)
 	c.vms.change(func(rows []oleanderline.VM) []oleanderline.VM {
 		row := oleanderline.VM{
 			ID: oleanderline.VMID(id), Role: oleanderline.RoleOwn, State: oleanderline.VMLive, Address: net.JoinHostPort(host, "1"),
--- a/pkg/entry/stop_test.go
+++ b/pkg/entry/stop_test.go
@@ -16,11 +16,12 @@
 // Guards against a planned stop that breaks off a long upload or a streaming answer, or that accepts new work.
 func TestStopInterruptsNothing(t *testing.T) {
 	for _, graceful := range []bool{true, false} {
-		step := make(chan struct{})
+		step, uploading := make(chan struct{}), make(chan struct{})
 		c := newCluster(t)
 		c.addMinion("m-1", func(w http.ResponseWriter, r *http.Request) {
 			switch r.URL.Path {
 			case "/upload":
+				close(uploading)
 				n, err := io.Copy(io.Discard, r.Body)
 				if err != nil || n != 100<<10 {
 					panic(http.ErrAbortHandler)
@@ -44,6 +45,7 @@
 		}()
 		_, err := io.WriteString(writer, strings.Repeat("x", 90<<10))
 		require.NoError(t, err)
+		<-uploading // a request that no minion has yet is refused by a stop, and is not in flight
 		response, err := http.Get("http://" + d.CallerAddress() + "/s/" + testService + "/stream")
 		require.NoError(t, err)
 		beginning := make([]byte, len("first "))
