--- a/pkg/demo/stay.go
+++ b/pkg/demo/stay.go
@@ -1,21 +1,30 @@
 package demo
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // remain prints the addresses and some commands to try, and waits until the demo is told to end.
 func (d *Demo) remain() {
 	d.say("log service %s, VM list %s, fault switches %s", d.logURL, d.vmsURL, d.control)
+	var operators []string
 	for _, vm := range d.alive() {
+		entry, sched := vm.address(vm.ports.entryOperators), vm.address(vm.ports.schedOperators)
+		operators = append(operators, entry, sched)
 		d.say("%s: callers %s, jobs %s, operators %s (entry) and %s (scheduler)", vm.id, vm.url(vm.ports.callers),
-			vm.url(vm.ports.jobs), vm.address(vm.ports.entryOperators), vm.address(vm.ports.schedOperators))
+			vm.url(vm.ports.jobs), entry, sched)
 	}
 	vm := d.alive()[0]
 	_, _ = fmt.Fprintf(d.out, `
-Commands to try; end with ctrl-C:
+Settings of oleanderctl, then three commands to try; end with ctrl-C:
 
-  curl -i -H 'Oleander-Request: mine-1' '%s/s/%s/fittings?size=20'
-  curl -i -H 'Idempotency-Key: mine-1' -d '{"team":"routes","count":4,"cmd":"sleep 5s","size":{"cpu":1000,"mem":1000}}' %s/jobs
-  curl -X POST '%s/fault?target=log&name=down&value=true'
-`, vm.url(vm.ports.callers), d.layout.Service, vm.url(vm.ports.jobs), d.control)
+  export OLEANDER_LOG_SERVICE=%s OLEANDER_KEY=%s OLEANDER_OPERATORS=%s
+
+  curl -i -H 'Idempotency-Key: mine-1' -d 'size 44' '%s/s/%s/fittings?size=20'
+  go run ./cmd/oleanderctl show > /tmp/rules.txt && echo 'drain vm=w-1  # kernel update, me' >> /tmp/rules.txt &&
+    go run ./cmd/oleanderctl publish --wait /tmp/rules.txt
+  go run ./cmd/oleanderctl burn
+`, d.logURL, key, strings.Join(operators, ","), vm.url(vm.ports.callers), d.layout.Service)
 	<-d.stay.Done()
 }
--- a/pkg/dispatch/rules_test.go
+++ b/pkg/dispatch/rules_test.go
@@ -96,4 +96,18 @@
 	// Both slots are busy from the second request on; the measurement must stand for 20 ms after the next tick.
 	require.Equal(t, map[Reason]int{"": 2, ReasonShed: 2}, reasons(shed, rules.PriorityLow))
 	require.Equal(t, map[Reason]int{"": 2}, reasons(shed, rules.PriorityNormal))
+	for _, s := range []struct {
+		target rules.Target
+		sheds  bool
+	}{
+		{target: rules.Target{Service: "s"}, sheds: true},
+		{target: rules.Target{Service: "other"}},
+		{target: rules.Target{Domain: "d-1"}},
+		{target: rules.Target{Service: "s", VM: "m-1"}},
+		{target: rules.Target{Team: "routes"}},
+	} {
+		targeted := &rules.Set{Sheds: []rules.Shed{shed.Sheds[0]}}
+		targeted.Sheds[0].Target = s.target
+		require.Equal(t, s.sheds, reasons(targeted, rules.PriorityLow)[ReasonShed] > 0, "%+v", s.target)
+	}
 }
--- a/pkg/dispatch/service_rules.go
+++ b/pkg/dispatch/service_rules.go
@@ -52,12 +52,18 @@
 		}
 	}
 	for _, rule := range set.Sheds {
-		if rule.Service == "" || rule.Service == s.id {
+		if shedsService(rule.Target, s.id) {
 			s.rules.sheds = append(s.rules.sheds, shed{Shed: rule, since: old.aboveSince(rule)})
 		}
 	}
 }
 
+// shedsService reports whether a shed rule is about the requests of a service. A target that selects VMs or a team is not:
+// a request has neither before it has a minion, and refusing those of the whole service would go beyond the rule.
+func shedsService(t rules.Target, service oleanderline.ServiceID) bool {
+	return t == rules.Target{} || t == rules.Target{Service: service}
+}
+
 // aboveSince keeps the measurement of a rule that a new revision contains as well.
 func (r *serviceRules) aboveSince(rule rules.Shed) time.Time {
 	for i := range r.sheds {
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -132,7 +132,7 @@
 		switches:   d.parts.switches,
 		asking:     map[string]bool{},
 		now:        make(chan struct{}, 1),
-		codec:      newBeatCodec(self.ID),
+		codec:      newHeartbeatCodec(self.ID),
 		turns:      member.NewTurns(self.ID, s.Heartbeat, 2*s.heartbeatTimeout()+d.parts.core.Slots.Drain),
 	}
 	d.poller = newVMPoller(d.common, d.parts.vmList, s.VMListPoll)
--- a/pkg/entry/beat.go
+++ b/pkg/entry/heartbeat.go
@@ -9,8 +9,8 @@
 	"github.com/oleanderline/oleanderline/pkg/slots"
 )
 
-// Beat is a heartbeat, in both directions. It carries absolute state, so that lost or repeated beats do no harm.
-type Beat struct {
+// Heartbeat is a heartbeat, in both directions. It carries absolute state, so that lost or repeated heartbeats do no harm.
+type Heartbeat struct {
 	Member    member.Member
 	Age       time.Duration // since the start of the process, or since it resumed after a pause
 	Refusing  bool          // it takes no new requests and needs no shares
@@ -24,7 +24,7 @@
 	Confirmed uint64 // version of the receiver's state that the sender holds
 	// Short means that the state of Version replaces all of the above but Member.ID.
 	Short bool
-	Seq   uint64 // of a short beat's statement, counted from Version
+	Seq   uint64 // of a short heartbeat's statement, counted from Version
 	Heard uint64 // newest sequence number heard from the receiver, counted from Confirmed
 }
 
--- a/pkg/entry/beat_test.go
+++ b/pkg/entry/heartbeat_test.go
@@ -13,23 +13,23 @@
 	"github.com/oleanderline/oleanderline/pkg/slots"
 )
 
-// beatSide is one of two entries that exchange heartbeats.
-type beatSide struct {
+// heartbeatSide is one of two entries that exchange heartbeats.
+type heartbeatSide struct {
 	id    oleanderline.VMID
-	codec *beatCodec
-	state Beat
+	codec *heartbeatCodec
+	state Heartbeat
 	since time.Time
 	seq   uint64
 	heard uint64 // newest statement of the other side
 }
 
-func (s *beatSide) start(now time.Time) {
-	*s = beatSide{id: s.id, codec: newBeatCodec(s.id), since: now, seq: uint64(now.UnixNano())}
+func (s *heartbeatSide) start(now time.Time) {
+	*s = heartbeatSide{id: s.id, codec: newHeartbeatCodec(s.id), since: now, seq: uint64(now.UnixNano())}
 	s.state.Member = member.Member{ID: s.id, Address: string(s.id), Incarnation: now.UnixNano()}
 	s.state.Statement = slots.Statement{First: s.seq, Members: []oleanderline.VMID{"a", "b"}}
 }
 
-func (s *beatSide) beat(other oleanderline.VMID, now time.Time) Beat {
+func (s *heartbeatSide) heartbeat(other oleanderline.VMID, now time.Time) Heartbeat {
 	s.seq++
 	b := s.state
 	b.Age = now.Sub(s.since)
@@ -38,8 +38,8 @@
 	return b
 }
 
-// hear decodes what the other side sent and compares it with the full beat.
-func (s *beatSide) hear(t *rapid.T, received, full Beat, now time.Time) bool {
+// hear decodes what the other side sent and compares it with the full heartbeat.
+func (s *heartbeatSide) hear(t *rapid.T, received, full Heartbeat, now time.Time) bool {
 	got, ok := s.codec.decode(received, now)
 	if !ok {
 		return false
@@ -54,10 +54,10 @@
 
 // Guards against a short heartbeat that is taken for other state than its sender has: slots would be used twice, or a dead
 // process would be held alive. Restarts, changes and lost messages come in any order.
-func TestShortBeatsMeanTheSameAsFullOnes(t *testing.T) {
+func TestShortHeartbeatsMeanTheSameAsFullOnes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		sides := []*beatSide{{id: "a"}, {id: "b"}}
+		sides := []*heartbeatSide{{id: "a"}, {id: "b"}}
 		sides[0].start(now)
 		sides[1].start(now)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -76,15 +76,15 @@
 				a.since = now
 				a.codec.reset()
 			case "lost":
-				full := a.beat(b.id, now)
+				full := a.heartbeat(b.id, now)
 				b.hear(t, a.codec.forTarget(full, string(b.id)), full, now)
 			case "exchange":
-				full := a.beat(b.id, now)
+				full := a.heartbeat(b.id, now)
 				heard := false
 				for range exchangeTries {
 					sent := a.codec.forTarget(full, string(b.id))
 					taken := b.hear(t, sent, full, now)
-					answer := b.beat(a.id, now)
+					answer := b.heartbeat(a.id, now)
 					reply := b.codec.forCaller(answer, sent)
 					confirmed := a.codec.replied(string(b.id), sent, &reply)
 					require.Equal(t, taken, confirmed)
@@ -97,12 +97,12 @@
 		}
 		a, b := sides[0], sides[1]
 		a.state.Lost = nil
-		var sent Beat
+		var sent Heartbeat
 		for range exchangeTries {
-			full := a.beat(b.id, now)
+			full := a.heartbeat(b.id, now)
 			sent = a.codec.forTarget(full, string(b.id))
 			b.hear(t, sent, full, now)
-			reply := b.codec.forCaller(b.beat(a.id, now), sent)
+			reply := b.codec.forCaller(b.heartbeat(a.id, now), sent)
 			a.codec.replied(string(b.id), sent, &reply)
 		}
 		require.True(t, sent.Short, "state that does not change is not sent again")
--- a/pkg/entry/member_bound.go
+++ b/pkg/entry/member_bound.go
@@ -17,7 +17,7 @@
 	counted []string
 }
 
-func (m *members) noteHostLocked(b Beat, now time.Time) {
+func (m *members) noteHostLocked(b Heartbeat, now time.Time) {
 	address := hostOf(b.Member.Address)
 	if address != hostOf(m.view.Self().Address) {
 		m.hosts[address] = host{heard: now, counted: b.Counted}
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -112,7 +112,7 @@
 }
 
 // hear takes in a heartbeat. It reports whether the peer joined, and the incarnation of the same name that it replaces.
-func (m *members) hear(b Beat, now time.Time) (joined bool, replaced *idempotency.Executor) {
+func (m *members) hear(b Heartbeat, now time.Time) (joined bool, replaced *idempotency.Executor) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.noteHostLocked(b, now)
@@ -121,7 +121,7 @@
 		return false, nil
 	}
 	if _, ok := m.departed[idempotency.Executor{ID: id, Incarnation: b.Member.Incarnation}]; ok {
-		// The beat was overtaken by the message that the peer has left.
+		// The heartbeat was overtaken by the message that the peer has left.
 		return false, nil
 	}
 	old, known := m.peers[id]
@@ -207,11 +207,11 @@
 	}
 }
 
-// beat returns the state for the next heartbeat, without the slots.
-func (m *members) beat(now time.Time) Beat {
+// heartbeat returns the state for the next heartbeat, without the slots.
+func (m *members) heartbeat(now time.Time) Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := Beat{Member: m.view.Self(), Age: now.Sub(m.since), Refusing: m.refusing, Counted: m.counted, Alone: m.aloneLocked(now)}
+	b := Heartbeat{Member: m.view.Self(), Age: now.Sub(m.since), Refusing: m.refusing, Counted: m.counted, Alone: m.aloneLocked(now)}
 	for id, l := range m.lost {
 		b.Lost = append(b.Lost, Loss{ID: id.ID, Incarnation: id.Incarnation, For: l.until.Sub(now), Alone: l.alone})
 	}
--- a/pkg/entry/members_test.go
+++ b/pkg/entry/members_test.go
@@ -20,8 +20,8 @@
 	testKeep    = time.Minute
 )
 
-func peerBeat(id string, incarnation int64, address string, age time.Duration) Beat {
-	return Beat{
+func peerHeartbeat(id string, incarnation int64, address string, age time.Duration) Heartbeat {
+	return Heartbeat{
 		Member: member.Member{ID: oleanderline.VMID(id), Incarnation: incarnation, Address: address + ":1"},
 		Age:    age,
 	}
@@ -60,8 +60,8 @@
 	}
 	hearAll := func(now time.Time) {
 		m.tick(now)
-		m.hear(peerBeat("own-2", 1, "10.0.0.2", 2*testKeep), now)
-		m.hear(peerBeat("own-3", 1, "10.0.0.3", 2*testKeep), now)
+		m.hear(peerHeartbeat("own-2", 1, "10.0.0.2", 2*testKeep), now)
+		m.hear(peerHeartbeat("own-3", 1, "10.0.0.3", 2*testKeep), now)
 	}
 	require.False(t, m.keysReady(clock.Now()), "it has asked nobody yet")
 	now := step(100 * time.Millisecond)
@@ -86,7 +86,7 @@
 	for range 3 {
 		now = step(testTimeout / 2)
 		m.tick(now)
-		m.hear(peerBeat("own-2", 1, "10.0.0.2", 2*testKeep), now)
+		m.hear(peerHeartbeat("own-2", 1, "10.0.0.2", 2*testKeep), now)
 	}
 	require.True(t, lostHome(m, now), "a silent member is lost before expire has run")
 	gone := m.expire(now)
@@ -94,11 +94,11 @@
 	require.EqualValues(t, "own-3", gone[0].ID)
 	require.True(t, m.keysReady(now), "two of three are alive")
 	require.True(t, lostHome(m, now))
-	m.hear(peerBeat("own-3", 2, "10.0.0.4", 0), now)
+	m.hear(peerHeartbeat("own-3", 2, "10.0.0.4", 0), now)
 	require.True(t, lostHome(m, now), "a new process of the same name does not have the keys")
 	_, hosts := m.bound(now)
 	require.Len(t, hosts, 4, "the old and the new own-3 both count")
-	m.hear(peerBeat("own-3", 1, "10.0.0.3", 2*testKeep), now)
+	m.hear(peerHeartbeat("own-3", 1, "10.0.0.3", 2*testKeep), now)
 	require.Equal(t, "10.0.0.4:1", m.addresses(now)["own-3"], "an older incarnation does not replace a newer one")
 	now = step(testKeep + 1)
 	m.expire(now)
@@ -150,14 +150,14 @@
 		{"one lost", func(*members, time.Time) {}, []string{"own-3"}, true},
 		{"two lost", func(*members, time.Time) {}, []string{"own-2", "own-3"}, false},
 		{"one lost, one stopped as planned", func(m *members, now time.Time) {
-			m.left(peerBeat("own-2", 1, "10.0.0.2", 0).Member)
-			m.hear(peerBeat("own-2", 1, "10.0.0.2", 0), now) // overtaken by the message of the stop
+			m.left(peerHeartbeat("own-2", 1, "10.0.0.2", 0).Member)
+			m.hear(peerHeartbeat("own-2", 1, "10.0.0.2", 0), now) // overtaken by the message of the stop
 		}, []string{"own-2", "own-3"}, true},
 		{"one lost, one replaced", func(m *members, now time.Time) {
-			m.hear(peerBeat("own-2", 2, "10.0.0.2", 0), now)
+			m.hear(peerHeartbeat("own-2", 2, "10.0.0.2", 0), now)
 		}, []string{"own-3"}, false},
 		{"one lost that was alone", func(m *members, now time.Time) {
-			b := peerBeat("own-3", 1, "10.0.0.3", 0)
+			b := peerHeartbeat("own-3", 1, "10.0.0.3", 0)
 			b.Alone = true
 			m.hear(b, now)
 		}, []string{"own-3"}, false},
@@ -170,13 +170,13 @@
 			clock := common.NewVirtualClock(time.Unix(1000, 0))
 			m := newTestMembers(clock)
 			for _, id := range []string{"own-2", "own-3"} {
-				m.hear(peerBeat(id, 1, "10.0.0."+id[len(id)-1:], 2*testKeep), clock.Now())
+				m.hear(peerHeartbeat(id, 1, "10.0.0."+id[len(id)-1:], 2*testKeep), clock.Now())
 			}
 			s.before(m, clock.Now())
 			clock.Advance(testTimeout + 1)
 			now := clock.Now()
 			if !slices.Contains(s.silent, "own-2") {
-				m.hear(peerBeat("own-2", m.peers["own-2"].incarnation, "10.0.0.2", 2*testKeep), now)
+				m.hear(peerHeartbeat("own-2", m.peers["own-2"].incarnation, "10.0.0.2", 2*testKeep), now)
 			}
 			lost, takeOver := 0, 0
 			for i := range 100 {
@@ -204,12 +204,12 @@
 	m := newTestMembers(clock)
 	clock.Advance(time.Millisecond)
 	m.tick(clock.Now())
-	m.hear(peerBeat("own-2", 1, "10.0.0.2", 0), clock.Now())
-	m.hear(peerBeat("own-3", 1, "10.0.0.3", 0), clock.Now())
+	m.hear(peerHeartbeat("own-2", 1, "10.0.0.2", 0), clock.Now())
+	m.hear(peerHeartbeat("own-3", 1, "10.0.0.3", 0), clock.Now())
 	m.settle(clock.Now())
 	clock.Advance(testTimeout)
 	m.tick(clock.Now())
-	m.hear(peerBeat("own-2", 1, "10.0.0.2", testTimeout), clock.Now())
+	m.hear(peerHeartbeat("own-2", 1, "10.0.0.2", testTimeout), clock.Now())
 	require.False(t, lostHome(m, clock.Now()))
 	clock.Advance(1)
 	require.True(t, m.keysReady(clock.Now()))
--- a/pkg/entry/membership.go
+++ b/pkg/entry/membership.go
@@ -27,7 +27,7 @@
 	port       string
 	joinDelay  time.Duration
 	switches   switches
-	codec      *beatCodec
+	codec      *heartbeatCodec
 	turns      *member.Turns
 
 	mu      sync.Mutex
@@ -65,7 +65,7 @@
 	m.peers.keepOnly(targets)
 	m.codec.keepOnly(targets)
 	everyone = everyone || !m.members.isSettled()
-	beat := m.beat()
+	heartbeat := m.heartbeat()
 	var calls sync.WaitGroup
 	skipped := false
 	for _, target := range targets {
@@ -78,7 +78,7 @@
 		}
 		calls.Go(func() {
 			defer m.end(target)
-			m.exchange(ctx, target, beat)
+			m.exchange(ctx, target, heartbeat)
 		})
 	}
 	if !skipped {
@@ -113,10 +113,10 @@
 const exchangeTries = 3
 
 // exchange sends a heartbeat, and sends it again if one of the two sides cannot restore what a short one names.
-func (m *membership) exchange(ctx context.Context, target string, beat Beat) {
+func (m *membership) exchange(ctx context.Context, target string, heartbeat Heartbeat) {
 	for range exchangeTries {
-		sent := m.codec.forTarget(beat, target)
-		var reply Beat
+		sent := m.codec.forTarget(heartbeat, target)
+		var reply Heartbeat
 		if err := m.peers.at(target).Call(ctx, "Entry.Heartbeat", sent, &reply); err != nil {
 			return
 		}
@@ -129,32 +129,32 @@
 }
 
 // answer takes in the heartbeat of a caller and returns the reply.
-func (m *membership) answer(beat Beat) Beat {
-	if full, ok := m.heard(beat); ok {
+func (m *membership) answer(heartbeat Heartbeat) Heartbeat {
+	if full, ok := m.heard(heartbeat); ok {
 		m.turns.Note(full.Member, m.common.Clock.Now())
 	}
-	return m.codec.forCaller(m.beat(), beat)
+	return m.codec.forCaller(m.heartbeat(), heartbeat)
 }
 
-// beat returns this entry's heartbeat.
-func (m *membership) beat() Beat {
+// heartbeat returns this entry's heartbeat.
+func (m *membership) heartbeat() Heartbeat {
 	var statement slots.Statement
 	m.dispatcher.update(func(core *dispatch.Core, now time.Time, actions []dispatch.Action) []dispatch.Action {
 		statement = core.Statement(now)
 		return actions
 	})
 	now := m.common.Clock.Now()
-	b := m.members.beat(now)
+	b := m.members.heartbeat(now)
 	b.Statement = statement
 	m.codec.stamp(&b, now)
 	return b
 }
 
 // heard takes in a peer's heartbeat and returns it in full. It is false for one that cannot be restored.
-func (m *membership) heard(received Beat) (b Beat, ok bool) {
+func (m *membership) heard(received Heartbeat) (b Heartbeat, ok bool) {
 	now := m.common.Clock.Now()
 	if b, ok = m.codec.decode(received, now); !ok {
-		return Beat{}, false
+		return Heartbeat{}, false
 	}
 	if b.Left {
 		m.members.left(b.Member)
--- a/pkg/entry/peer_service.go
+++ b/pkg/entry/peer_service.go
@@ -15,7 +15,7 @@
 const serviceTimeout = time.Second
 
 // Heartbeat exchanges heartbeats.
-func (s *peerService) Heartbeat(args Beat, reply *Beat) error {
+func (s *peerService) Heartbeat(args Heartbeat, reply *Heartbeat) error {
 	*reply = s.daemon.membership.answer(args)
 	return nil
 }
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -101,13 +101,13 @@
 }
 
 func (d *Daemon) sayLeft(addresses map[oleanderline.VMID]string) {
-	beat := d.membership.beat()
-	beat.Left = true
+	heartbeat := d.membership.heartbeat()
+	heartbeat.Left = true
 	var calls sync.WaitGroup
 	for id := range addresses {
 		calls.Go(func() {
-			var reply Beat
-			_ = d.peers.call(context.Background(), id, "Heartbeat", beat, &reply)
+			var reply Heartbeat
+			_ = d.peers.call(context.Background(), id, "Heartbeat", heartbeat, &reply)
 		})
 	}
 	calls.Wait()
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -19,10 +19,10 @@
 	followerPoll = 500 * time.Millisecond // between two reads of a follower
 	readRetry    = 200 * time.Millisecond // after a failed read
 	readLimit    = 500                    // entries of one read
-	// beat is how often an owner writes to its stream even if nothing happens, and silence is how long it may be quiet
+	// ownerHeartbeat is how often an owner writes to its stream even if nothing happens, and ownerTimeout is how long it may be quiet
 	// before the follower takes over although the owner still answers heartbeats: it may be cut off from the log.
-	beat    = 10 * time.Second
-	silence = 40 * time.Second
+	ownerHeartbeat = 10 * time.Second
+	ownerTimeout   = 40 * time.Second
 	// settleTime is how long another VM must have been first in rendezvous order before the owner hands over to it.
 	settleTime = 20 * time.Second
 	// handover is how long an owner that has released its shard waits for the successor before it goes on.
--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -13,12 +13,12 @@
 func (c *Core) takeInventory(w *worker, inventory oleanderline.Inventory, first bool) {
 	w.outcomes = inventory.Outcomes
 	leased := make(map[oleanderline.AttemptKey]bool, len(inventory.Leases))
-	var ghosts []ghost
+	var orphans []orphan
 	for _, lease := range inventory.Leases {
 		leased[lease.AttemptKey] = true
 		t := c.assignedTo(w, lease.AttemptKey)
 		if t == nil {
-			ghosts = append(ghosts, w.ghost(lease))
+			orphans = append(orphans, w.orphan(lease))
 			continue
 		}
 		t.running = true
@@ -26,7 +26,7 @@
 			c.workers.reserve(t, w)
 		}
 	}
-	c.replaceGhosts(w, ghosts)
+	c.replaceOrphans(w, orphans)
 	for _, outcome := range inventory.Outcomes {
 		leased[outcome.AttemptKey] = true
 	}
@@ -58,34 +58,34 @@
 	}
 }
 
-func (w *worker) ghost(lease oleanderline.Lease) ghost {
-	for _, g := range w.ghosts {
+func (w *worker) orphan(lease oleanderline.Lease) orphan {
+	for _, g := range w.orphans {
 		if g.AttemptKey == lease.AttemptKey {
 			return g
 		}
 	}
-	return ghost{AttemptKey: lease.AttemptKey, size: lease.Size}
+	return orphan{AttemptKey: lease.AttemptKey, size: lease.Size}
 }
 
-func (c *Core) replaceGhosts(w *worker, ghosts []ghost) {
-	for _, g := range w.ghosts {
+func (c *Core) replaceOrphans(w *worker, orphans []orphan) {
+	for _, g := range w.orphans {
 		w.committed = w.committed.Sub(g.size)
 	}
-	for _, g := range ghosts {
+	for _, g := range orphans {
 		w.committed = w.committed.Add(g.size)
 	}
-	w.ghosts = ghosts
+	w.orphans = orphans
 }
 
-func (c *Core) ghostStopped(w *worker, key oleanderline.AttemptKey, stopped bool) {
-	for i := range w.ghosts {
-		g := &w.ghosts[i]
+func (c *Core) orphanStopped(w *worker, key oleanderline.AttemptKey, stopped bool) {
+	for i := range w.orphans {
+		g := &w.orphans[i]
 		if g.AttemptKey != key {
 			continue
 		}
 		if stopped {
 			w.committed = w.committed.Sub(g.size)
-			w.ghosts = slices.Delete(w.ghosts, i, i+1)
+			w.orphans = slices.Delete(w.orphans, i, i+1)
 			return
 		}
 		g.tries++
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -39,7 +39,7 @@
 	case c.sendStop(w):
 	case c.sendStart(w):
 	case c.sendThrottle(w), c.sendUsage(w):
-	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.ghosts) > 0):
+	case c.now.Sub(w.renewedAt) >= c.cfg.Limits.Renew && (len(w.tasks) > 0 || len(w.outcomes) > 0 || len(w.orphans) > 0):
 		c.renew(w)
 	}
 }
@@ -155,8 +155,8 @@
 			return true
 		}
 	}
-	for i := range w.ghosts {
-		if g := &w.ghosts[i]; !c.now.Before(g.retryAt) {
+	for i := range w.orphans {
+		if g := &w.orphans[i]; !c.now.Before(g.retryAt) {
 			c.send(w, Call{Kind: CallStop, Stop: oleanderline.StopRequest{
 				Shard: c.cfg.Shard, Term: c.term, Task: g.Task, Attempt: g.Attempt,
 			}})
@@ -241,7 +241,7 @@
 	case t != nil && t.pending == "" && !t.ended:
 		c.taskStopped(t, result)
 	case t == nil:
-		c.ghostStopped(w, key, result.Stopped)
+		c.orphanStopped(w, key, result.Stopped)
 	}
 }
 
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -107,7 +107,7 @@
 		c.considerRelease()
 		c.showLife()
 	case c.claiming:
-		if c.now.Sub(c.claimAt) > silence {
+		if c.now.Sub(c.claimAt) > ownerTimeout {
 			c.dropClaim()
 		}
 	case c.shouldClaim():
@@ -137,7 +137,7 @@
 	case owner == "" || !c.isMember(owner):
 		return c.first == c.cfg.Self
 	default:
-		return c.standby(owner) && c.now.Sub(c.heardAt) > silence
+		return c.standby(owner) && c.now.Sub(c.heardAt) > ownerTimeout
 	}
 }
 
@@ -183,7 +183,7 @@
 }
 
 func (c *Core) showLife() {
-	if c.now.Sub(c.beatAt) < beat {
+	if c.now.Sub(c.beatAt) < ownerHeartbeat {
 		return
 	}
 	c.beatAt = c.now
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -36,8 +36,8 @@
 	failures  int // calls that failed in a row
 	retryAt   time.Time
 	committed oleanderline.Size
-	incoming  []*task // assigned by records that are not yet read back
-	ghosts    []ghost // leases that the stream does not know
+	incoming  []*task  // assigned by records that are not yet read back
+	orphans   []orphan // leases that the stream does not know
 	outcomes  []oleanderline.Outcome
 	usageAt   time.Time // when the newest usage report was asked for
 	learnedAt time.Time // of the newest report that was learned from
@@ -45,8 +45,8 @@
 	claimedTo time.Time // until then an urgent task goes before the tasks that wait here
 }
 
-// ghost is an attempt that runs although it is not assigned to the worker any more.
-type ghost struct {
+// orphan is an attempt that runs although it is not assigned to the worker any more.
+type orphan struct {
 	oleanderline.AttemptKey
 	size    oleanderline.Size
 	retryAt time.Time
