--- a/pkg/demo/stay.go
+++ b/pkg/demo/stay.go
@@ -23,7 +23,7 @@
 
   curl -i -H 'Idempotency-Key: mine-1' -d 'size 44' '%s/s/%s/fittings?size=20'
   go run ./cmd/oleanderctl show > /tmp/rules.txt && echo 'drain vm=w-1  # kernel update, me' >> /tmp/rules.txt &&
-    go run ./cmd/oleanderctl publish --wait /tmp/rules.txt
+    go run ./cmd/oleanderctl publish --by me --wait /tmp/rules.txt
   go run ./cmd/oleanderctl burn
 `, d.logURL, key, strings.Join(operators, ","), vm.url(vm.ports.callers), d.layout.Service)
 	<-d.stay.Done()
