Use the field's name for the scheduler's heartbeats

Cause: pkg/sched still called them beats, pkg/entry no longer did. Change: names only. Measured: go test -race ./pkg/sched passes. Conclusion: both daemons use one word.

--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	d.loop(d.settings.VMListPoll, d.pollVMs)
-	d.loop(d.settings.Heartbeat, d.roster.beat)
+	d.loop(d.settings.Heartbeat, d.roster.heartbeat)
 	d.loop(drainInterval, d.applyRules)
 	d.loop(tickInterval, d.tick)
 	d.loops.Go(func() { _ = d.rules.Run(d.ctx) })
--- a/pkg/sched/beat_versions.go
+++ b/pkg/sched/heartbeat_versions.go
@@ -9,12 +9,12 @@
 	"github.com/oleanderline/oleanderline/pkg/member"
 )
 
-// beatVersions makes heartbeats short: a state that the receiver has confirmed is replaced by its version, a hash of it.
+// heartbeatVersions makes heartbeats short: a state that the receiver has confirmed is replaced by its version, a hash of it.
 // A receiver that does not hold the version ignores the heartbeat and confirms another one, so that the next one is full.
-type beatVersions struct {
+type heartbeatVersions struct {
 	mu   sync.Mutex
-	held map[oleanderline.VMID]Beat // newest full heartbeat of each peer
-	told map[string]toldVersion     // by address
+	held map[oleanderline.VMID]Heartbeat // newest full heartbeat of each peer
+	told map[string]toldVersion          // by address
 }
 
 // toldVersion names a peer and the version of the own state that it holds.
@@ -23,19 +23,19 @@
 	version uint64
 }
 
-func newBeatVersions() *beatVersions {
-	return &beatVersions{held: map[oleanderline.VMID]Beat{}, told: map[string]toldVersion{}}
+func newHeartbeatVersions() *heartbeatVersions {
+	return &heartbeatVersions{held: map[oleanderline.VMID]Heartbeat{}, told: map[string]toldVersion{}}
 }
 
 // versionOf hashes a state. Maps are printed in the order of their keys, so that equal states have equal versions.
-func versionOf(b Beat) uint64 {
+func versionOf(b Heartbeat) uint64 {
 	hash := fnv.New64a()
 	_, _ = fmt.Fprintf(hash, "%#v %#v", b.Member, b.Rooms)
 	return hash.Sum64() | 1 // zero stands for no version
 }
 
 // forTarget returns what to send to an address.
-func (v *beatVersions) forTarget(b Beat, address string) Beat {
+func (v *heartbeatVersions) forTarget(b Heartbeat, address string) Heartbeat {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	told := v.told[address]
@@ -43,22 +43,22 @@
 }
 
 // forCaller returns what to reply to a heartbeat.
-func (v *beatVersions) forCaller(b, caller Beat) Beat {
+func (v *heartbeatVersions) forCaller(b, caller Heartbeat) Heartbeat {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.encodeLocked(b, caller.Member.ID, caller.Confirmed)
 }
 
-func (v *beatVersions) encodeLocked(b Beat, to oleanderline.VMID, confirmed uint64) Beat {
+func (v *heartbeatVersions) encodeLocked(b Heartbeat, to oleanderline.VMID, confirmed uint64) Heartbeat {
 	b.Version, b.Confirmed = versionOf(b), v.held[to].Version
 	if b.Version != confirmed {
 		return b
 	}
-	return Beat{Member: member.Member{ID: b.Member.ID}, Short: true, Version: b.Version, Confirmed: b.Confirmed}
+	return Heartbeat{Member: member.Member{ID: b.Member.ID}, Short: true, Version: b.Version, Confirmed: b.Confirmed}
 }
 
 // replied notes the reply from an address, and reports whether the peer holds the version that was sent.
-func (v *beatVersions) replied(address string, sent, reply Beat) bool {
+func (v *heartbeatVersions) replied(address string, sent, reply Heartbeat) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.told[address] = toldVersion{id: reply.Member.ID, version: reply.Confirmed}
@@ -66,7 +66,7 @@
 }
 
 // decode returns the full heartbeat for a received one. It is false for a short one whose version is not held.
-func (v *beatVersions) decode(b Beat) (Beat, bool) {
+func (v *heartbeatVersions) decode(b Heartbeat) (Heartbeat, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !b.Short {
@@ -80,7 +80,7 @@
 }
 
 // forget forgets the state of a peer.
-func (v *beatVersions) forget(id oleanderline.VMID) {
+func (v *heartbeatVersions) forget(id oleanderline.VMID) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.held, id)
--- a/pkg/sched/beat_versions_test.go
+++ b/pkg/sched/heartbeat_versions_test.go
@@ -13,11 +13,11 @@
 
 // Guards against a short heartbeat that is taken for other state than its sender has, whatever was lost or restarted
 // before, and against state that is sent again although it has not changed.
-func TestShortBeatsMeanTheSameAsFullOnes(t *testing.T) {
+func TestShortHeartbeatsMeanTheSameAsFullOnes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		versions := [2]*beatVersions{newBeatVersions(), newBeatVersions()}
-		states := [2]Beat{{Member: member.Member{ID: "a"}}, {Member: member.Member{ID: "b"}}}
-		exchange := func(from int) (first Beat) {
+		versions := [2]*heartbeatVersions{newHeartbeatVersions(), newHeartbeatVersions()}
+		states := [2]Heartbeat{{Member: member.Member{ID: "a"}}, {Member: member.Member{ID: "b"}}}
+		exchange := func(from int) (first Heartbeat) {
 			to := 1 - from
 			for try := range exchangeTries {
 				sent := versions[from].forTarget(states[from], "peer")
@@ -47,7 +47,7 @@
 			case "lost":
 				versions[1-side].decode(versions[side].forTarget(states[side], "peer"))
 			case "restart":
-				versions[side] = newBeatVersions()
+				versions[side] = newHeartbeatVersions()
 				states[side].Member.Incarnation++
 			case "change":
 				states[side].Member.Draining = !states[side].Member.Draining
--- a/pkg/sched/peer_service.go
+++ b/pkg/sched/peer_service.go
@@ -32,8 +32,8 @@
 
 var errStopping = errors.New("the scheduler is stopping")
 
-// Beat is a heartbeat.
-type Beat struct {
+// Heartbeat is a heartbeat.
+type Heartbeat struct {
 	Member member.Member
 	Rooms  map[oleanderline.ShardID]shard.Room // of the shards that the sender owns
 
@@ -55,7 +55,7 @@
 }
 
 // Heartbeat takes the caller's state and returns the own one.
-func (p *peerService) Heartbeat(caller Beat, reply *Beat) error {
+func (p *peerService) Heartbeat(caller Heartbeat, reply *Heartbeat) error {
 	*reply = p.daemon.roster.answer(caller)
 	return nil
 }
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -21,7 +21,7 @@
 	daemon *Daemon
 	self   member.Member
 
-	versions *beatVersions
+	versions *heartbeatVersions
 
 	mu      sync.Mutex
 	view    *member.View
@@ -37,15 +37,15 @@
 		self:     self,
 		view:     member.NewView(self, heartbeatsMissed*d.settings.Heartbeat),
 		clients:  map[string]*peer.Client{},
-		versions: newBeatVersions(),
+		versions: newHeartbeatVersions(),
 		turns:    member.NewTurns(self.ID, d.settings.Heartbeat, 0),
 		asking:   map[string]bool{},
 		rooms:    map[oleanderline.VMID]map[oleanderline.ShardID]shard.Room{},
 	}
 }
 
-// beat sends a heartbeat to every own VM of the region whose turn it is not, and passes the members to the shards.
-func (r *roster) beat() {
+// heartbeat sends a heartbeat to every own VM of the region whose turn it is not, and passes the members to the shards.
+func (r *roster) heartbeat() {
 	d := r.daemon
 	rooms := d.collectRooms()
 	r.mu.Lock()
@@ -116,7 +116,7 @@
 func (r *roster) exchange(ctx context.Context, client *peer.Client, address string) {
 	for range exchangeTries {
 		sent := r.versions.forTarget(r.me(), address)
-		var reply Beat
+		var reply Heartbeat
 		if err := client.Call(ctx, serviceName+".Heartbeat", sent, &reply); err != nil {
 			return
 		}
@@ -132,7 +132,7 @@
 }
 
 // answer takes in the heartbeat of a caller and returns the reply.
-func (r *roster) answer(caller Beat) Beat {
+func (r *roster) answer(caller Heartbeat) Heartbeat {
 	if full, ok := r.versions.decode(caller); ok {
 		r.heard(full)
 		r.turns.Note(full.Member, r.daemon.common.Clock.Now())
@@ -158,23 +158,23 @@
 	return r.client(address)
 }
 
-func (r *roster) heard(beat Beat) {
-	m := beat.Member
+func (r *roster) heard(heartbeat Heartbeat) {
+	m := heartbeat.Member
 	r.mu.Lock()
 	joined := r.view.Heard(m, r.daemon.common.Clock.Now())
-	r.rooms[m.ID] = beat.Rooms
+	r.rooms[m.ID] = heartbeat.Rooms
 	r.mu.Unlock()
 	if joined {
 		r.daemon.common.Event(common.EventPeerJoined).WithField("peer", m.ID).Info("scheduler answers")
 	}
 }
 
-func (r *roster) me() Beat {
+func (r *roster) me() Heartbeat {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	self := r.view.Self()
 	self.Revision = r.daemon.rules.Current().Revision
-	return Beat{Member: self, Rooms: r.rooms[r.self.ID]}
+	return Heartbeat{Member: self, Rooms: r.rooms[r.self.ID]}
 }
 
 // ranked returns the members that take shards, in rendezvous order for a shard.
