Name the rule or measurement that stops a task

Cause: operators could see that a task was stopped, but not why: the record of a drained, preempted or evicted task said "stopped".

Change: an attempt that must stop carries its reason (drain rule with line, revision and who asked; preemption; interference; cancellation; an answer of the worker), which stands in its record and so in oleanderctl why; E3010 and E3011 log drains that begin and end, with the rule.

Measured: the tests of pkg/shard (1,000 schedules), pkg/sched, pkg/operator, pkg/ctl and pkg/catalogue pass.

Conclusion: why and the log name the cause of each stop. Starts and refusals of requests still name their reason only by its kind.

--- a/pkg/common/event_sched.go
+++ b/pkg/common/event_sched.go
@@ -11,6 +11,8 @@
 	EventEntryMalformed    Event = "E3007" // an entry of a shard's stream is not a group of records; find out who writes there
 	EventWorkerFailed      Event = "E3008" // a call to a worker failed; its leases expire if it stays unreachable
 	EventSchedListenFail   Event = "E3009" // a listener ended unexpectedly; the daemon does not serve on it any more
+	EventWorkerDrains      Event = "E3010" // a rule drains a worker: its batch tasks are moved and it gets no new ones; the field names the rule and who asked
+	EventWorkerDrainEnds   Event = "E3011" // no rule drains a worker any more
 	EventWorkerQuarantined Event = "E3020" // a worker fails tasks that succeed elsewhere and gets no work for now; look at the worker
 	EventWorkerReadmitted  Event = "E3021" // a quarantined worker has completed its probes
 )
--- a/pkg/sched/daemon.go
+++ b/pkg/sched/daemon.go
@@ -59,6 +59,8 @@
 	loops    sync.WaitGroup
 	stopping atomic.Bool
 	ticks    int // used only by the loop of ticks
+
+	drains map[oleanderline.WorkerID]string // used only by the loop of rules: the rule that drains a worker
 }
 
 // New returns a daemon that does nothing until Start.
--- a/pkg/sched/worker_list.go
+++ b/pkg/sched/worker_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -98,25 +99,51 @@
 // applyRules passes the drains in force to the shards.
 func (d *Daemon) applyRules() {
 	now := d.common.Clock.Now()
-	drains := make([]map[oleanderline.WorkerID]bool, len(d.shards))
+	drains := make([]map[oleanderline.WorkerID]string, len(d.shards))
 	for i := range drains {
-		drains[i] = map[oleanderline.WorkerID]bool{}
+		drains[i] = map[oleanderline.WorkerID]string{}
 	}
 	set := d.rules.Current()
+	found := map[oleanderline.WorkerID]string{}
 	for _, vm := range d.workers.get() {
-		if vm.Role == oleanderline.RoleWorker && drained(set, vm, now) {
-			drains[shard.ForWorker(vm, len(d.shards))][oleanderline.WorkerID(vm.ID)] = true
+		if vm.Role != oleanderline.RoleWorker {
+			continue
+		}
+		if rule := drainRule(set, vm, now); rule != "" {
+			id := oleanderline.WorkerID(vm.ID)
+			found[id] = rule
+			drains[shard.ForWorker(vm, len(d.shards))][id] = rule
 		}
 	}
+	d.noteDrains(found)
 	for i, s := range d.shards {
 		s.deliver(shard.Drains{Workers: drains[i]})
 		s.deliver(shard.Rules{Set: set})
 	}
 }
 
-func drained(set *rules.Set, vm oleanderline.VM, now time.Time) bool {
+// drainRule names the first rule that drains a worker, or is "".
+func drainRule(set *rules.Set, vm oleanderline.VM, now time.Time) string {
 	here := rules.Target{VM: vm.ID, Rack: vm.Rack, Domain: vm.Domain}
-	return slices.ContainsFunc(set.Drains, func(drain rules.Drain) bool {
-		return drain.Active(now) && drain.Matches(here)
-	})
+	for i := range set.Drains {
+		if drain := &set.Drains[i]; drain.Active(now) && drain.Matches(here) {
+			return fmt.Sprintf("drain rule in line %d of revision %d (%s)", drain.Line, set.Revision, drain.Who)
+		}
+	}
+	return ""
+}
+
+// noteDrains logs the drains that begin and end. Every scheduler logs them, whichever owns the worker's shard.
+func (d *Daemon) noteDrains(found map[oleanderline.WorkerID]string) {
+	for id, rule := range found {
+		if d.drains[id] == "" {
+			d.common.Event(common.EventWorkerDrains).WithField("worker", id).WithField("rule", rule).Info("worker is drained")
+		}
+	}
+	for id, rule := range d.drains {
+		if found[id] == "" {
+			d.common.Event(common.EventWorkerDrainEnds).WithField("worker", id).WithField("rule", rule).Info("drain of worker ends")
+		}
+	}
+	d.drains = found
 }
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -33,9 +33,9 @@
 	Largest []oleanderline.Size // sizes of workers of the region that no other exceeds
 }
 
-// Drains is the set of the workers of this shard that operators want empty.
+// Drains is the set of the workers of this shard that operators want empty, each with the rule that says so.
 type Drains struct {
-	Workers map[oleanderline.WorkerID]bool
+	Workers map[oleanderline.WorkerID]string
 }
 
 // Rules is the newest revision of the operators' rules.
--- a/pkg/shard/interfere.go
+++ b/pkg/shard/interfere.go
@@ -113,7 +113,7 @@
 		t.share = c.cfg.Guard.Share
 		c.counters.Throttled++
 	case interference.Evict:
-		t.stop = true
+		t.mustStop("slows latency-critical work on its worker, as the usage reports say")
 		c.counters.Evicted++
 	case interference.Release:
 		t.share = 1
--- a/pkg/shard/inventory.go
+++ b/pkg/shard/inventory.go
@@ -38,7 +38,7 @@
 		switch {
 		case t.running || t.sent:
 			// The start never arrived, or the worker has lost the attempt. A confirmed stop excludes a late start.
-			t.stop = true
+			t.mustStop("the worker does not know the attempt")
 		case first:
 			c.free(t, "not started by the earlier owner", "")
 		}
--- a/pkg/shard/operate.go
+++ b/pkg/shard/operate.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -91,12 +92,14 @@
 		if t.pending != "" || t.ended {
 			continue
 		}
-		leave := t.cancelled || (draining && t.job.Kind == oleanderline.KindBatch)
-		if leave {
-			t.stop = true
+		switch {
+		case t.cancelled:
+			t.mustStop("cancelled")
+		case draining && t.job.Kind == oleanderline.KindBatch:
+			t.mustStop(c.workers.drainReason(w))
 		}
 		if (t.stop || lost) && c.neverRan(w, t) {
-			c.free(t, "not started", "")
+			c.free(t, cmp.Or(t.stopWhy, "not started"), "")
 		}
 	}
 }
@@ -253,6 +256,6 @@
 	case result.Outcome != nil:
 		c.finish(t, *result.Outcome)
 	default:
-		c.free(t, "stopped", result.Checkpoint)
+		c.free(t, cmp.Or(t.stopWhy, "stopped"), result.Checkpoint)
 	}
 }
--- a/pkg/shard/preempt.go
+++ b/pkg/shard/preempt.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -35,7 +36,7 @@
 	if victim == nil {
 		return
 	}
-	victim.stop = true
+	victim.mustStop(fmt.Sprintf("makes room for urgent task %s", urgent.id))
 	at.claimedTo = c.now.Add(claimTime)
 	c.preempted = append(c.preempted, victim)
 	c.counters.Preempted++
--- a/pkg/shard/schedule_test.go
+++ b/pkg/shard/schedule_test.go
@@ -85,9 +85,9 @@
 	case 16:
 		w.cutOffOwner(h)
 	case 8:
-		w.drains = map[oleanderline.WorkerID]bool{}
+		w.drains = map[oleanderline.WorkerID]string{}
 		if w.rng.IntN(2) == 0 {
-			w.drains[oleanderline.WorkerID(h.vm.ID)] = true
+			w.drains[oleanderline.WorkerID(h.vm.ID)] = "a drain of the schedule"
 		}
 	case 9, 10, 11, 12:
 		w.submitJob()
@@ -208,7 +208,7 @@
 	now := w.clock.Now()
 	w.calm = true
 	w.logDownTo = now
-	w.drains = map[oleanderline.WorkerID]bool{}
+	w.drains = map[oleanderline.WorkerID]string{}
 	for _, h := range w.hosts {
 		if !h.frozenTo.IsZero() {
 			h.frozenTo = now
--- a/pkg/shard/start.go
+++ b/pkg/shard/start.go
@@ -65,7 +65,7 @@
 	}
 	// Either a newer owner exists, which the next read shows, or the attempt was stopped before. A confirmed stop
 	// settles the second case.
-	t.stop = true
+	t.mustStop("the worker refused the start")
 	if errors.Is(err, oleanderline.ErrFenced) {
 		c.suspect(c.now)
 	}
--- a/pkg/shard/status.go
+++ b/pkg/shard/status.go
@@ -90,7 +90,7 @@
 		e.explain("the inventory of worker %s is not yet known", w.id)
 	case t.stop:
 		e.State = "stopping"
-		e.explain("worker %s has not confirmed the stop after %d attempts", w.id, t.stopTries)
+		e.explain("worker %s has not confirmed the stop after %d attempts; stopped because: %s", w.id, t.stopTries, t.stopWhy)
 	case t.running:
 		e.State = "running"
 		e.explain("worker %s has confirmed the start", w.id)
--- a/pkg/shard/task.go
+++ b/pkg/shard/task.go
@@ -53,6 +53,7 @@
 	ended     bool                  // the worker has reported the outcome
 	stop      bool                  // the attempt must be stopped
 	retryAt   time.Time             // earliest next start or stop
+	stopWhy   string                // the rule or measurement that caused the stop
 	stopTries int
 	notBefore time.Time // backoff of a waiting task
 	share     float64   // of its processors that a throttled task keeps, 0 while not throttled
@@ -64,6 +65,13 @@
 	takenBack bool      // and it has recorded the cancellation
 }
 
+// mustStop marks the attempt to be stopped. The first reason stays, because it is the one that caused the stop.
+func (t *task) mustStop(why string) {
+	if !t.stop {
+		t.stop, t.stopWhy = true, why
+	}
+}
+
 func (t *task) key() oleanderline.AttemptKey {
 	return oleanderline.AttemptKey{Task: t.id, Attempt: t.attempt}
 }
--- a/pkg/shard/worker.go
+++ b/pkg/shard/worker.go
@@ -80,8 +80,8 @@
 // workerTable holds the workers of the shard.
 type workerTable struct {
 	byID   map[oleanderline.WorkerID]*worker
-	order  []*worker // by id, so that equal events give equal actions
-	drains map[oleanderline.WorkerID]bool
+	order  []*worker                        // by id, so that equal events give equal actions
+	drains map[oleanderline.WorkerID]string // the rule that drains a worker
 }
 
 func newWorkerTable() workerTable {
@@ -194,7 +194,19 @@
 
 // draining reports whether batch tasks must leave the worker.
 func (wt *workerTable) draining(w *worker) bool {
-	return wt.drains[w.id] || (w.listed && w.vm.State == oleanderline.VMLeaving)
+	return wt.drainReason(w) != ""
+}
+
+// drainReason names the rule, or the state in the VM list, for which batch tasks must leave the worker; "" if they need
+// not.
+func (wt *workerTable) drainReason(w *worker) string {
+	if rule := wt.drains[w.id]; rule != "" {
+		return rule
+	}
+	if w.listed && w.vm.State == oleanderline.VMLeaving {
+		return "the VM list calls the worker leaving"
+	}
+	return ""
 }
 
 // usable reports whether the worker accepts new tasks.
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -66,7 +66,7 @@
 	linkReplies map[shard.Token]func(shard.Verdict)
 	moves       int       // messages between shards
 	submitted   time.Time // when the newest key was first used
-	drains      map[oleanderline.WorkerID]bool
+	drains      map[oleanderline.WorkerID]string
 	gaps        map[oleanderline.WorkerID][]gap
 }
 
@@ -119,7 +119,7 @@
 	start := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), clock: common.NewVirtualClock(start), without: without, forget: forget,
-		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]bool{},
+		workers: map[oleanderline.WorkerID]*host{}, drains: map[oleanderline.WorkerID]string{},
 		gaps:      map[oleanderline.WorkerID][]gap{},
 		linkToken: 1 << 32, linkReplies: map[shard.Token]func(shard.Verdict){},
 	}
