Report ejected minions and quarantined workers in the status

Change: the counts come from the dispatch core and the shards that the scheduler owns.

Measured: TestEjectedCountsListedMinions passes; the old code had no count.

Conclusion: the screen shows what the decisions know.

--- a/pkg/dispatch/core.go
+++ b/pkg/dispatch/core.go
@@ -100,6 +100,17 @@
 	return 0
 }
 
+// Ejected returns the number of listed minions of all services that are ejected.
+func (c *Core) Ejected() int {
+	n := 0
+	for _, m := range c.minions {
+		if !m.removed && m.health.Ejected() {
+			n++
+		}
+	}
+	return n
+}
+
 // InFlight returns the number of exchanges of a service that have not ended.
 func (c *Core) InFlight(id oleanderline.ServiceID) int {
 	if s, ok := c.services[id]; ok {
--- a/pkg/dispatch/core_test.go
+++ b/pkg/dispatch/core_test.go
@@ -73,3 +73,21 @@
 	a.RetryAfter = 0
 	return a
 }
+
+// Guards against a status that hides ejected minions, and against one that still counts those that are no longer listed.
+func TestEjectedCountsListedMinions(t *testing.T) {
+	c, now := loneCore(3, nil)
+	require.Zero(t, c.Ejected())
+	for id := RequestID(1); id <= 60 && c.Ejected() == 0; id++ {
+		now = now.Add(10 * time.Millisecond)
+		for _, a := range c.Arrive(Request{ID: id, Service: "s", Arrived: now}, now, c.Tick(now, nil)) {
+			if a.Kind == ActionSend {
+				failed := a.Minion == "m-0"
+				c.Done(Finish{Request: a.Request, Minion: a.Minion, Result: oleanderline.ResultUnknown, Failed: failed}, now, nil)
+			}
+		}
+	}
+	require.Equal(t, 1, c.Ejected())
+	c.SetMinions(testMinions(3)[1:], now, nil)
+	require.Zero(t, c.Ejected())
+}
--- a/pkg/entry/operator_view.go
+++ b/pkg/entry/operator_view.go
@@ -54,6 +54,7 @@
 		}
 	}
 	d.dispatcher.update(func(core *dispatch.Core, _ time.Time, actions []dispatch.Action) []dispatch.Action {
+		r.Ejected = core.Ejected()
 		for id := range services {
 			r.InFlight += core.InFlight(id)
 			r.Queued += core.Queued(id)
--- a/pkg/sched/operator_service.go
+++ b/pkg/sched/operator_service.go
@@ -29,7 +29,12 @@
 	now := d.common.Clock.Now()
 	status.LogService = operator.Service{Age: -1}
 	for _, s := range d.shards {
-		s.inspectBriefly(func(core *shard.Core) { addShard(&status, core.Status(), now) })
+		s.inspectBriefly(func(core *shard.Core) {
+			addShard(&status, core.Status(), now)
+			if core.Owning() {
+				status.Workers.Quarantined += core.Quarantined()
+			}
+		})
 	}
 	return status
 }
