--- a/pkg/shard/keep.go
+++ b/pkg/shard/keep.go
@@ -9,9 +9,10 @@
 // Bounds of appending live records again.
 const (
 	keepSweep = time.Second
-	keepGuard = time.Minute // between two keep records of a job, so that an outage does not pile them up
-	keepTasks = 500         // tasks in one record
-	keepJobs  = 200         // jobs in one sweep
+	keepGuard = time.Minute     // between two keep records of a job, so that an outage does not pile them up
+	keepLeft  = 3 * time.Second // until the next keep record of a job, if tasks had to be left out of one
+	keepTasks = 500             // tasks in one record
+	keepJobs  = 200             // jobs in one sweep
 )
 
 // keepLive appends live records again well before the log service drops them.
@@ -36,18 +37,26 @@
 	}
 }
 
+func (c *Core) keepGuard() time.Duration { return min(keepGuard, c.cfg.Limits.Retention/8) }
+
 // keepJob queues the records of a job's unfinished tasks whose last full record is old. Tasks with a record on its way
 // are left for a later sweep, because the record here would not match the state at its own place in the stream.
 func (c *Core) keepJob(j *job) bool {
-	if j.finished() || j.cancelPending || c.now.Sub(j.keptAt) < min(keepGuard, c.cfg.Limits.Retention/8) {
+	if j.finished() || j.cancelPending || c.now.Sub(j.keptAt) < c.keepGuard() {
 		return false
 	}
 	// Three eighths, so that the record is stored before half of the retention has passed.
 	limit := c.now.Add(-c.cfg.Limits.Retention * 3 / 8)
 	var tasks []journal.KeptTask
+	left := false
 	for index := range j.Count {
-		if t := j.tasks[index]; t != nil && t.pending == "" && t.keptAt.Before(limit) {
+		t := j.tasks[index]
+		switch {
+		case t == nil || !t.keptAt.Before(limit):
+		case t.pending == "":
 			tasks = append(tasks, t.kept())
+		default:
+			left = true
 		}
 	}
 	tasks = append(tasks, j.guest.keptEnds(limit)...)
@@ -55,6 +64,10 @@
 		return false
 	}
 	j.keptAt = c.now
+	if left {
+		// The tasks that were left out are as old: they follow when their records are read back.
+		j.keptAt = c.now.Add(keepLeft - c.keepGuard())
+	}
 	for start := 0; start < len(tasks); start += keepTasks {
 		spec := j.Job
 		c.record(false, journal.Record{
--- a/pkg/shard/schedule_test.go
+++ b/pkg/shard/schedule_test.go
@@ -23,6 +23,8 @@
 	faultyTime       = 3 * time.Minute
 	// longFaultyTime is more than twice the retention: entries are lost, and live records must have been kept.
 	longFaultyTime = 20 * time.Minute
+	// shortFaultyTime is the same for the half of the retention.
+	shortFaultyTime = 10 * time.Minute
 	// calmTime lets every wait of the design pass: horizon, lease, margin, retries of stops and the take-overs.
 	calmTime = 30 * time.Minute
 )
@@ -136,6 +138,9 @@
 
 func (w *world) faultyTime() time.Duration {
 	if w.seed%16 == 1 {
+		if shortRetention {
+			return shortFaultyTime
+		}
 		return longFaultyTime
 	}
 	return faultyTime
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -39,9 +40,15 @@
 	limits := shard.DefaultLimits()
 	limits.Lease, limits.Horizon = 9*time.Second, 40*time.Second
 	limits.Retention, limits.Keep, limits.Hold = 8*time.Minute, 15*time.Second, 5*time.Second
+	if shortRetention {
+		limits.Retention = 4 * time.Minute
+	}
 	return limits
 }
 
+// shortRetention halves the retention of the schedules, see KNOWN-RED.txt.
+var shortRetention = os.Getenv("OLEANDER_SHORT_RETENTION") != ""
+
 // world runs several processes, with a core for each shard, against stand-ins on a virtual clock. All its choices come
 // from one seed.
 type world struct {
