Remember finished jobs for twice the horizon at least

Change: the horizon is a quarter of the retention at most, and finished jobs are remembered for twice the horizon at least.

Conclusion: settings that allow the fault are refused; the cause is likely, not proved.

--- a/pkg/sched/settings.go
+++ b/pkg/sched/settings.go
@@ -58,7 +58,7 @@
 		s.checkShards(),
 		setting.Within("--lease", s.Lease, 3*time.Second, 10*time.Minute),
 		setting.Within("--renew", s.Renew, 50*time.Millisecond, s.Lease/3),
-		setting.Within("--horizon", s.Horizon, s.Lease, 24*time.Hour),
+		setting.Within("--horizon", s.Horizon, s.Lease, s.Retention/4),
 		setting.Within("--retention", s.Retention, time.Minute, 365*24*time.Hour),
 		setting.Within("--hold", s.Hold, 100*time.Millisecond, time.Minute),
 		setting.Within("--heartbeat", s.Heartbeat, 10*time.Millisecond, 2*time.Second),
@@ -79,7 +79,9 @@
 	limits.Lease, limits.Renew, limits.Horizon = s.Lease, s.Renew, s.Horizon
 	limits.Retention, limits.Hold = s.Retention, s.Hold
 	limits.Margin = max(limits.Margin, 2*callTimeout)
-	limits.Keep = min(limits.Keep, s.Retention/2)
+	// An owner that has not noticed its loss may offer a moved task again until the horizon, so that the shard that has
+	// finished it must remember it for longer. Half of the retention is enough, because the horizon is a quarter at most.
+	limits.Keep = min(max(limits.Keep, 2*s.Horizon), s.Retention/2)
 	return limits
 }
 
