Set up rules and batch work once in the tests of holds and quotas

Every assertion stays as it was.

Conclusion: the two tests differ only in the rule and in what they check.

--- a/pkg/shard/policy_test.go
+++ b/pkg/shard/policy_test.go
@@ -84,21 +84,27 @@
 	}
 }
 
+// giveUnderRules puts rules in force at all processes, and submits more small batch tasks than the workers have room for.
+func (w *world) giveUnderRules(t *testing.T, owner *process, text string) {
+	t.Helper()
+	set, report := rules.Parse(text)
+	require.Empty(t, report.Errors)
+	for _, p := range w.processes {
+		for id := range p.cores {
+			w.feed(p, id, shard.Rules{Set: set})
+		}
+	}
+	job := whole(oleanderline.KindBatch, "0-a", 8*worldWorkers)
+	job.Size = oleanderline.Size{CPU: 1000, Memory: 500}
+	w.give(owner, job)
+}
+
 // Guards against batch work in capacity that operators hold.
 func TestHoldKeepsBatchWorkOut(t *testing.T) {
 	for _, without := range []bool{false, true} {
 		t.Run(fmt.Sprintf("without=%t", without), func(t *testing.T) {
 			w, owner := calmWorld(shard.Without{Holds: without})
-			set, report := rules.Parse("hold cpu=50% domain=d-0 # gala\n")
-			require.Empty(t, report.Errors)
-			for _, p := range w.processes {
-				for id := range p.cores {
-					w.feed(p, id, shard.Rules{Set: set})
-				}
-			}
-			job := whole(oleanderline.KindBatch, "0-a", 8*worldWorkers)
-			job.Size = oleanderline.Size{CPU: 1000, Memory: 500}
-			w.give(owner, job)
+			w.giveUnderRules(t, owner, "hold cpu=50% domain=d-0 # gala\n")
 			w.pass(30 * time.Second)
 			for _, h := range w.hosted() {
 				require.Equal(t, without, h.Committed().CPU > workerSize.CPU/2, "%s runs %s", h.vm.ID, h.Committed())
@@ -112,16 +118,7 @@
 	for _, without := range []bool{false, true} {
 		t.Run(fmt.Sprintf("without=%t", without), func(t *testing.T) {
 			w, owner := calmWorld(shard.Without{Quotas: without})
-			set, report := rules.Parse("quota team=routes cpu=3 # depot planning\n")
-			require.Empty(t, report.Errors)
-			for _, p := range w.processes {
-				for id := range p.cores {
-					w.feed(p, id, shard.Rules{Set: set})
-				}
-			}
-			job := whole(oleanderline.KindBatch, "0-a", 8*worldWorkers)
-			job.Size = oleanderline.Size{CPU: 1000, Memory: 500}
-			w.give(owner, job)
+			w.giveUnderRules(t, owner, "quota team=routes cpu=3 # depot planning\n")
 			w.pass(5 * time.Second)
 			var sum oleanderline.Size
 			for _, h := range w.hosted() {
