--- a/ids.go
+++ b/ids.go
@@ -24,6 +24,10 @@
 	RackID string
 	// WriterID identifies one incarnation of a process that appends records.
 	WriterID string
+	// QueueID identifies a queue of jobs.
+	QueueID string
+	// PoolID identifies a group of workers that serves queues.
+	PoolID string
 	// Stream names an append-only stream of the log service.
 	Stream string
 )
--- /dev/null
+++ b/pkg/link/link.go
@@ -0,0 +1,290 @@
+// Package link carries the calls of a leader to one worker: one goroutine holds the worker's runs and takes its reports,
+// another carries out orders one at a time.
+package link
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+)
+
+const (
+	queueLength = 512 // orders
+	// slowClock is the rate of a worker's clock that may run up to 2% slow.
+	slowClock = 0.98
+	// clockSlack covers the rounding of a worker's clock and late timers.
+	clockSlack = 50 * time.Millisecond
+	retryPause = 100 * time.Millisecond
+	// unackedPause spaces holds while ends are not recorded yet, because such a hold is answered at once.
+	unackedPause = 250 * time.Millisecond
+	ackWait      = 80 * time.Millisecond
+	startTries   = 3
+	otherTries   = 2
+	// orderAge is how old an order may be when its turn comes. Later it counts as not sent.
+	orderAge     = time.Second
+	lapsedRepeat = time.Second
+)
+
+// Settings of a Link.
+type Settings struct {
+	Term  oleanderline.Term
+	Lease time.Duration // from now to the deadline that an order gives
+	Wait  time.Duration // how long a hold waits for an end
+	// Authority reports whether orders may be given now.
+	Authority func(now time.Time) bool
+}
+
+// Events takes what a link learns. The methods may block.
+type Events interface {
+	Report(id oleanderline.WorkerID, report oleanderline.WorkerReport, sent time.Time)
+	Result(result plan.Result)
+	Silent(id oleanderline.WorkerID, err error)
+	Lapsed(id oleanderline.WorkerID)
+	Fenced(id oleanderline.WorkerID)
+}
+
+// Link is the leader's side of one worker.
+type Link struct {
+	id       oleanderline.WorkerID
+	runner   oleanderline.Runner
+	clock    oleanderline.Clock
+	settings Settings
+	events   Events
+	orders   chan queued
+	acks     chan struct{}
+
+	mu       sync.Mutex
+	known    bool // whether the worker's clock is known
+	readAt   time.Time
+	reading  oleanderline.WorkerTime
+	leaseEnd time.Time // when everything on the worker has lapsed at the latest
+	life     oleanderline.WorkerLife
+	acked    int64
+	seen     int64
+}
+
+type queued struct {
+	order plan.Order
+	at    time.Time
+}
+
+// New returns a link that does nothing before Run.
+func New(id oleanderline.WorkerID, runner oleanderline.Runner, clock oleanderline.Clock, settings Settings, events Events) *Link {
+	return &Link{
+		id: id, runner: runner, clock: clock, settings: settings, events: events,
+		orders: make(chan queued, queueLength), acks: make(chan struct{}, 1),
+	}
+}
+
+// Run serves the worker until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { l.hold(ctx) })
+	duties.Go(func() { l.carryOut(ctx) })
+	duties.Wait()
+	l.runner.Close()
+}
+
+// Order queues an order. If the queue is full, the order counts as not sent.
+func (l *Link) Order(order plan.Order) {
+	select {
+	case l.orders <- queued{order: order, at: l.clock.Now()}:
+	default:
+		go l.events.Result(plan.Result{Order: order, Err: oleanderline.ErrUnavailable})
+	}
+}
+
+// Ack tells which ends are recorded.
+func (l *Link) Ack(acked plan.Acked) {
+	l.mu.Lock()
+	if acked.Life == l.life {
+		l.acked = max(l.acked, acked.Number)
+	}
+	l.mu.Unlock()
+	select {
+	case l.acks <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Link) hold(ctx context.Context) {
+	var lapsedAt time.Time
+	for ctx.Err() == nil {
+		now := l.clock.Now()
+		if !l.settings.Authority(now) {
+			l.sleep(ctx, retryPause)
+			continue
+		}
+		report, err := l.runner.Hold(ctx, l.nextHold(now))
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			l.learn(report)
+			l.events.Report(l.id, report, now)
+			l.waitForAck(ctx)
+			continue
+		case isFenced(err):
+			l.events.Fenced(l.id)
+			return
+		}
+		l.events.Silent(l.id, err)
+		now = l.clock.Now()
+		if l.lapsed(now) && now.Sub(lapsedAt) >= lapsedRepeat {
+			lapsedAt = now
+			l.events.Lapsed(l.id)
+		}
+		l.sleep(ctx, retryPause)
+	}
+}
+
+func (l *Link) nextHold(now time.Time) oleanderline.HoldRuns {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	order := oleanderline.HoldRuns{Life: l.life, Term: l.settings.Term, Acked: l.acked}
+	if l.known {
+		order.Deadline = l.deadline(now)
+	}
+	if l.known && l.acked >= l.seen {
+		order.Wait = l.settings.Wait
+	}
+	return order
+}
+
+// deadline returns a deadline on the worker's clock, and notes until when it may last. The caller holds the mutex.
+func (l *Link) deadline(now time.Time) oleanderline.WorkerTime {
+	span := now.Sub(l.readAt) + l.settings.Lease
+	end := l.readAt.Add(time.Duration(float64(span)/slowClock) + clockSlack)
+	if end.After(l.leaseEnd) {
+		l.leaseEnd = end
+	}
+	return l.reading.Add(span)
+}
+
+func (l *Link) lapsed(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known && now.After(l.leaseEnd)
+}
+
+// learn takes in the worker's clock and the ends that it listed.
+func (l *Link) learn(report oleanderline.WorkerReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if report.Life != l.life {
+		l.life, l.acked, l.seen = report.Life, 0, 0
+	}
+	for _, end := range report.Ended {
+		l.seen = max(l.seen, end.Number)
+	}
+	l.readClock(report.Clock)
+}
+
+func (l *Link) readClock(clock oleanderline.WorkerTime) {
+	l.known, l.readAt, l.reading = true, l.clock.Now(), clock
+}
+
+// waitForAck gives the records of the newest ends a moment, so that the next hold acknowledges them.
+func (l *Link) waitForAck(ctx context.Context) {
+	l.mu.Lock()
+	open := l.acked < l.seen
+	l.mu.Unlock()
+	if !open {
+		return
+	}
+	timer := l.clock.NewTimer(ackWait)
+	defer timer.Stop()
+	select {
+	case <-l.acks:
+	case <-timer.C():
+		l.sleep(ctx, unackedPause)
+	case <-ctx.Done():
+	}
+}
+
+func (l *Link) sleep(ctx context.Context, d time.Duration) {
+	timer := l.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
+
+func (l *Link) carryOut(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-l.orders:
+			if result, fenced := l.try(ctx, next); fenced {
+				l.events.Fenced(l.id)
+				return
+			} else if ctx.Err() == nil {
+				l.events.Result(result)
+			}
+		}
+	}
+}
+
+// try sends an order until it is answered. Every call of a start carries the same deadline.
+func (l *Link) try(ctx context.Context, next queued) (result plan.Result, fenced bool) {
+	result = plan.Result{Order: next.order, Err: oleanderline.ErrUnavailable}
+	now := l.clock.Now()
+	if now.Sub(next.at) > orderAge {
+		return result, false
+	}
+	l.mu.Lock()
+	deadline := l.deadline(now)
+	l.mu.Unlock()
+	tries := otherTries
+	if next.order.Kind == plan.OrderStart {
+		tries = startTries
+	}
+	for result.Attempts < tries && ctx.Err() == nil {
+		if !l.settings.Authority(l.clock.Now()) {
+			break
+		}
+		result.Attempts++
+		clock, err := l.call(ctx, next.order, deadline)
+		result.Err = err
+		if err == nil {
+			l.mu.Lock()
+			l.readClock(clock)
+			l.mu.Unlock()
+			return result, false
+		}
+		if isFenced(err) {
+			return result, true
+		}
+		if errors.As(err, new(*oleanderline.RefusedError)) {
+			return result, false
+		}
+		if errors.Is(err, oleanderline.ErrUnavailable) {
+			l.sleep(ctx, retryPause)
+		}
+	}
+	return result, false
+}
+
+func (l *Link) call(ctx context.Context, order plan.Order, deadline oleanderline.WorkerTime) (oleanderline.WorkerTime, error) {
+	switch order.Kind {
+	case plan.OrderStart:
+		return l.runner.Start(ctx, oleanderline.StartRun{
+			Key: order.Key, Payload: order.Payload, Deadline: deadline, Term: l.settings.Term,
+			Checkpoint: order.Checkpoint, Ticket: order.Ticket,
+		})
+	case plan.OrderStop:
+		return l.runner.Stop(ctx, oleanderline.StopRun{Key: order.Key, Term: l.settings.Term})
+	}
+	return l.runner.Pace(ctx, oleanderline.PaceRun{Key: order.Key, Percent: order.Percent, Term: l.settings.Term})
+}
+
+func isFenced(err error) bool {
+	var refused *oleanderline.RefusedError
+	return errors.As(err, &refused) && refused.Reason == oleanderline.RefusedTerm
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,102 @@
+// Package node runs one process of a cell. Every process answers callers and follows the records; one of them leads.
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/lead"
+	"github.com/oleanderline/oleanderline/pkg/replica"
+	"github.com/oleanderline/oleanderline/pkg/term"
+)
+
+// Node is one process of a cell.
+type Node struct {
+	common   *common.Common
+	settings Settings
+	ports    Ports
+	replica  *replica.Replica
+	watch    *lead.Watch
+	intake   *intake
+	config   atomic.Pointer[oleanderline.CellConfig]
+	stopping atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+
+	// session is set while this process leads. Only the follower of the records changes it.
+	session  atomic.Pointer[term.Session]
+	logReads reachability
+}
+
+var _ oleanderline.JobService = (*Node)(nil)
+
+// New returns a node that does nothing before Start.
+func New(c *common.Common, settings Settings, ports Ports) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		common: c, settings: settings, ports: ports, ctx: ctx, cancel: cancel,
+		watch: lead.NewWatch(leaderTimeout),
+	}
+	n.replica = replica.New(func(err error) {
+		c.Event(common.EventRecordMalformed).WithError(err).Warn("record skipped")
+	})
+	n.intake = newIntake(c, ports.Log)
+	n.logReads = reachability{common: c, what: "records"}
+	return n
+}
+
+// Start begins to follow the configuration and the records.
+func (n *Node) Start() {
+	n.duties.Go(n.followConfig)
+	n.duties.Go(n.followRecords)
+	n.duties.Go(func() { n.intake.run(n.ctx) })
+}
+
+// Drain begins a planned stop: this process is not ready any more, and hands leadership over.
+func (n *Node) Drain(ctx context.Context) {
+	n.stopping.Store(true)
+	if s := n.session.Load(); s != nil {
+		s.Stop(ctx, true)
+	}
+}
+
+// Stop ends all duties.
+func (n *Node) Stop() {
+	n.cancel()
+	n.duties.Wait()
+	if s := n.session.Load(); s != nil {
+		s.Stop(n.ctx, false)
+	}
+}
+
+func (n *Node) sleep(d time.Duration) {
+	timer := n.common.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-n.ctx.Done():
+	}
+}
+
+// reachability logs when something is lost and when it is regained.
+type reachability struct {
+	common *common.Common
+	what   string
+	lost   bool
+}
+
+func (r *reachability) result(err error) {
+	switch {
+	case err != nil && !r.lost:
+		r.lost = true
+		r.common.Event(common.EventLogLost).WithField("stream", r.what).WithError(err).Warn("a read of the log failed")
+	case err == nil && r.lost:
+		r.lost = false
+		r.common.Event(common.EventLogRegained).WithField("stream", r.what).Info("the log answers again")
+	}
+}
--- /dev/null
+++ b/pkg/node/records.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/replica"
+	"github.com/oleanderline/oleanderline/pkg/term"
+)
+
+// followRecords keeps the replica up to date and claims leadership when the leader is lost.
+func (n *Node) followRecords() {
+	loaded := false
+	delay := n.claimDelay()
+	for n.ctx.Err() == nil {
+		now := n.common.Clock.Now()
+		changes, err := n.readRecords(loaded)
+		if n.ctx.Err() != nil {
+			return
+		}
+		n.logReads.result(err)
+		switch {
+		case errors.Is(err, oleanderline.ErrTrimmed):
+			loaded = false
+			continue
+		case err != nil:
+			n.watch.Read(false, now)
+			n.sleep(readRetry)
+			continue
+		}
+		loaded = true
+		n.watch.Read(true, now)
+		n.apply(changes)
+		n.dropEndedSession()
+		if n.shouldClaim(delay) {
+			n.claim()
+			delay = n.claimDelay()
+		}
+		n.pause()
+	}
+}
+
+func (n *Node) readRecords(loaded bool) ([]replica.Change, error) {
+	if !loaded {
+		batch, err := n.ports.Log.Newest(n.ctx, record.Stream)
+		if err != nil {
+			return nil, err
+		}
+		return n.replica.Load(batch, n.common.Clock.Now()), nil
+	}
+	wait := readWait
+	if n.session.Load() == nil {
+		wait = leaderTimeout / 4
+	}
+	batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.Next(), wait)
+	if err != nil {
+		return nil, err
+	}
+	return n.replica.Apply(batch, n.common.Clock.Now()), nil
+}
+
+func (n *Node) pause() {
+	if n.session.Load() != nil {
+		n.sleep(leaderPause)
+		return
+	}
+	n.sleep(followPause)
+}
+
+// apply passes what was read to the watch, and to the session while this process leads.
+func (n *Node) apply(changes []replica.Change) {
+	s := n.session.Load()
+	for _, change := range changes {
+		switch change.Kind {
+		case record.KindLeader:
+			n.watch.Heard(change.Leader.Resigned, n.common.Clock.Now())
+		case record.KindJob:
+			if entry, ok := n.replica.Job(change.Job); ok && s != nil {
+				s.AddJob(entry)
+			}
+		case record.KindCancel:
+			if s != nil {
+				s.CancelJob(change.Job)
+			}
+		}
+	}
+}
+
+func (n *Node) dropEndedSession() {
+	if s := n.session.Load(); s != nil && s.Ended() {
+		n.session.Store(nil)
+		n.duties.Go(func() { s.Stop(n.ctx, false) })
+	}
+}
+
+func (n *Node) claimDelay() time.Duration {
+	delay := rand.N(claimSpread)
+	if n.settings.Cores < weakCores {
+		delay += weakDelay
+	}
+	return delay
+}
+
+func (n *Node) shouldClaim(delay time.Duration) bool {
+	if n.session.Load() != nil || n.stopping.Load() || n.config.Load() == nil {
+		return false
+	}
+	return n.watch.Claim(n.common.Clock.Now(), delay)
+}
+
+// claim makes this process the leader if no other process claims first. The order of claims is that of the log.
+func (n *Node) claim() {
+	began := n.common.Clock.Now()
+	old := n.replica.Leader()
+	n.common.Event(common.EventClaimed).WithField("term", old.Term).WithField("leader", old.VM).Info("leader is lost, claiming")
+	leader, err := n.storeClaim()
+	if err == nil {
+		err = n.fence(leader)
+	}
+	if err == nil {
+		err = n.catchUp()
+	}
+	if err != nil {
+		n.common.Event(common.EventClaimFailed).WithError(err).Warn("claim failed")
+		n.watch.Heard(false, n.common.Clock.Now())
+		return
+	}
+	settings := term.Settings{
+		Leader: leader,
+		Plan: plan.Settings{
+			Settle:  settleTime,
+			Horizon: aloneFor + 2*lease, // the last order of an earlier leader, and twice the lease for slow clocks
+			Early:   n.settings.Early,
+		},
+		Lease:   min(lease, n.settings.MaxLease),
+		Hold:    holdWait,
+		Alone:   aloneFor,
+		KeepJob: n.settings.KeepJob,
+	}
+	ports := term.Ports{
+		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Wall: n.ports.Wall,
+	}
+	n.session.Store(term.Start(n.common, settings, ports, n.replica, n.config.Load(), began))
+}
+
+// claimRecord is the value of a claim.
+type claimRecord struct {
+	record.Leader
+	Nonce uint64 `json:"nonce"` // tells apart the claims of processes with the same name
+}
+
+// storeClaim appends a claim at the end of the stream of claims. The term is the offset after the claim.
+func (n *Node) storeClaim() (record.Leader, error) {
+	batch, err := n.ports.Log.Newest(n.ctx, record.StreamClaims)
+	if err != nil {
+		return record.Leader{}, err
+	}
+	claims := 0
+	for _, rec := range batch.Records {
+		last, err := record.Decode[claimRecord](rec)
+		if err != nil {
+			return record.Leader{}, err
+		}
+		claims = last.Claims
+	}
+	leader := record.Leader{VM: n.settings.VM, Claims: claims + 1}
+	rec, err := record.ForClaim(claimRecord{Leader: leader, Nonce: rand.Uint64()})
+	if err != nil {
+		return record.Leader{}, err
+	}
+	condition := oleanderline.AppendCondition{AtEnd: true, End: batch.End}
+	offset, err := n.ports.Log.Append(n.ctx, record.StreamClaims, []oleanderline.KeyedRecord{rec}, condition)
+	if err != nil {
+		return record.Leader{}, err
+	}
+	leader.Term = oleanderline.Term(offset + 1)
+	return leader, nil
+}
+
+// fence makes all appends of earlier leaders fail from now on.
+func (n *Node) fence(leader record.Leader) error {
+	condition := oleanderline.AppendCondition{Writer: term.WriterID, Term: leader.Term}
+	_, err := n.ports.Log.Append(n.ctx, record.Stream, nil, condition)
+	return err
+}
+
+// catchUp reads the records to the end.
+func (n *Node) catchUp() error {
+	for {
+		batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.Next(), 0)
+		if err != nil {
+			return err
+		}
+		n.apply(n.replica.Apply(batch, n.common.Clock.Now()))
+		if batch.Next >= batch.End {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/pkg/node/service.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+// retryAfter is how soon a caller should come again: about when the log's short outages are over.
+const retryAfter = time.Second
+
+// Queue implements oleanderline.JobService.
+func (n *Node) Queue(host, path string) (queue oleanderline.Queue, rest string, err error) {
+	config := n.config.Load()
+	if config == nil {
+		return oleanderline.Queue{}, "", oleanderline.ErrNotReady
+	}
+	longest := -1
+	for _, q := range config.Queues {
+		if q.Host == host && len(q.Prefix) > longest && strings.HasPrefix(path, q.Prefix) {
+			queue, longest = q, len(q.Prefix)
+		}
+	}
+	if longest < 0 {
+		return oleanderline.Queue{}, "", oleanderline.ErrUnknownQueue
+	}
+	return queue, path[longest:], nil
+}
+
+// Submit implements oleanderline.JobService.
+func (n *Node) Submit(ctx context.Context, job oleanderline.Job) error {
+	if entry, ok := n.replica.Job(job.ID); ok {
+		if !sameJob(entry.Job, job) {
+			return oleanderline.ErrConflict
+		}
+		return nil
+	}
+	job.Submitted = n.ports.Wall()
+	rec, err := record.ForJob(&job)
+	if err != nil {
+		return err
+	}
+	if err := n.intake.store(ctx, rec); err != nil {
+		n.refused("submit", job.ID, err)
+		return err
+	}
+	n.common.Event(common.EventJobStored).WithField("job", job.ID).WithField("queue", job.Queue).Info("job stored")
+	return nil
+}
+
+// sameJob compares what a caller chooses.
+func sameJob(a, b oleanderline.Job) bool {
+	a.Submitted, b.Submitted = time.Time{}, time.Time{}
+	a.Queue, b.Queue = "", ""
+	if !a.Repeat.First.Equal(b.Repeat.First) {
+		return false
+	}
+	a.Repeat.First, b.Repeat.First = time.Time{}, time.Time{}
+	return reflect.DeepEqual(a, b)
+}
+
+func (n *Node) refused(what string, job oleanderline.JobID, err error) {
+	age, _ := n.replica.Age(n.common.Clock.Now())
+	n.common.Event(common.EventJobRefused).WithField("job", job).WithField("call", what).
+		WithField("read", age.String()).WithError(err).Warn("not stored")
+}
+
+// State implements oleanderline.JobService.
+func (n *Node) State(_ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
+	entry, ok := n.replica.Job(id)
+	if !ok {
+		return 0, n.unknown(id)
+	}
+	return entry.State(), nil
+}
+
+// unknown says that a job does not exist, or that this process cannot know.
+func (n *Node) unknown(id oleanderline.JobID) error {
+	age, loaded := n.replica.Age(n.common.Clock.Now())
+	if !loaded || age > readWait+freshFor {
+		n.refused("state", id, oleanderline.ErrNotReady)
+		return oleanderline.ErrNotReady
+	}
+	n.refused("state", id, oleanderline.ErrUnknownJob)
+	return oleanderline.ErrUnknownJob
+}
+
+// Cancel implements oleanderline.JobService.
+func (n *Node) Cancel(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) error {
+	entry, ok := n.replica.Job(id)
+	if !ok {
+		return n.unknown(id)
+	}
+	if entry.State().Final() {
+		return nil
+	}
+	if err := n.intake.store(ctx, record.ForCancel(id)); err != nil {
+		n.refused("cancel", id, err)
+		return err
+	}
+	n.common.Event(common.EventJobCancel).WithField("job", id).Info("cancellation stored")
+	return nil
+}
+
+// Waiting implements oleanderline.JobService.
+func (n *Node) Waiting(queue oleanderline.QueueID) (int, error) {
+	if age, loaded := n.replica.Age(n.common.Clock.Now()); !loaded || age > readWait+freshFor {
+		return 0, oleanderline.ErrNotReady
+	}
+	return n.replica.Waiting(queue), nil
+}
+
+// Ready implements oleanderline.JobService.
+func (n *Node) Ready() bool {
+	_, loaded := n.replica.Age(n.common.Clock.Now())
+	return loaded && n.config.Load() != nil && !n.stopping.Load()
+}
+
+// RetryAfter implements oleanderline.JobService.
+func (n *Node) RetryAfter() time.Duration { return retryAfter }
+
+// MaxBody implements oleanderline.JobService.
+func (n *Node) MaxBody() int64 {
+	if config := n.config.Load(); config != nil {
+		return config.MaxBody
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/node/settings.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Settings of a Node.
+type Settings struct {
+	VM          oleanderline.VMID
+	Cores       float64       // processor share of this VM
+	MaxLease    time.Duration // the longest that workers accept
+	PlannedStop time.Duration // how long a planned stop may take
+	KeepJob     time.Duration // how long a finished job stays known
+	Early       time.Duration // how long before its due time an occurrence may start
+}
+
+// Ports are what a node speaks to.
+type Ports struct {
+	Log          oleanderline.KeyedLog
+	Config       oleanderline.Stream // of the operators' configuration
+	ConfigKey    string
+	DecodeConfig func(value []byte) (*oleanderline.CellConfig, error)
+	Workers      oleanderline.Stream // directory of workers
+	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
+	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	Wall         func() time.Time
+}
+
+// Timing of a node.
+const (
+	// leaderTimeout is how long the leader's records may stay away before another process claims leadership.
+	leaderTimeout = 1500 * time.Millisecond
+	// claimSpread spaces the claims of processes that take the leader as lost at the same time.
+	claimSpread = 400 * time.Millisecond
+	// weakDelay keeps VMs with a small processor share from leading while stronger ones live.
+	weakDelay = 400 * time.Millisecond
+	weakCores = 0.15
+
+	// lease is how long a run goes on without its leader. It covers the loss of a leader and the start of the next.
+	lease = 4 * time.Second
+	// aloneFor is how long a leader goes on while the log does not answer. Longer outages end all runs.
+	aloneFor   = 10 * time.Second
+	holdWait   = 600 * time.Millisecond
+	settleTime = 700 * time.Millisecond
+
+	readWait     = 1200 * time.Millisecond
+	readRetry    = 100 * time.Millisecond
+	followPause  = 80 * time.Millisecond // between reads of a process that does not lead
+	leaderPause  = 10 * time.Millisecond
+	freshFor     = time.Second // how old a read may be for an answer that a job is unknown
+	submitRetry  = 50 * time.Millisecond
+	circuitPause = 250 * time.Millisecond // between attempts to store while the log refuses
+)
--- /dev/null
+++ b/pkg/plan/place.go
@@ -0,0 +1,281 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+const (
+	// fullPause is how long a worker that has refused a start for want of room gets nothing new.
+	fullPause = 200 * time.Millisecond
+	// unhealthyPause is the same for one that says that it is not healthy.
+	unhealthyPause = time.Second
+	// servingLoad is the share of their declared processors that lasting tasks use on average.
+	servingLoad = 0.5
+	// lateFactor of its objective is when a job earns nothing any more.
+	lateFactor = 3
+)
+
+// Place starts what can be started now. wall is the time of day, which decides about due times.
+func (p *Planner) Place(now, wall time.Time) {
+	p.now = now
+	if !p.settled(now) {
+		return
+	}
+	p.openDue(wall)
+	if len(p.open) == 0 {
+		return
+	}
+	unseen := p.unseenMayRun(now)
+	for _, c := range p.candidates(now) {
+		if c.group.step.Gang {
+			p.placeGang(c.group, unseen, now)
+			continue
+		}
+		p.placeGroup(c.group, unseen, now)
+	}
+}
+
+// candidate is a group with the figures that decide its turn.
+type candidate struct {
+	group *group
+	late  bool
+	slack time.Duration
+}
+
+// candidates orders the groups that have ready tasks: lasting tasks and high priority first, then those that can still be
+// in time, by the time that is left beyond their longest path. It answers a load with more work than room, where serving
+// late jobs first would make all of them late.
+func (p *Planner) candidates(now time.Time) []candidate {
+	list := make([]candidate, 0, len(p.open))
+	for g := range p.open {
+		objective := g.job.objective()
+		waited := now.Sub(g.job.arrived)
+		remaining := g.job.chain[g.index]
+		list = append(list, candidate{
+			group: g,
+			late:  !g.step.Lasting && waited+remaining > lateFactor*objective,
+			slack: objective - waited - remaining,
+		})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.group.job.queue.Priority, b.group.job.queue.Priority),
+			compareBool(a.late, b.late),
+			compareBool(!a.group.step.Lasting, !b.group.step.Lasting),
+			cmp.Compare(a.slack, b.slack),
+			cmp.Compare(a.group.job.spec.ID, b.group.job.spec.ID),
+			cmp.Compare(a.group.number(), b.group.number()),
+		)
+	})
+	return list
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+func (p *Planner) placeGroup(g *group, unseen bool, now time.Time) {
+	g.next = 0
+	for {
+		t := g.takeReady()
+		if t == nil {
+			return
+		}
+		if t.unseen && unseen {
+			g.next++
+			continue
+		}
+		w := p.pick(t, now)
+		if w == nil {
+			return
+		}
+		p.start(t, w, max(t.run, p.runBase)+1, now)
+	}
+}
+
+// pick returns the worker with the most room for a task, or nil. A worker on which the task has failed comes last.
+func (p *Planner) pick(t *task, now time.Time) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range p.workers {
+		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
+			continue
+		}
+		score := w.score(t)
+		if best == nil || score > bestScore || (score == bestScore && w.entry.ID < best.entry.ID) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// holds reports whether the worker has room for one more task of the group.
+func (w *worker) holds(g *group) bool {
+	need := g.step.Size
+	if g.step.Filler {
+		if w.leftover() < need.CPU && w.filling > 0 {
+			return false
+		}
+		need.CPU = 0
+	}
+	if !w.used.Add(need).Fits(w.entry.Capacity) {
+		return false
+	}
+	return g.step.Spread == 0 || g.onWorker(w) < g.step.Spread
+}
+
+// leftover is the processor time that fillers may still use, as far as is known.
+func (w *worker) leftover() oleanderline.Millicores {
+	busy := w.used.CPU - oleanderline.Millicores(float64(w.serving)*(1-servingLoad))
+	return (w.entry.Capacity.CPU-busy)*oleanderline.Millicores(w.pace.percent)/paceFull - w.filling
+}
+
+// Weights of what makes a worker better for a task, beside its share of free processors.
+const (
+	scoreRack   = 2.0
+	scoreFailed = -4.0
+)
+
+func (w *worker) score(t *task) float64 {
+	capacity := max(1, float64(w.entry.Capacity.CPU))
+	score := float64(w.free().CPU) / capacity
+	if t.group.step.Filler {
+		score = float64(w.leftover()) / capacity
+	}
+	if t.group.step.Rack != "" && t.group.step.Rack == w.entry.Rack {
+		score += scoreRack
+	}
+	if t.group.step.SameRack && t.group.usesRack(w.entry.Rack) {
+		score += scoreRack
+	}
+	if t.avoid == w.entry.ID {
+		score += scoreFailed
+	}
+	return score
+}
+
+func (g *group) usesRack(rack oleanderline.RackID) bool {
+	for i := range g.tasks {
+		if w := g.tasks[i].worker; w != nil && w.entry.Rack == rack {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) start(t *task, w *worker, run int, now time.Time) {
+	p.unready(t)
+	t.state, t.run, t.began, t.moved, t.since = taskStarting, run, now, now, time.Time{}
+	t.pace = paceFull
+	t.unseen = false
+	p.charge(t, w)
+	p.orders = append(p.orders, Order{
+		Kind: OrderStart, Worker: w.entry.ID, Life: w.life, Key: t.runKey(),
+		Payload: t.group.job.spec.Payload, Checkpoint: t.saved,
+	})
+	p.note(NoteStart, t.runKey(), w, "")
+}
+
+// placeGang starts all tasks of a gang in one run, or none.
+func (p *Planner) placeGang(g *group, unseen bool, now time.Time) {
+	run := p.runBase
+	saved := ""
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.unseen && unseen {
+			return
+		}
+		run = max(run, t.run)
+		if t.saved != "" {
+			saved = t.saved
+		}
+	}
+	for _, rack := range p.racksFor(g) {
+		if p.placeGangIn(g, rack, run+1, saved, now) {
+			return
+		}
+	}
+}
+
+// racksFor returns the racks to try for a gang: each one alone if it has to stay together, else all of them as one.
+func (p *Planner) racksFor(g *group) []oleanderline.RackID {
+	if !g.step.SameRack {
+		return []oleanderline.RackID{""}
+	}
+	free := map[oleanderline.RackID]oleanderline.Millicores{}
+	for _, w := range p.workers {
+		free[w.entry.Rack] += w.free().CPU
+	}
+	racks := make([]oleanderline.RackID, 0, len(free)+1)
+	for rack := range free {
+		racks = append(racks, rack)
+	}
+	slices.SortFunc(racks, func(a, b oleanderline.RackID) int {
+		return cmp.Or(compareBool(a != g.step.Rack, b != g.step.Rack), -cmp.Compare(free[a], free[b]), cmp.Compare(a, b))
+	})
+	return append(racks, "") // slower across racks, but better than not at all
+}
+
+func (p *Planner) placeGangIn(g *group, rack oleanderline.RackID, run int, saved string, now time.Time) bool {
+	for i := range g.tasks {
+		w := p.pickIn(&g.tasks[i], rack, now)
+		if w == nil {
+			p.undo(g)
+			return false
+		}
+		p.charge(&g.tasks[i], w)
+	}
+	placed := make([]*worker, len(g.tasks))
+	for i := range g.tasks {
+		placed[i] = g.tasks[i].worker
+	}
+	p.undo(g)
+	for i := range g.tasks {
+		g.tasks[i].saved = saved
+		p.start(&g.tasks[i], placed[i], run, now)
+	}
+	return true
+}
+
+func (p *Planner) pickIn(t *task, rack oleanderline.RackID, now time.Time) *worker {
+	if rack == "" {
+		return p.pick(t, now)
+	}
+	var best *worker
+	for _, w := range p.workers {
+		if w.entry.Rack != rack || !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
+			continue
+		}
+		if best == nil || w.score(t) > best.score(t) {
+			best = w
+		}
+	}
+	return best
+}
+
+// undo takes back the room that a gang was given for trial.
+func (p *Planner) undo(g *group) {
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.worker == nil {
+			continue
+		}
+		t.state = taskLeaving // keeps release from queueing it
+		p.release(t, time.Time{})
+	}
+	for i := range g.tasks {
+		g.tasks[i].state = taskReady
+	}
+	g.ready = len(g.tasks)
+	p.open[g] = struct{}{}
+}
--- /dev/null
+++ b/pkg/plan/planner.go
@@ -0,0 +1,117 @@
+// Package plan decides which task of a job with steps starts on which worker, and when a run is stopped or paced. It is
+// pure: it does no I/O, starts no goroutine and reads no clock.
+package plan
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// runsPerClaim separates the run numbers of successive leaders: a leader numbers its runs above all of earlier leaders,
+// whose last runs it may not know.
+const runsPerClaim = 1000
+
+// Settings of a Planner.
+type Settings struct {
+	// Settle is how long a new leader waits for the reports of workers before it starts anything.
+	Settle time.Duration
+	// Horizon is how long after the start of a term a run that an earlier leader has started may go on unseen, on a worker
+	// that has not reported.
+	Horizon time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+}
+
+// Planner holds the jobs, tasks and workers of one leader's term.
+type Planner struct {
+	settings Settings
+	began    time.Time
+	now      time.Time // of the newest event
+	runBase  int
+	config   *oleanderline.CellConfig
+	queues   map[oleanderline.QueueID]oleanderline.Queue
+	jobs     map[oleanderline.JobID]*job
+	workers  map[oleanderline.WorkerID]*worker
+	open     map[*group]struct{} // with tasks that are ready
+	timed    map[*group]struct{} // waiting for their due time
+	dirty    map[*job]struct{}   // with progress that is not recorded
+	orders   []Order
+	notes    []Note
+	fresh    bool // nothing was ever started before this term
+}
+
+// New returns the planner of a term that begins now. claims counts the claims of leadership, this one included.
+func New(settings Settings, claims int, now time.Time) *Planner {
+	return &Planner{
+		settings: settings,
+		began:    now,
+		now:      now,
+		runBase:  (claims - 1) * runsPerClaim,
+		fresh:    claims == 1,
+		config:   &oleanderline.CellConfig{},
+		queues:   map[oleanderline.QueueID]oleanderline.Queue{},
+		jobs:     map[oleanderline.JobID]*job{},
+		workers:  map[oleanderline.WorkerID]*worker{},
+		open:     map[*group]struct{}{},
+		timed:    map[*group]struct{}{},
+		dirty:    map[*job]struct{}{},
+	}
+}
+
+// SetConfig takes over a version of the configuration.
+func (p *Planner) SetConfig(config *oleanderline.CellConfig) {
+	p.config = config
+	queues := map[oleanderline.QueueID]oleanderline.Queue{}
+	for _, queue := range config.Queues {
+		queues[queue.ID] = queue
+	}
+	p.queues = queues
+	for _, j := range p.jobs {
+		if queue, ok := queues[j.spec.Queue]; ok {
+			j.queue = queue
+		}
+	}
+}
+
+// Orders returns the orders decided since the last call.
+func (p *Planner) Orders() []Order {
+	orders := p.orders
+	p.orders = nil
+	return orders
+}
+
+// Notes returns the decisions to log since the last call.
+func (p *Planner) Notes() []Note {
+	notes := p.notes
+	p.notes = nil
+	return notes
+}
+
+func (p *Planner) note(kind NoteKind, run oleanderline.RunKey, w *worker, reason string) {
+	n := Note{Kind: kind, Run: run, Reason: reason}
+	if w != nil {
+		n.Worker = w.entry.ID
+	}
+	p.notes = append(p.notes, n)
+}
+
+// settled reports whether every worker on which an earlier leader may have started tasks has reported, or the time for
+// that has passed.
+func (p *Planner) settled(now time.Time) bool {
+	return p.fresh || now.Sub(p.began) >= p.settings.Settle || p.allReported()
+}
+
+func (p *Planner) allReported() bool {
+	for _, w := range p.workers {
+		if w.inherited && !w.reported {
+			return false
+		}
+	}
+	return true
+}
+
+// unseenMayRun reports whether a task that no worker has reported may run on one that has not reported yet.
+func (p *Planner) unseenMayRun(now time.Time) bool {
+	return !p.fresh && now.Sub(p.began) < p.settings.Horizon && !p.allReported()
+}
--- /dev/null
+++ b/pkg/plan/worker.go
@@ -0,0 +1,192 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+type worker struct {
+	entry     oleanderline.WorkerEntry
+	listed    bool // the directory has it
+	inherited bool // an earlier leader may have started tasks on it
+	recorded  bool // it is stored that tasks may run on it
+	reported  bool // it has reported in this term
+	life      oleanderline.WorkerLife
+	tasks     map[*task]struct{}
+	used      oleanderline.Size // of the tasks that count against its capacity
+	serving   oleanderline.Millicores
+	filling   oleanderline.Millicores // declared need of the fillers on it
+	strangers int                     // runs that belong to no task that is known
+	seen      int64                   // the highest number of an end that was taken in
+	acked     int64                   // the highest number that is recorded
+	silent    bool                    // its last call failed
+	fullUntil time.Time
+	health    health
+	pace      paceControl
+}
+
+// free returns what is not committed.
+func (w *worker) free() oleanderline.Size { return w.entry.Capacity.Sub(w.used) }
+
+// SetWorkers takes over the directory.
+func (p *Planner) SetWorkers(entries []oleanderline.WorkerEntry) {
+	listed := map[oleanderline.WorkerID]bool{}
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		w := p.workers[entry.ID]
+		if w == nil {
+			w = p.addWorker(entry.ID)
+		}
+		if entry.Draining && !w.entry.Draining {
+			p.note(NoteWorker, oleanderline.RunKey{}, w, "drains")
+		}
+		w.entry = entry
+		w.listed = true
+	}
+	for id, w := range p.workers {
+		if !listed[id] {
+			w.listed = false
+		}
+	}
+}
+
+// InheritWorker adds a worker on which an earlier leader may have started tasks.
+func (p *Planner) InheritWorker(id oleanderline.WorkerID, address string) {
+	w := p.workers[id]
+	if w == nil {
+		w = p.addWorker(id)
+		w.entry.Address = address
+	}
+	w.inherited, w.recorded = true, true
+}
+
+func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
+	w := &worker{entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl()}
+	p.workers[id] = w
+	return w
+}
+
+// Workers returns the id and address of every worker that has to be called, and whether tasks may run on it.
+func (p *Planner) Workers(visit func(id oleanderline.WorkerID, address string)) {
+	for id, w := range p.workers {
+		visit(id, w.entry.Address)
+	}
+}
+
+// Removable returns the workers that the directory no longer has and on which nothing runs.
+func (p *Planner) Removable() []oleanderline.WorkerID {
+	var ids []oleanderline.WorkerID
+	for id, w := range p.workers {
+		if !w.listed && len(w.tasks) == 0 && w.silent && (w.reported || !w.inherited) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Knows reports whether the planner has a worker.
+func (p *Planner) Knows(id oleanderline.WorkerID) bool { return p.workers[id] != nil }
+
+// WorkerRecorded tells that it is stored that tasks may run on a worker.
+func (p *Planner) WorkerRecorded(id oleanderline.WorkerID) {
+	if w := p.workers[id]; w != nil {
+		w.recorded = true
+	}
+}
+
+// RemoveWorker forgets a worker.
+func (p *Planner) RemoveWorker(id oleanderline.WorkerID) { delete(p.workers, id) }
+
+// Silent tells that a call to a worker has failed.
+func (p *Planner) Silent(id oleanderline.WorkerID) {
+	w := p.workers[id]
+	if w == nil || w.silent {
+		return
+	}
+	w.silent = true
+	p.note(NoteWorker, oleanderline.RunKey{}, w, "does not answer")
+}
+
+// Lapsed tells that the deadline of everything on a worker has passed.
+func (p *Planner) Lapsed(id oleanderline.WorkerID, now time.Time) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.reported = true // whatever an earlier leader has started there has lapsed as well
+	p.loseAll(w, now, "deadline passed")
+}
+
+// loseAll releases the tasks of a worker, except those whose start is still being ordered: its result decides.
+func (p *Planner) loseAll(w *worker, now time.Time, reason string) {
+	for t := range w.tasks {
+		if t.state == taskStarting {
+			continue
+		}
+		p.note(NoteLost, t.runKey(), w, reason)
+		p.release(t, now)
+	}
+}
+
+// charge commits room on a worker to a task.
+func (p *Planner) charge(t *task, w *worker) {
+	t.worker = w
+	w.tasks[t] = struct{}{}
+	t.group.job.charged++
+	size := t.group.step.Size
+	if t.group.step.Filler {
+		w.filling += size.CPU
+		size.CPU = 0
+	}
+	if t.group.step.TailTarget > 0 {
+		w.serving += size.CPU
+	}
+	w.used = w.used.Add(size)
+}
+
+// release frees the room of a task whose run is over, and queues the task again unless it is done.
+func (p *Planner) release(t *task, _ time.Time) {
+	w := t.worker
+	if w == nil {
+		return
+	}
+	delete(w.tasks, t)
+	t.worker = nil
+	t.group.job.charged--
+	size := t.group.step.Size
+	if t.group.step.Filler {
+		w.filling -= size.CPU
+		size.CPU = 0
+	}
+	if t.group.step.TailTarget > 0 {
+		w.serving -= size.CPU
+	}
+	w.used = w.used.Sub(size)
+	t.state = taskIdle
+	t.percent, t.gauge = 0, 0
+	p.queue(t)
+}
+
+// usable reports whether new tasks may be placed on the worker at all.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.recorded && w.reported && !w.silent && !w.entry.Draining && w.strangers == 0 &&
+		!now.Before(w.fullUntil) && w.health.admits(now)
+}
+
+// suits reports whether the worker meets what a step requires of any worker.
+func (w *worker) suits(g *group) bool {
+	return w.entry.Pool == g.job.queue.Pool && (g.step.Label == "" || slices.Contains(w.entry.Labels, g.step.Label))
+}
+
+// onWorker counts the tasks of a group on a worker.
+func (g *group) onWorker(w *worker) int {
+	count := 0
+	for i := range g.tasks {
+		if g.tasks[i].worker == w {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/term/handle.go
@@ -0,0 +1,190 @@
+package term
+
+import (
+	"context"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/link"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/replica"
+)
+
+// handle runs in the duty that owns the planner.
+func (s *Session) handle(message any) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	now := s.common.Clock.Now()
+	switch m := message.(type) {
+	case jobStored:
+		s.add(m.entry, s.ports.Wall())
+	case jobCancelled:
+		s.planner.Cancel(m.id)
+	case configChanged:
+		s.planner.SetConfig(m.config)
+	case directoryRead:
+		s.planner.SetWorkers(m.entries)
+		s.connect()
+	case reported:
+		s.planner.Report(m.id, m.report, m.sent, now)
+	case answered:
+		s.planner.Answered(m.result, now)
+	case fellSilent:
+		s.planner.Silent(m.id)
+	case lapsed:
+		s.planner.Lapsed(m.id, now)
+	case ticked:
+		s.planner.Place(now, s.ports.Wall())
+	case flushWant:
+		s.collect(m.reply)
+	case flushed:
+		s.flushed(m)
+	}
+	s.carryOut()
+}
+
+func (s *Session) add(entry replica.Entry, wall time.Time) {
+	age := min(max(0, wall.Sub(entry.Job.Submitted)), maxAge)
+	s.planner.AddJob(entry.Job, entry.Progress, s.common.Clock.Now(), age)
+	if entry.Cancelled {
+		s.planner.Cancel(entry.Job.ID)
+	}
+}
+
+// maxAge bounds the effect of clocks that differ on the age of a job.
+const maxAge = 5 * time.Minute
+
+// carryOut passes decided orders to the links and logs decisions.
+func (s *Session) carryOut() {
+	for _, order := range s.planner.Orders() {
+		if l := s.links[order.Worker]; l != nil {
+			l.Order(order)
+			continue
+		}
+		go s.Result(plan.Result{Order: order, Err: oleanderline.ErrUnavailable})
+	}
+	for _, note := range s.planner.Notes() {
+		s.log(note)
+	}
+}
+
+var noteEvents = map[plan.NoteKind]common.Event{
+	plan.NoteStart:  common.EventRunStart,
+	plan.NoteEnd:    common.EventRunEnd,
+	plan.NoteStop:   common.EventRunStop,
+	plan.NoteLost:   common.EventRunLost,
+	plan.NoteJob:    common.EventJobFinal,
+	plan.NoteWorker: common.EventWorkerChange,
+	plan.NotePace:   common.EventPace,
+}
+
+func (s *Session) log(note plan.Note) {
+	entry := s.common.Event(noteEvents[note.Kind])
+	if note.Run.Task.Job != "" {
+		entry = entry.WithField("task", note.Run.Task.String()).WithField("run", note.Run.Run)
+	}
+	if note.Worker != "" {
+		entry = entry.WithField("worker", note.Worker)
+	}
+	entry.Info(note.Reason)
+}
+
+// connect opens a link to every worker that has none, and closes those of workers that are gone.
+func (s *Session) connect() {
+	s.planner.Workers(func(id oleanderline.WorkerID, address string) {
+		l := s.links[id]
+		if l != nil && l.address == address {
+			return
+		}
+		if l != nil {
+			l.cancel()
+		}
+		s.links[id] = s.open(id, address)
+	})
+	for _, id := range s.planner.Removable() {
+		if l := s.links[id]; l != nil {
+			l.cancel()
+		}
+		delete(s.links, id)
+		s.planner.RemoveWorker(id)
+	}
+}
+
+func (s *Session) open(id oleanderline.WorkerID, address string) *linked {
+	ctx, cancel := context.WithCancel(s.ctx)
+	settings := link.Settings{
+		Term: s.settings.Leader.Term, Lease: s.settings.Lease, Wait: s.settings.Hold, Authority: s.Authority,
+	}
+	l := &linked{
+		Link:    link.New(id, s.ports.Dial(id, address), s.common.Clock, settings, s),
+		address: address,
+		cancel:  cancel,
+	}
+	s.duties.Go(func() { l.Run(ctx) })
+	return l
+}
+
+// collect gathers what has to be stored: progress, and the workers that have come or gone.
+func (s *Session) collect(reply chan<- flush) {
+	records, mark, err := s.planner.Flush()
+	if err != nil {
+		s.common.Event(common.EventRecordMalformed).WithError(err).Error("progress cannot be encoded")
+	}
+	f := flush{records: records, done: flushed{mark: mark}}
+	s.planner.Workers(func(id oleanderline.WorkerID, address string) {
+		if s.recorded[id] {
+			return
+		}
+		rec, err := record.ForWorker(record.Worker{ID: id, Address: address})
+		if err != nil {
+			s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
+			return
+		}
+		s.recorded[id] = true
+		f.records = append(f.records, rec)
+		f.done.workers = append(f.done.workers, id)
+	})
+	for id := range s.recorded {
+		if s.links[id] == nil && !s.planner.Knows(id) {
+			delete(s.recorded, id)
+			f.records = append(f.records, record.DropWorker(id))
+		}
+	}
+	reply <- f
+}
+
+func (s *Session) flushed(m flushed) {
+	for _, id := range m.workers {
+		s.planner.WorkerRecorded(id)
+	}
+	for id, acked := range s.planner.Flushed(m.mark) {
+		if l := s.links[id]; l != nil {
+			l.Ack(acked)
+		}
+	}
+}
+
+// Report implements link.Events.
+func (s *Session) Report(id oleanderline.WorkerID, report oleanderline.WorkerReport, sent time.Time) {
+	s.post(reported{id, report, sent})
+	if len(report.Ended) > 0 {
+		s.writer.wake()
+	}
+}
+
+// Result implements link.Events.
+func (s *Session) Result(result plan.Result) { s.post(answered{result}) }
+
+// Silent implements link.Events.
+func (s *Session) Silent(id oleanderline.WorkerID, err error) { s.post(fellSilent{id, err}) }
+
+// Lapsed implements link.Events.
+func (s *Session) Lapsed(id oleanderline.WorkerID) { s.post(lapsed{id}) }
+
+// Fenced implements link.Events.
+func (s *Session) Fenced(id oleanderline.WorkerID) {
+	s.end("worker " + string(id) + " has seen a newer term")
+}
--- /dev/null
+++ b/pkg/term/messages.go
@@ -0,0 +1,40 @@
+package term
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/replica"
+)
+
+// Messages of the duty that owns the planner.
+type (
+	jobStored     struct{ entry replica.Entry }
+	jobCancelled  struct{ id oleanderline.JobID }
+	configChanged struct{ config *oleanderline.CellConfig }
+	directoryRead struct{ entries []oleanderline.WorkerEntry }
+	reported      struct {
+		id     oleanderline.WorkerID
+		report oleanderline.WorkerReport
+		sent   time.Time
+	}
+	answered   struct{ result plan.Result }
+	fellSilent struct {
+		id  oleanderline.WorkerID
+		err error
+	}
+	lapsed    struct{ id oleanderline.WorkerID }
+	ticked    struct{}
+	flushWant struct{ reply chan<- flush }
+	flushed   struct {
+		mark    plan.Mark
+		workers []oleanderline.WorkerID
+	}
+)
+
+// flush is what the writer stores next.
+type flush struct {
+	records []oleanderline.KeyedRecord
+	done    flushed
+}
--- /dev/null
+++ b/pkg/term/session.go
@@ -0,0 +1,130 @@
+// Package term runs one term of a leader: it keeps the planner, one link to each worker, the follower of the directory and
+// the writer of records.
+package term
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/duty"
+	"github.com/oleanderline/oleanderline/pkg/link"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/replica"
+)
+
+// Session is one term of a leader.
+type Session struct {
+	common   *common.Common
+	settings Settings
+	ports    Ports
+	replica  *replica.Replica
+	ctx      context.Context
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+	planner  *plan.Planner // used only by the duty
+	duty     *duty.Duty
+	links    map[oleanderline.WorkerID]*linked // used only by the duty
+	recorded map[oleanderline.WorkerID]bool    // workers with a record, used only by the duty
+	writer   *writer
+	renewed  atomic.Int64 // when the newest append that was answered had been sent
+	ended    atomic.Bool
+}
+
+type linked struct {
+	*link.Link
+	address string
+	cancel  context.CancelFunc
+}
+
+// Start begins a term. fenced is the offset after the append that fenced earlier leaders; the replica has been read up to
+// it. began is when the claim was sent.
+func Start(c *common.Common, settings Settings, ports Ports, jobs *replica.Replica, config *oleanderline.CellConfig, began time.Time) *Session {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Session{
+		common: c, settings: settings, ports: ports, replica: jobs, ctx: ctx, cancel: cancel,
+		planner:  plan.New(settings.Plan, settings.Leader.Claims, c.Clock.Now()),
+		links:    map[oleanderline.WorkerID]*linked{},
+		recorded: map[oleanderline.WorkerID]bool{},
+	}
+	s.renewed.Store(began.UnixNano())
+	s.writer = newWriter(s)
+	s.planner.SetConfig(config)
+	for _, worker := range jobs.Workers() {
+		s.planner.InheritWorker(worker.ID, worker.Address)
+		s.recorded[worker.ID] = true
+	}
+	wall := ports.Wall()
+	jobs.Jobs(func(entry replica.Entry) { s.add(entry, wall) })
+	s.duty = duty.New(c.Actors(), mailbox, s.handle)
+	s.duties.Go(s.followDirectory)
+	s.duties.Go(s.tick)
+	s.duties.Go(s.writer.run)
+	c.Event(common.EventTermBegins).WithField("term", settings.Leader.Term).WithField("claims", settings.Leader.Claims).
+		WithField("workers", len(s.recorded)).Info("leadership begins")
+	return s
+}
+
+// Ended reports whether another leader has taken over.
+func (s *Session) Ended() bool { return s.ended.Load() }
+
+// Authority reports whether orders may be given at a time: a later leader relies on this bound.
+func (s *Session) Authority(now time.Time) bool {
+	return !s.ended.Load() && now.Sub(time.Unix(0, s.renewed.Load())) < s.settings.Alone
+}
+
+// Stop ends the term. If resign is set, it stores that the leader has gone, so that another can take over at once.
+func (s *Session) Stop(ctx context.Context, resign bool) {
+	if resign && !s.ended.Load() {
+		s.writer.resign(ctx)
+	}
+	s.end("stopped")
+	s.duties.Wait()
+	if err := s.duty.Stop(); err != nil {
+		s.common.Log.WithError(err).Warn("the duty of the planner did not stop")
+	}
+}
+
+func (s *Session) end(reason string) {
+	if s.ended.Swap(true) {
+		return
+	}
+	s.common.Event(common.EventTermEnds).WithField("term", s.settings.Leader.Term).WithField("reason", reason).
+		Info("leadership ends")
+	s.cancel()
+}
+
+// post hands a message to the duty, and waits while its mailbox is full.
+func (s *Session) post(message any) {
+	for !s.duty.Post(message) {
+		if s.ctx.Err() != nil {
+			return
+		}
+		time.Sleep(postPause)
+	}
+}
+
+// AddJob takes over a job that was stored.
+func (s *Session) AddJob(entry replica.Entry) { s.post(jobStored{entry}) }
+
+// CancelJob takes over a cancellation that was stored.
+func (s *Session) CancelJob(id oleanderline.JobID) { s.post(jobCancelled{id}) }
+
+// SetConfig takes over a version of the configuration.
+func (s *Session) SetConfig(config *oleanderline.CellConfig) { s.post(configChanged{config}) }
+
+func (s *Session) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+			s.duty.Post(ticked{})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/term/settings.go
@@ -0,0 +1,44 @@
+package term
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+// Settings of a Session.
+type Settings struct {
+	Leader record.Leader
+	Plan   plan.Settings
+	Lease  time.Duration // of the runs on a worker
+	Hold   time.Duration // how long a hold waits for an end
+	// Alone is how long the leader goes on without an answer from the log.
+	Alone   time.Duration
+	KeepJob time.Duration // how long a finished job stays known
+}
+
+// Ports are what a session speaks to.
+type Ports struct {
+	Log oleanderline.KeyedLog
+	// Workers is the stream of the directory, decoded by Decode.
+	Workers oleanderline.Stream
+	Decode  func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
+	Dial    func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	// Wall returns the time of day.
+	Wall func() time.Time
+}
+
+// Timing of the duties of a session.
+const (
+	tickInterval      = 20 * time.Millisecond
+	heartbeatInterval = 400 * time.Millisecond
+	flushInterval     = 25 * time.Millisecond
+	flushRetry        = 100 * time.Millisecond
+	directoryPause    = 250 * time.Millisecond
+	directoryWait     = 1500 * time.Millisecond
+	forgetInterval    = 5 * time.Second
+	mailbox           = 8192 // messages
+	postPause         = 2 * time.Millisecond
+)
