Store the leader's heartbeat on its own time

Cause: each append of the leader counted as a heartbeat, though only some carried the leader's record, so followers missed it for more than 1.5 s and claimed leadership over and over; the claims overlapped because a process claimed over a claim it had not heard of yet.

Change: the time of a heartbeat is that of the newest leader record; a claim made meanwhile gets the time of a leader. A job keeps the definition of its queue, so that a job of a removed queue is not failed after one attempt.

Ruled out: appends that fail (each append was logged: none did), processor time.

--- a/cmd/oleander-node/main.go
+++ b/cmd/oleander-node/main.go
@@ -22,7 +22,7 @@
 // arguments are the program's own settings; everything else stands in the platform's settings file.
 type arguments struct {
 	LogLevel string `arg:"--log-level,env:OLEANDER_LOG_LEVEL" help:"debug, info, warning or error" default:"info"`
-	LogLines int    `arg:"--log-lines,env:OLEANDER_LOG_LINES" help:"log lines a second, at most" default:"300"`
+	LogLines int    `arg:"--log-lines,env:OLEANDER_LOG_LINES" help:"log lines a second, at most" default:"1000"`
 	Metrics  int    `arg:"--metrics-port,env:OLEANDER_METRICS_PORT" help:"port of the metrics page" default:"9100"`
 	Check    bool   `arg:"--check" help:"check the settings file and exit"`
 }
--- a/job.go
+++ b/job.go
@@ -7,11 +7,13 @@
 
 // Job is a submission: steps of tasks that depend on one another.
 type Job struct {
-	ID      JobID   `json:"-"`
-	Queue   QueueID `json:"q"`
-	Payload string  `json:"spec"` // passed to every task as it is
-	Steps   []Step  `json:"steps"`
-	Repeat  Repeat  `json:"rep,omitzero"`
+	ID    JobID   `json:"-"`
+	Queue QueueID `json:"q"`
+	// Policy is the queue's definition when the job was accepted. It applies once the queue has been removed.
+	Policy  Queue  `json:"policy,omitzero"`
+	Payload string `json:"spec"` // passed to every task as it is
+	Steps   []Step `json:"steps"`
+	Repeat  Repeat `json:"rep,omitzero"`
 	// Submitted is when a process accepted the job, by the time of day.
 	Submitted time.Time `json:"t"`
 }
--- a/keyed_log.go
+++ b/keyed_log.go
@@ -49,7 +49,9 @@
 type SequenceError struct{ Expected int64 }
 
 // Error implements error.
-func (e *SequenceError) Error() string { return fmt.Sprintf("out of sequence, expected %d", e.Expected) }
+func (e *SequenceError) Error() string {
+	return fmt.Sprintf("out of sequence, expected %d", e.Expected)
+}
 
 // Errors of a KeyedLog.
 var (
--- a/pkg/logring/writer.go
+++ b/pkg/logring/writer.go
@@ -3,6 +3,7 @@
 package logring
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,12 @@
 	second    = time.Second
 )
 
+// minor marks the lines that are dropped first, in the format of common.NewLogger.
+var minor = []byte(`"level":"info"`)
+
+// majorFactor is how many times more lines a second are admitted of those that tell of a refusal, a failure or a loss.
+const majorFactor = 4
+
 // Writer implements io.Writer. Each call of Write is one line.
 type Writer struct {
 	clock   oleanderline.Clock
@@ -37,7 +44,7 @@
 
 // Write never blocks. It reports success for a dropped line, which is counted.
 func (w *Writer) Write(line []byte) (int, error) {
-	if w.admit() {
+	if w.admit(bytes.Contains(line, minor)) {
 		select {
 		case w.lines <- append([]byte(nil), line...):
 			return len(line), nil
@@ -51,7 +58,7 @@
 // Dropped returns the number of lines dropped and not reported yet.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-func (w *Writer) admit() bool {
+func (w *Writer) admit(info bool) bool {
 	now := w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -59,7 +66,10 @@
 		w.window, w.count = now, 0
 	}
 	w.count++
-	return w.count <= w.limit
+	if info {
+		return w.count <= w.limit
+	}
+	return w.count <= majorFactor*w.limit
 }
 
 // drain writes lines out. An error of the output is ignored, because there is nowhere to report it.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -29,8 +29,10 @@
 	duties   sync.WaitGroup
 
 	// session is set while this process leads. Only the follower of the records changes it.
-	session  atomic.Pointer[term.Session]
-	logReads reachability
+	session atomic.Pointer[term.Session]
+	// claimsSeen is the number of the newest claim by another process that has not been heard yet.
+	claimsSeen int
+	logReads   reachability
 }
 
 var _ oleanderline.JobService = (*Node)(nil)
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -148,6 +148,9 @@
 	n.session.Store(term.Start(n.common, settings, ports, n.replica, n.config.Load(), began))
 }
 
+// errClaimedMeanwhile means that another process has claimed, and has not been heard yet. It gets the same time as a leader.
+var errClaimedMeanwhile = errors.New("another process has claimed meanwhile")
+
 // claimRecord is the value of a claim.
 type claimRecord struct {
 	record.Leader
@@ -168,6 +171,10 @@
 		}
 		claims = last.Claims
 	}
+	if claims != n.claimsSeen && claims > n.replica.Leader().Claims {
+		n.claimsSeen = claims
+		return record.Leader{}, errClaimedMeanwhile
+	}
 	leader := record.Leader{VM: n.settings.VM, Claims: claims + 1}
 	rec, err := record.ForClaim(claimRecord{Leader: leader, Nonce: rand.Uint64()})
 	if err != nil {
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -57,6 +57,7 @@
 func sameJob(a, b oleanderline.Job) bool {
 	a.Submitted, b.Submitted = time.Time{}, time.Time{}
 	a.Queue, b.Queue = "", ""
+	a.Policy, b.Policy = oleanderline.Queue{}, oleanderline.Queue{}
 	if !a.Repeat.First.Equal(b.Repeat.First) {
 		return false
 	}
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -43,7 +43,10 @@
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	j := &job{spec: spec, queue: p.queues[spec.Queue], progress: progress, arrived: now.Add(-age)}
+	j := &job{spec: spec, queue: spec.Policy, progress: progress, arrived: now.Add(-age)}
+	if queue, ok := p.queues[spec.Queue]; ok {
+		j.queue = queue
+	}
 	j.chain = chains(spec.Steps)
 	p.jobs[spec.ID] = j
 	if !j.active() {
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -81,7 +81,8 @@
 		return
 	}
 	now := s.common.Clock.Now()
-	if resign || now.Sub(w.beat) >= heartbeatInterval {
+	beat := resign || now.Sub(w.beat) >= heartbeatInterval
+	if beat {
 		leader := s.settings.Leader
 		leader.Resigned = resign
 		rec, err := record.ForLeader(leader)
@@ -94,6 +95,9 @@
 	if len(f.records) > 0 && !w.store(f.records) {
 		return
 	}
+	if beat {
+		w.beat = now
+	}
 	if len(f.done.mark) > 0 || len(f.done.workers) > 0 {
 		s.post(f.done)
 	}
@@ -129,7 +133,6 @@
 
 func (w *writer) stored(sent time.Time) {
 	w.sequence++
-	w.beat = sent
 	w.session.renewed.Store(sent.UnixNano())
 	if w.down {
 		w.down = false
