Learn which fillers disturb which lasting tasks, by image

Change: pkg/pairs learns suspicion by pair, blaming high tails mostly on what is rarely seen beside healthy tasks. Known harmful pairs are kept apart, a filler that disturbs is moved with its checkpoint, only suspects are slowed down, and lasting tasks of one image are placed together.

--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -1,30 +1,31 @@
 package plan
 
 import (
+	"strconv"
 	"time"
 
-	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
 // Pace of the fillers on a worker, in percent.
 const (
 	paceFull = 100
-	paceStep = 20
-	// paceOver and paceUnder are shares of the target of a tail latency above which fillers slow down and below which they
-	// speed up.
-	paceOver  = 0.85
-	paceUnder = 0.6
-	// paceHalt is the share of the target above which fillers stand still at once.
-	paceHalt = 1.0
+	paceStep = 50
+	// paceOver and paceUnder are shares of the target of a tail latency above which suspect fillers stand still and below
+	// which they speed up again.
+	paceOver  = 1.0
+	paceUnder = 0.7
 	// paceLag is the time after a change for which reports still cover what was before it.
 	paceLag = 700 * time.Millisecond
 	// paceRepeat is how often an unchanged pace is ordered again while the target is missed: an older order may have been
 	// carried out late.
 	paceRepeat = 2 * time.Second
+	// suspectShare is the share of the highest suspicion on a worker from which a filler is slowed down.
+	suspectShare = 0.4
 )
 
-// paceControl sets how fast the fillers on a worker work, so that the tail latency of the lasting tasks beside them stays
-// below its target. It answers a load whose interference changes within seconds and is reported late.
+// paceControl sets how fast suspect fillers on a worker work, so that the tail latency of the lasting tasks beside them
+// stays below its target. It answers a load whose interference changes within seconds and is reported late.
 type paceControl struct {
 	percent int
 	changed time.Time
@@ -40,10 +41,8 @@
 	}
 	percent := c.percent
 	switch {
-	case ratio > paceHalt:
-		percent = 0
 	case ratio > paceOver:
-		percent /= 2
+		percent = 0
 	case ratio < paceUnder:
 		percent = min(paceFull, percent+paceStep)
 	}
@@ -51,32 +50,108 @@
 		c.percent, c.changed, c.ordered = percent, now, now
 		return true
 	}
-	if ratio > paceHalt && now.Sub(c.ordered) > paceRepeat {
+	if ratio > paceOver && now.Sub(c.ordered) > paceRepeat {
 		c.ordered = now
 		return true
 	}
 	return false
 }
 
-// controlPace orders the pace of the fillers on a worker after a report.
+// controlPace learns from a report and moves or slows down the fillers that disturb the lasting tasks of a worker.
 func (p *Planner) controlPace(w *worker, now time.Time) {
-	ratio := 0.0
-	fillers := false
+	fillers := w.fillers()
+	if len(fillers) == 0 {
+		w.pace = newPaceControl()
+		return
+	}
+	worst := p.observeTails(w, fillers, now)
+	force := w.pace.observe(worst, now)
+	suspects := p.suspects(w, fillers)
+	for _, t := range fillers {
+		percent := paceFull
+		if suspects[t] {
+			percent = w.pace.percent
+		}
+		if worst > paceOver && p.disturbs(w, t) {
+			p.note(NoteStop, t.runKey(), w, "disturbs lasting tasks")
+			p.orderStop(t, now)
+			continue
+		}
+		if t.pace != percent || (force && suspects[t]) {
+			p.orderPace(t, percent)
+		}
+	}
+}
+
+// fillers returns the fillers that work on the worker.
+func (w *worker) fillers() []*task {
+	var fillers []*task
 	for t := range w.tasks {
-		if target := t.group.step.TailTarget; target > 0 && t.state == taskRunning {
-			ratio = max(ratio, float64(t.gauge)/float64(target.Milliseconds()))
+		if t.group.step.Filler && t.state == taskRunning {
+			fillers = append(fillers, t)
 		}
-		fillers = fillers || t.group.step.Filler
 	}
-	force := w.pace.observe(ratio, now)
-	if !fillers {
-		return
+	return fillers
+}
+
+// observeTails learns from the tails of the lasting tasks, and returns the highest ratio of a tail to its target.
+func (p *Planner) observeTails(w *worker, fillers []*task, now time.Time) float64 {
+	var working []pairs.Image
+	for _, t := range fillers {
+		if t.pace == paceFull && now.Sub(t.began) > paceLag {
+			working = append(working, pairs.Image(t.group.step.Image))
+		}
+	}
+	settled := now.Sub(w.pace.changed) > paceLag
+	worst := 0.0
+	for t := range w.tasks {
+		target := t.group.step.TailTarget
+		if target == 0 || t.state != taskRunning {
+			continue
+		}
+		ratio := float64(t.gauge) / float64(target.Milliseconds())
+		worst = max(worst, ratio)
+		if settled && len(working) > 0 {
+			p.pairs.Observe(pairs.Image(t.group.step.Image), ratio, working)
+		}
+	}
+	return worst
+}
+
+// suspects returns the fillers that are about as suspicious as the worst one.
+func (p *Planner) suspects(w *worker, fillers []*task) map[*task]bool {
+	highest := 0.0
+	suspicion := map[*task]float64{}
+	for _, t := range fillers {
+		suspicion[t] = p.suspicion(w, t)
+		highest = max(highest, suspicion[t])
 	}
+	suspects := map[*task]bool{}
+	for _, t := range fillers {
+		suspects[t] = suspicion[t] >= suspectShare*highest
+	}
+	return suspects
+}
+
+// suspicion returns how likely a filler is to disturb one of the lasting tasks of a worker.
+func (p *Planner) suspicion(w *worker, filler *task) float64 {
+	highest := 0.0
 	for t := range w.tasks {
-		if t.group.step.Filler && t.state == taskRunning && (force || t.pace != w.pace.percent) {
-			p.orderPace(t, w.pace.percent)
+		if t.group.step.TailTarget > 0 {
+			highest = max(highest, p.pairs.Suspicion(pairs.Image(t.group.step.Image), pairs.Image(filler.group.step.Image)))
 		}
 	}
+	return highest
+}
+
+// disturbs reports whether a filler is known to disturb one of the lasting tasks of a worker.
+func (p *Planner) disturbs(w *worker, filler *task) bool {
+	for t := range w.tasks {
+		if t.group.step.TailTarget > 0 && p.pairs.Harmful(pairs.Image(t.group.step.Image), pairs.Image(filler.group.step.Image)) {
+			return true
+		}
+	}
+	return false
 }
 
 func (p *Planner) orderPace(t *task, percent int) {
@@ -84,5 +159,5 @@
 	p.orders = append(p.orders, Order{
 		Kind: OrderPace, Worker: t.worker.entry.ID, Life: t.worker.life, Key: t.runKey(), Percent: percent,
 	})
-	p.note(NotePace, oleanderline.RunKey{Task: t.key(), Run: t.run}, t.worker, "")
+	p.note(NotePace, t.runKey(), t.worker, strconv.Itoa(percent))
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -108,10 +108,10 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range p.workers {
-		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
+		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t) {
 			continue
 		}
-		score := w.score(t)
+		score := p.score(w, t)
 		if best == nil || score > bestScore || (score == bestScore && w.entry.ID < best.entry.ID) {
 			best, bestScore = w, score
 		}
@@ -142,20 +142,27 @@
 
 // Weights of what makes a worker better for a task, beside its share of free processors.
 const (
-	scoreRack   = 2.0
-	scoreFailed = -4.0
+	scoreRack      = 2.0
+	scoreFailed    = -4.0
+	scoreSuspicion = 2.0
+	scoreImage     = 2.0
+	emptyShare     = 0.5
 )
 
-func (w *worker) score(t *task) float64 {
+func (p *Planner) score(w *worker, t *task) float64 {
 	capacity := max(1, float64(w.entry.Capacity.CPU))
+	step := t.group.step
 	score := float64(w.free().CPU) / capacity
-	if t.group.step.Filler {
-		score = float64(w.leftover()) / capacity
+	switch {
+	case step.Filler:
+		score = float64(w.leftover())/capacity - scoreSuspicion*p.suspicion(w, t)
+	case step.TailTarget > 0:
+		score += scoreImage * w.imageShare(step.Image)
 	}
-	if t.group.step.Rack != "" && t.group.step.Rack == w.entry.Rack {
+	if step.Rack != "" && step.Rack == w.entry.Rack {
 		score += scoreRack
 	}
-	if t.group.step.SameRack && t.group.usesRack(w.entry.Rack) {
+	if step.SameRack && t.group.usesRack(w.entry.Rack) {
 		score += scoreRack
 	}
 	if t.avoid == w.entry.ID {
@@ -164,6 +171,29 @@
 	return score
 }
 
+// imageShare returns the share of a worker's lasting tasks that run an image, and a half if it has none. Lasting tasks of
+// the same image are disturbed by the same fillers, so keeping them together leaves more workers for each filler.
+func (w *worker) imageShare(image string) float64 {
+	same, all := 0.0, 0.0
+	for t := range w.tasks {
+		if t.group.step.TailTarget > 0 {
+			all++
+			if t.group.step.Image == image {
+				same++
+			}
+		}
+	}
+	if all == 0 {
+		return emptyShare
+	}
+	return same / all
+}
+
+// keptApart reports whether a task must not join a worker because it would disturb what runs there.
+func (p *Planner) keptApart(w *worker, t *task) bool {
+	return t.group.step.Filler && p.disturbs(w, t)
+}
+
 func (g *group) usesRack(rack oleanderline.RackID) bool {
 	for i := range g.tasks {
 		if w := g.tasks[i].worker; w != nil && w.entry.Rack == rack {
@@ -256,7 +286,7 @@
 		if w.entry.Rack != rack || !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
 			continue
 		}
-		if best == nil || w.score(t) > best.score(t) {
+		if best == nil || p.score(w, t) > p.score(best, t) {
 			best = w
 		}
 	}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
 // runsPerClaim separates the run numbers of successive leaders: a leader numbers its runs above all of earlier leaders,
@@ -36,6 +37,7 @@
 	open     map[*group]struct{} // with tasks that are ready
 	timed    map[*group]struct{} // waiting for their due time
 	dirty    map[*job]struct{}   // with progress that is not recorded
+	pairs    *pairs.Learner
 	orders   []Order
 	notes    []Note
 	fresh    bool // nothing was ever started before this term
@@ -56,6 +58,7 @@
 		open:     map[*group]struct{}{},
 		timed:    map[*group]struct{}{},
 		dirty:    map[*job]struct{}{},
+		pairs:    pairs.New(),
 	}
 }
 
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -197,9 +197,6 @@
 	if result.Err == nil {
 		t.state, t.since, t.moved = taskRunning, now, now
 		p.started(t)
-		if t.group.step.Filler && t.worker.pace.percent < paceFull {
-			p.orderPace(t, t.worker.pace.percent)
-		}
 		return
 	}
 	w := t.worker
