Let a silent worker's runs lapse

Change: a hold that follows a failed call carries no deadline. TestSilentWorkerLapses fails without it.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -113,13 +113,15 @@
 
 func (l *Link) hold(ctx context.Context) {
 	var lapsedAt time.Time
+	silent := false
 	for ctx.Err() == nil {
 		now := l.clock.Now()
 		if !l.settings.Authority(now) {
 			l.sleep(ctx, retryPause)
 			continue
 		}
-		report, err := l.runner.Hold(ctx, l.nextHold(now))
+		report, err := l.runner.Hold(ctx, l.nextHold(now, silent))
+		silent = err != nil
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -142,10 +144,15 @@
 	}
 }
 
-func (l *Link) nextHold(now time.Time) oleanderline.HoldRuns {
+// nextHold returns the next hold. One that follows a failed call only asks: extending the deadline of a worker that does
+// not answer would put off the time when its runs are surely over.
+func (l *Link) nextHold(now time.Time, silent bool) oleanderline.HoldRuns {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	order := oleanderline.HoldRuns{Life: l.life, Term: l.settings.Term, Acked: l.acked}
+	if silent {
+		return order
+	}
 	if l.known {
 		order.Deadline = l.deadline(now)
 	}
--- /dev/null
+++ b/pkg/link/link_test.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+)
+
+// fakeRunner answers until it is silenced, and keeps the deadlines that it was sent.
+type fakeRunner struct {
+	mu     sync.Mutex
+	silent bool
+	holds  []oleanderline.HoldRuns
+}
+
+func (r *fakeRunner) Start(context.Context, oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	return 0, r.answer()
+}
+
+func (r *fakeRunner) Stop(context.Context, oleanderline.StopRun) (oleanderline.WorkerTime, error) {
+	return 0, r.answer()
+}
+
+func (r *fakeRunner) Pace(context.Context, oleanderline.PaceRun) (oleanderline.WorkerTime, error) {
+	return 0, r.answer()
+}
+
+func (r *fakeRunner) Hold(_ context.Context, order oleanderline.HoldRuns) (oleanderline.WorkerReport, error) {
+	r.mu.Lock()
+	r.holds = append(r.holds, order)
+	r.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	return oleanderline.WorkerReport{Life: 1, Clock: 1000}, r.answer()
+}
+
+func (r *fakeRunner) Close() {}
+
+func (r *fakeRunner) answer() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent {
+		return fmt.Errorf("no answer: %w", oleanderline.ErrUncertain)
+	}
+	return nil
+}
+
+func (r *fakeRunner) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = true
+	r.holds = nil
+}
+
+// recorder keeps what a link tells.
+type recorder struct {
+	lapsed  chan struct{}
+	results chan plan.Result
+	reports chan struct{}
+}
+
+func newRecorder() *recorder {
+	return &recorder{lapsed: make(chan struct{}, 100), results: make(chan plan.Result, 100), reports: make(chan struct{}, 1)}
+}
+
+func (r *recorder) Report(oleanderline.WorkerID, oleanderline.WorkerReport, time.Time) {
+	select {
+	case r.reports <- struct{}{}:
+	default:
+	}
+}
+func (r *recorder) Result(result plan.Result)           { r.results <- result }
+func (r *recorder) Silent(oleanderline.WorkerID, error) {}
+func (r *recorder) Lapsed(oleanderline.WorkerID)        { r.lapsed <- struct{}{} }
+func (r *recorder) Fenced(oleanderline.WorkerID)        {}
+
+func startLink(t *testing.T, runner oleanderline.Runner, events Events, lease time.Duration) *Link {
+	t.Helper()
+	l := New("w", runner, common.NewSystemClock(), Settings{
+		Term: 1, Lease: lease, Authority: func(time.Time) bool { return true },
+	}, events)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.Run(ctx)
+	return l
+}
+
+// Guards against a worker that stays silent for good and whose tasks are never taken as over, because every unanswered
+// hold moved the deadline on.
+func TestSilentWorkerLapses(t *testing.T) {
+	runner, events := &fakeRunner{}, newRecorder()
+	startLink(t, runner, events, 50*time.Millisecond)
+	<-events.reports
+	runner.silence()
+	select {
+	case <-events.lapsed:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the worker never lapsed")
+	}
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	for i, hold := range runner.holds {
+		if i > 1 { // one hold may have been under way
+			require.Zero(t, hold.Deadline)
+		}
+	}
+}
+
+// Guards against an order without any result, which would leave its task starting for ever.
+func TestEveryOrderHasAResult(t *testing.T) {
+	runner, events := &fakeRunner{}, newRecorder()
+	l := startLink(t, runner, events, time.Second)
+	<-events.reports
+	runner.silence()
+	l.Order(plan.Order{Kind: plan.OrderStart, Worker: "w"})
+	result := <-events.results
+	require.ErrorIs(t, result.Err, oleanderline.ErrUncertain)
+	require.Equal(t, startTries, result.Attempts)
+}
