Know after a change of leader what may run on a worker that is out of reach

Change: the record of a worker says when it is silent, and which tasks alone may run there; it is dropped once they have lapsed. Failures are recorded by run.

Ruled out: want of room (other workers had it), the pairs of images.

--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -134,7 +134,7 @@
 		Leader: leader,
 		Plan: plan.Settings{
 			Settle:  settleTime,
-			Horizon: aloneFor + 2*lease, // the last order of an earlier leader, and twice the lease for slow clocks
+			Horizon: horizon,
 			Early:   n.settings.Early,
 		},
 		Lease:   min(lease, n.settings.MaxLease),
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -41,7 +41,10 @@
 	// lease is how long a run goes on without its leader. It covers the loss of a leader and the start of the next.
 	lease = 4 * time.Second
 	// aloneFor is how long a leader goes on while the log does not answer. Longer outages end all runs.
-	aloneFor   = 10 * time.Second
+	aloneFor = 10 * time.Second
+	// horizon is how long after a claim a run of an earlier leader may last: that leader had not been heard for
+	// leaderTimeout, and the clock of a worker may be 2% slow.
+	horizon    = aloneFor - leaderTimeout + lease + lease/20 + 200*time.Millisecond
 	holdWait   = 600 * time.Millisecond
 	settleTime = 700 * time.Millisecond
 
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -27,12 +28,14 @@
 	state  taskState
 	done   bool
 	unseen bool // may run on a worker that has not reported in this term
-	run    int
-	fails  int
-	worker *worker
-	avoid  oleanderline.WorkerID
-	saved  string
-	pace   int // percent that the worker was told
+	// suspect is a silent worker on which the record of an earlier leader says that the task may run.
+	suspect *worker
+	run     int
+	fails   int
+	worker  *worker
+	avoid   oleanderline.WorkerID
+	saved   string
+	pace    int // percent that the worker was told
 	// since is when the worker answered the order that led to the state; reports requested later tell the truth about it.
 	since    time.Time
 	began    time.Time // when the start was decided
@@ -61,7 +64,7 @@
 		t.group, t.index = g, i
 		t.done = record.Bit(done, i)
 		t.unseen = true
-		t.fails = j.progress.Fails[failKey(g, i)]
+		t.fails = len(j.progress.Fails[failKey(g, i)])
 		if !t.done {
 			g.left++
 		}
@@ -227,7 +230,7 @@
 }
 
 // fail counts a failed run of a task, and fails the job after too many.
-func (p *Planner) fail(t *task) {
+func (p *Planner) fail(t *task, run int) {
 	g := t.group
 	if g.step.Lasting || t.done || !g.job.active() {
 		return
@@ -236,11 +239,15 @@
 	if g.step.Gang {
 		counted = &g.tasks[0]
 	}
-	counted.fails++
+	key := failKey(g, counted.index)
+	if slices.Contains(g.job.progress.Fails[key], run) {
+		return
+	}
 	if g.job.progress.Fails == nil {
-		g.job.progress.Fails = map[string]int{}
+		g.job.progress.Fails = map[string][]int{}
 	}
-	g.job.progress.Fails[failKey(g, counted.index)] = counted.fails
+	g.job.progress.Fails[key] = append(g.job.progress.Fails[key], run)
+	counted.fails++
 	p.dirty[g.job] = struct{}{}
 	if counted.fails >= g.job.queue.MaxAttempts {
 		p.finish(g.job, oleanderline.JobFailed)
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -25,6 +25,7 @@
 	if !p.settled(now) {
 		return
 	}
+	p.giveUpUnseen(now)
 	p.openDue(wall)
 	if len(p.open) == 0 {
 		return
@@ -91,7 +92,7 @@
 		if t == nil {
 			return
 		}
-		if t.unseen && unseen {
+		if t.mayRunUnseen(unseen) {
 			g.next++
 			continue
 		}
@@ -222,7 +223,7 @@
 	saved := ""
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if t.unseen && unseen {
+		if t.mayRunUnseen(unseen) {
 			return
 		}
 		run = max(run, t.run)
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -105,15 +105,37 @@
 	return p.fresh || now.Sub(p.began) >= p.settings.Settle || p.allReported()
 }
 
+// allReported reports whether every worker on which any task may run unseen has reported.
 func (p *Planner) allReported() bool {
 	for _, w := range p.workers {
-		if w.inherited && !w.reported {
+		if w.inherited && !w.limited && !w.reported {
 			return false
 		}
 	}
 	return true
 }
 
+// giveUpUnseen takes workers that have not reported for the whole horizon as empty.
+func (p *Planner) giveUpUnseen(now time.Time) {
+	if p.fresh || now.Sub(p.began) < p.settings.Horizon {
+		return
+	}
+	for _, w := range p.workers {
+		if w.inherited && !w.reported {
+			p.note(NoteWorker, oleanderline.RunKey{}, w, "runs of earlier leaders have lapsed")
+			w.reported, w.silent = true, true
+		}
+	}
+}
+
+// mayRunUnseen reports whether a task may run on a worker that has not reported in this term.
+func (t *task) mayRunUnseen(anyMay bool) bool {
+	if t.suspect != nil && !t.suspect.reported {
+		return true
+	}
+	return anyMay && t.unseen
+}
+
 // unseenMayRun reports whether a task that no worker has reported may run on one that has not reported yet.
 func (p *Planner) unseenMayRun(now time.Time) bool {
 	return !p.fresh && now.Sub(p.began) < p.settings.Horizon && !p.allReported()
--- /dev/null
+++ b/pkg/plan/planner_test.go
@@ -0,0 +1,192 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against a step that begins before the steps it needs are done.
+func TestStepsWaitForTheirDependencies(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 2, Size: testSizes}, oleanderline.Step{Count: 1, Size: testSizes, After: []int{0}})
+	c.place()
+	require.Empty(t, c.where(taskOf("a", 1, 0)))
+	c.endTask(taskOf("a", 0, 0), oleanderline.EndDone)
+	c.reportAll()
+	c.place()
+	require.Empty(t, c.where(taskOf("a", 1, 0)))
+	c.endTask(taskOf("a", 0, 1), oleanderline.EndDone)
+	c.reportAll()
+	c.place()
+	require.Len(t, c.where(taskOf("a", 1, 0)), 1)
+}
+
+// Guards against more tasks on a worker than its room, also while one of them is being stopped.
+func TestRoomIsFreeOnlyAfterTheEnd(t *testing.T) {
+	c := newCell(t, 1)
+	c.add("a", oleanderline.Step{Count: 4, Size: testSizes})
+	c.place()
+	c.add("b", oleanderline.Step{Count: 1, Size: testSizes})
+	c.planner.Cancel("a")
+	c.planner.Place(c.now, c.now)
+	for _, order := range c.planner.Orders() {
+		require.Equal(t, OrderStop, order.Kind)
+		c.workers[order.Worker].end(order.Key, oleanderline.EndStopped)
+	}
+	c.reportAll()
+	c.place()
+	require.Len(t, c.where(taskOf("b", 0, 0)), 1)
+}
+
+// Guards against a failure that counts twice, because its worker lists it again to the next leader.
+func TestFailureIsCountedOnceOverLeaders(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.place()
+	c.endTask(taskOf("a", 0, 0), oleanderline.EndFailed)
+	c.reportAll()
+	c.flush()
+	c.successor(2)
+	c.reportAll()
+	require.Equal(t, oleanderline.JobPending, c.planner.jobs["a"].state())
+	c.flush()
+	c.place()
+	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+}
+
+// Guards against a second run of a task that may go on at a worker which the new leader cannot reach, and against holding
+// back tasks that surely do not run there.
+func TestUnreachableWorkerHoldsBackOnlyItsTasks(t *testing.T) {
+	type scenario struct {
+		name    string
+		noticed bool // by the earlier leader, which recorded it
+		started int  // tasks that the new leader may start at once
+	}
+	for _, s := range []scenario{
+		{"recorded as silent", true, 1},
+		{"not noticed", false, 0},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 8, Size: testSizes})
+			c.place()
+			if s.noticed {
+				c.planner.Silent("w0")
+			}
+			c.flush()
+			c.endTaskOn("w1")
+			c.add("b", oleanderline.Step{Count: 1, Size: testSizes})
+			c.successor(2)
+			c.report("w1")
+			c.flush()
+			c.pass(time.Second)
+			c.place()
+			require.Len(t, c.workers["w1"].running, 3+s.started)
+			for i := range 8 {
+				require.LessOrEqual(t, len(c.where(taskOf("a", 0, i))), 1)
+			}
+			c.pass(testSettings().Horizon)
+			c.workers["w0"].running = map[oleanderline.RunKey]oleanderline.RunStatus{}
+			c.place()
+			require.Len(t, c.workers["w1"].running, 4)
+		})
+	}
+}
+
+// endTaskOn ends one task on a worker as done, so that the worker has room.
+func (c *cell) endTaskOn(id oleanderline.WorkerID) {
+	for key := range c.workers[id].running {
+		c.workers[id].end(key, oleanderline.EndDone)
+		break
+	}
+	c.report(id)
+	c.flush()
+}
+
+// Guards against a second run while it is not known whether a start was carried out.
+func TestStartWithoutAnswerIsStoppedFirst(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.planner.Place(c.now, c.now)
+	orders := c.planner.Orders()
+	require.Len(t, orders, 1)
+	c.planner.Answered(Result{Order: orders[0], Err: oleanderline.ErrUncertain, Attempts: 3}, c.now)
+	stops := c.planner.Orders()
+	require.Len(t, stops, 1)
+	require.Equal(t, OrderStop, stops[0].Kind)
+	c.place()
+	require.Empty(t, c.where(taskOf("a", 0, 0)), "a second run may not begin before the stop is answered")
+	c.planner.Answered(Result{Order: stops[0], Attempts: 1}, c.now)
+	c.pass(time.Millisecond)
+	c.reportAll()
+	c.place()
+	runs := c.where(taskOf("a", 0, 0))
+	require.Len(t, runs, 1)
+	require.Equal(t, 2, runs[0].Run)
+}
+
+// Guards against a job that fails before its last attempt, and one that goes on after it.
+func TestJobFailsAfterItsLastAttempt(t *testing.T) {
+	c := newCell(t, 3)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	for attempt := 1; attempt <= testQueue.MaxAttempts; attempt++ {
+		require.True(t, c.planner.jobs["a"].active())
+		c.place()
+		c.endTask(taskOf("a", 0, 0), oleanderline.EndFailed)
+		c.reportAll()
+	}
+	require.Equal(t, oleanderline.JobFailed, c.planner.jobs["a"].state())
+}
+
+// Guards against a lasting task that is taken as done, or not started again however it ends.
+func TestLastingTasksStartAgain(t *testing.T) {
+	for _, how := range []oleanderline.EndKind{oleanderline.EndDone, oleanderline.EndFailed, oleanderline.EndLapsed} {
+		t.Run(how.String(), func(t *testing.T) {
+			c := newCell(t, 3)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSizes, Lasting: true})
+			for range 5 {
+				c.place()
+				require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+				c.endTask(taskOf("a", 0, 0), how)
+				c.reportAll()
+			}
+			require.True(t, c.planner.jobs["a"].active())
+		})
+	}
+}
+
+// Guards against members of a gang that start without the others, or in different runs.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	c := newCell(t, 1)
+	c.add("a", oleanderline.Step{Count: 2, Size: testSizes})
+	c.place()
+	c.add("b", oleanderline.Step{Count: 3, Size: testSizes, Gang: true})
+	c.place()
+	for i := range 3 {
+		require.Empty(t, c.where(taskOf("b", 0, i)))
+	}
+	c.endTask(taskOf("a", 0, 0), oleanderline.EndDone)
+	c.reportAll()
+	c.place()
+	for i := range 3 {
+		runs := c.where(taskOf("b", 0, i))
+		require.Len(t, runs, 1)
+		require.Equal(t, 1, runs[0].Run)
+	}
+}
+
+// Guards against more tasks of a step on one worker than the step allows.
+func TestSpreadBoundsTasksPerWorker(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 4, Size: testSizes, Spread: 1})
+	c.place()
+	running := 0
+	for i := range 4 {
+		running += len(c.where(taskOf("a", 0, i)))
+	}
+	require.Equal(t, 2, running)
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -25,6 +25,7 @@
 	}
 	if w.silent {
 		w.silent = false
+		w.recorded = false // the record says that it is silent, or there is none
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "answers again")
 	}
 	p.takeEnds(w, report.Ended, now)
@@ -72,7 +73,7 @@
 	case oleanderline.EndFailed:
 		w.health.ended(!t.group.step.Lasting, now)
 		t.avoid = w.entry.ID
-		p.fail(t)
+		p.fail(t, end.Key.Run)
 	}
 	switch {
 	case current:
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -5,26 +5,30 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 type worker struct {
 	entry     oleanderline.WorkerEntry
 	listed    bool // the directory has it
 	inherited bool // an earlier leader may have started tasks on it
-	recorded  bool // it is stored that tasks may run on it
-	reported  bool // it has reported in this term
-	life      oleanderline.WorkerLife
-	tasks     map[*task]struct{}
-	used      oleanderline.Size // of the tasks that count against its capacity
-	serving   oleanderline.Millicores
-	filling   oleanderline.Millicores // declared need of the fillers on it
-	strangers int                     // runs that belong to no task that is known
-	seen      int64                   // the highest number of an end that was taken in
-	acked     int64                   // the highest number that is recorded
-	silent    bool                    // its last call failed
-	fullUntil time.Time
-	health    health
-	pace      paceControl
+	limited   bool // an earlier leader has recorded which tasks alone may run on it
+	recorded  bool // it is stored that any task may run on it
+	// stored, written and writtenSilent tell which record was handed out last.
+	stored, written, writtenSilent bool
+	reported                       bool // it has reported in this term
+	life                           oleanderline.WorkerLife
+	tasks                          map[*task]struct{}
+	used                           oleanderline.Size // of the tasks that count against its capacity
+	serving                        oleanderline.Millicores
+	filling                        oleanderline.Millicores // declared need of the fillers on it
+	strangers                      int                     // runs that belong to no task that is known
+	seen                           int64                   // the highest number of an end that was taken in
+	acked                          int64                   // the highest number that is recorded
+	silent                         bool                    // its last call failed
+	fullUntil                      time.Time
+	health                         health
+	pace                           paceControl
 }
 
 // free returns what is not committed.
@@ -53,13 +57,19 @@
 }
 
 // InheritWorker adds a worker on which an earlier leader may have started tasks.
-func (p *Planner) InheritWorker(id oleanderline.WorkerID, address string) {
-	w := p.workers[id]
+func (p *Planner) InheritWorker(rec record.Worker) {
+	w := p.workers[rec.ID]
 	if w == nil {
-		w = p.addWorker(id)
-		w.entry.Address = address
+		w = p.addWorker(rec.ID)
+		w.entry.Address = rec.Address
+	}
+	w.inherited, w.limited, w.recorded = true, rec.Silent, !rec.Silent
+	w.stored = true
+	for _, key := range rec.Tasks {
+		if t := p.task(key); t != nil {
+			t.suspect = w
+		}
 	}
-	w.inherited, w.recorded = true, true
 }
 
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
@@ -75,37 +85,70 @@
 	}
 }
 
-// Removable returns the workers that the directory no longer has and on which nothing runs.
-func (p *Planner) Removable() []oleanderline.WorkerID {
-	var ids []oleanderline.WorkerID
+// removable reports whether nothing may run on a worker that the directory no longer has.
+func (w *worker) removable() bool { return !w.listed && w.empty() }
+
+// empty reports whether nothing may run on a silent worker.
+func (w *worker) empty() bool { return w.silent && len(w.tasks) == 0 && w.reported }
+
+// Records returns the records of workers that have changed, and the workers to which they belong. Workers that are gone are
+// forgotten.
+func (p *Planner) Records() (records []oleanderline.KeyedRecord, ids []oleanderline.WorkerID, err error) {
 	for id, w := range p.workers {
-		if !w.listed && len(w.tasks) == 0 && w.silent && (w.reported || !w.inherited) {
-			ids = append(ids, id)
+		if w.removable() {
+			delete(p.workers, id)
+		}
+		if w.empty() {
+			if w.stored {
+				w.stored, w.written = false, false
+				records = append(records, record.DropWorker(id))
+			}
+			continue
+		}
+		if w.written && w.writtenSilent == w.silent {
+			continue
+		}
+		if w.silent && !w.stored && !w.inherited {
+			continue // never used
+		}
+		rec, err := record.ForWorker(w.record())
+		if err != nil {
+			return nil, nil, err
+		}
+		w.written, w.writtenSilent, w.stored = true, w.silent, true
+		records = append(records, rec)
+		ids = append(ids, id)
+	}
+	return records, ids, nil
+}
+
+func (w *worker) record() record.Worker {
+	rec := record.Worker{ID: w.entry.ID, Address: w.entry.Address, Silent: w.silent}
+	if w.silent {
+		for t := range w.tasks {
+			rec.Tasks = append(rec.Tasks, t.key())
 		}
 	}
-	return ids
+	return rec
 }
 
 // Knows reports whether the planner has a worker.
 func (p *Planner) Knows(id oleanderline.WorkerID) bool { return p.workers[id] != nil }
 
-// WorkerRecorded tells that it is stored that tasks may run on a worker.
+// WorkerRecorded tells that the newest record of a worker is stored.
 func (p *Planner) WorkerRecorded(id oleanderline.WorkerID) {
-	if w := p.workers[id]; w != nil {
+	if w := p.workers[id]; w != nil && !w.silent && !w.writtenSilent {
 		w.recorded = true
 	}
 }
 
-// RemoveWorker forgets a worker.
-func (p *Planner) RemoveWorker(id oleanderline.WorkerID) { delete(p.workers, id) }
-
 // Silent tells that a call to a worker has failed.
 func (p *Planner) Silent(id oleanderline.WorkerID) {
 	w := p.workers[id]
 	if w == nil || w.silent {
 		return
 	}
-	w.silent = true
+	w.silent, w.recorded = true, false
 	p.note(NoteWorker, oleanderline.RunKey{}, w, "does not answer")
 }
 
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -44,8 +44,9 @@
 	Started bool                  `json:"b,omitempty"`
 	// Done holds a bitmap of finished tasks by the number of the step, counted over all occurrences.
 	Done map[int][]byte `json:"d,omitempty"`
-	// Fails holds the number of failed attempts by "step.index", the step counted over all occurrences.
-	Fails map[string]int `json:"f,omitempty"`
+	// Fails holds the runs that have failed by "step.index", the step counted over all occurrences. A worker lists an end
+	// again to the next leader, which must not count it twice.
+	Fails map[string][]int `json:"f,omitempty"`
 }
 
 // Leader says who leads, and repeats while it does.
@@ -60,6 +61,10 @@
 type Worker struct {
 	ID      oleanderline.WorkerID `json:"-"`
 	Address string                `json:"addr"`
+	// Silent says that the worker does not answer, and that only Tasks may run on it. Nothing else is started there before
+	// another record says that it answers again.
+	Silent bool                   `json:"silent,omitempty"`
+	Tasks  []oleanderline.TaskKey `json:"tasks,omitempty"`
 }
 
 // Split returns what a key says: the kind of the record and the id.
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -8,7 +8,6 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
-	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
 
@@ -104,12 +103,11 @@
 		}
 		s.links[id] = s.open(id, address)
 	})
-	for _, id := range s.planner.Removable() {
-		if l := s.links[id]; l != nil {
+	for id, l := range s.links {
+		if !s.planner.Knows(id) {
 			l.cancel()
+			delete(s.links, id)
 		}
-		delete(s.links, id)
-		s.planner.RemoveWorker(id)
 	}
 }
 
@@ -133,27 +131,12 @@
 	if err != nil {
 		s.common.Event(common.EventRecordMalformed).WithError(err).Error("progress cannot be encoded")
 	}
-	f := flush{records: records, done: flushed{mark: mark}}
-	s.planner.Workers(func(id oleanderline.WorkerID, address string) {
-		if s.recorded[id] {
-			return
-		}
-		rec, err := record.ForWorker(record.Worker{ID: id, Address: address})
-		if err != nil {
-			s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
-			return
-		}
-		s.recorded[id] = true
-		f.records = append(f.records, rec)
-		f.done.workers = append(f.done.workers, id)
-	})
-	for id := range s.recorded {
-		if s.links[id] == nil && !s.planner.Knows(id) {
-			delete(s.recorded, id)
-			f.records = append(f.records, record.DropWorker(id))
-		}
+	workers, ids, err := s.planner.Records()
+	if err != nil {
+		s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
 	}
-	reply <- f
+	s.connect()
+	reply <- flush{records: append(records, workers...), done: flushed{mark: mark, workers: ids}}
 }
 
 func (s *Session) flushed(m flushed) {
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -28,7 +28,6 @@
 	planner  *plan.Planner // used only by the duty
 	duty     *duty.Duty
 	links    map[oleanderline.WorkerID]*linked // used only by the duty
-	recorded map[oleanderline.WorkerID]bool    // workers with a record, used only by the duty
 	writer   *writer
 	renewed  atomic.Int64 // when the newest append that was answered had been sent
 	ended    atomic.Bool
@@ -46,25 +45,24 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Session{
 		common: c, settings: settings, ports: ports, replica: jobs, ctx: ctx, cancel: cancel,
-		planner:  plan.New(settings.Plan, settings.Leader.Claims, c.Clock.Now()),
-		links:    map[oleanderline.WorkerID]*linked{},
-		recorded: map[oleanderline.WorkerID]bool{},
+		planner: plan.New(settings.Plan, settings.Leader.Claims, c.Clock.Now()),
+		links:   map[oleanderline.WorkerID]*linked{},
 	}
 	s.renewed.Store(began.UnixNano())
 	s.writer = newWriter(s)
 	s.planner.SetConfig(config)
-	for _, worker := range jobs.Workers() {
-		s.planner.InheritWorker(worker.ID, worker.Address)
-		s.recorded[worker.ID] = true
-	}
 	wall := ports.Wall()
 	jobs.Jobs(func(entry replica.Entry) { s.add(entry, wall) })
+	inherited := jobs.Workers()
+	for _, worker := range inherited {
+		s.planner.InheritWorker(worker)
+	}
 	s.duty = duty.New(c.Actors(), mailbox, s.handle)
 	s.duties.Go(s.followDirectory)
 	s.duties.Go(s.tick)
 	s.duties.Go(s.writer.run)
 	c.Event(common.EventTermBegins).WithField("term", settings.Leader.Term).WithField("claims", settings.Leader.Claims).
-		WithField("workers", len(s.recorded)).Info("leadership begins")
+		WithField("workers", len(inherited)).Info("leadership begins")
 	return s
 }
 
