Learn harmful pairs by Bayes' rule

Change: the probability that a pair is harmful, with a chance of 0.35 that it shows in a look; looks are spaced by 0.8 s; fillers that began within the lag count for blame only; known harmful fillers with checkpoints move before they harm.

--- a/pkg/pairs/learner.go
+++ b/pkg/pairs/learner.go
@@ -3,21 +3,21 @@
 // them together.
 package pairs
 
-// Weights of evidence.
+// The model: a pair is harmful or not. A harmful filler beside a lasting task raises its tail with probability strength in
+// each look, because it needs the task to be under load; without a harmful one a tail is raised with a small probability.
 const (
-	// priorBad and priorAll give a pair that was never seen a moderate suspicion.
-	priorBad = 0.1
-	priorAll = 1.0
-	// goodBelow is the ratio of tail to target below which no filler disturbs; between it and badAbove the load of the
-	// task itself may be the cause.
-	goodBelow = 0.75
-	badAbove  = 1.15
-	// gravely is the ratio that the load of a task itself does not reach, and counts for more.
-	gravely       = 2.0
-	gravelyWeight = 3.0
-	// harmful is the suspicion from which a pair is kept apart, and evidence how much of it has to be seen.
-	harmful  = 0.12
-	evidence = 1.0
+	prior    = 0.2
+	strength = 0.35
+	// chanceRaised and chanceGrave are how often a tail is above raised or above grave without a harmful filler.
+	chanceRaised = 0.04
+	chanceGrave  = 0.002
+	raised       = 1.15 // ratio of a tail to its target
+	grave        = 2.0
+	calm         = 0.75
+	// floor keeps a pair open to later evidence.
+	floor = 0.005
+	// harmful is the probability from which a pair is kept apart.
+	harmful = 0.4
 )
 
 // Image names what a task runs.
@@ -25,69 +25,67 @@
 
 type pair struct{ serving, filler Image }
 
-type counts struct{ bad, good float64 }
-
-func (c counts) suspicion() float64 { return (c.bad + priorBad) / (c.bad + c.good + priorAll) }
-
 // Learner is the evidence of one leader. Its zero value is not usable; use New.
-type Learner struct{ seen map[pair]*counts }
+type Learner struct{ harm map[pair]float64 }
 
 // New returns a learner without evidence.
-func New() *Learner { return &Learner{seen: map[pair]*counts{}} }
+func New() *Learner { return &Learner{harm: map[pair]float64{}} }
 
-// Observe takes in the ratio of the tail latency of a lasting task to its target while fillers worked beside it. Blame for
-// a high tail goes to the fillers by how suspicious they already are, so that those that are often seen beside healthy
-// tasks get little of it.
-func (l *Learner) Observe(serving Image, ratio float64, fillers []Image) {
+// Observe takes in the highest ratio of tail latency to target among the lasting tasks of one image on a worker. steady are
+// the images of fillers that worked all the while, recent those that did so for a part of it. Each image counts once.
+func (l *Learner) Observe(serving Image, ratio float64, steady, recent []Image) {
 	switch {
-	case ratio < goodBelow:
-		for _, filler := range fillers {
-			l.at(serving, filler).good++
+	case ratio < calm:
+		for _, filler := range distinct(steady) {
+			p := l.Suspicion(serving, filler)
+			l.set(serving, filler, p*(1-strength)/(1-p*strength))
 		}
-	case ratio > badAbove:
-		weight := 1.0
-		if ratio > gravely {
-			weight = gravelyWeight
-		}
-		l.blame(serving, fillers, weight)
+	case ratio > grave:
+		l.blame(serving, distinct(append(steady, recent...)), chanceGrave)
+	case ratio > raised:
+		l.blame(serving, distinct(append(steady, recent...)), chanceRaised)
 	}
 }
 
-func (l *Learner) blame(serving Image, fillers []Image, weight float64) {
-	total := 0.0
+// blame raises the probability of each filler by Bayes' rule, given that at least one of them or chance raised a tail.
+func (l *Learner) blame(serving Image, fillers []Image, chance float64) {
+	calmAll := 1 - chance
 	for _, filler := range fillers {
-		total += l.Suspicion(serving, filler)
+		calmAll *= 1 - l.Suspicion(serving, filler)*strength
 	}
-	shares := make([]float64, len(fillers))
+	before := make([]float64, len(fillers))
 	for i, filler := range fillers {
-		shares[i] = weight * l.Suspicion(serving, filler) / total
+		before[i] = l.Suspicion(serving, filler)
 	}
 	for i, filler := range fillers {
-		l.at(serving, filler).bad += shares[i]
+		calmIfHarmful := calmAll / (1 - before[i]*strength) * (1 - strength)
+		l.set(serving, filler, before[i]*(1-calmIfHarmful)/(1-calmAll))
 	}
 }
 
-func (l *Learner) at(serving, filler Image) *counts {
-	key := pair{serving, filler}
-	c := l.seen[key]
-	if c == nil {
-		c = &counts{}
-		l.seen[key] = c
+func (l *Learner) set(serving, filler Image, p float64) {
+	l.harm[pair{serving, filler}] = min(max(p, floor), 1-floor)
+}
+
+func distinct(images []Image) []Image {
+	var result []Image
+	seen := map[Image]bool{}
+	for _, image := range images {
+		if !seen[image] {
+			seen[image] = true
+			result = append(result, image)
+		}
 	}
-	return c
+	return result
 }
 
 // Suspicion returns how likely a filler is to disturb a lasting task, from 0 to 1.
 func (l *Learner) Suspicion(serving, filler Image) float64 {
-	c := l.seen[pair{serving, filler}]
-	if c == nil {
-		return priorBad / priorAll
+	if p, ok := l.harm[pair{serving, filler}]; ok {
+		return p
 	}
-	return c.suspicion()
+	return prior
 }
 
-// Harmful reports whether the evidence is enough to keep a pair apart.
-func (l *Learner) Harmful(serving, filler Image) bool {
-	c := l.seen[pair{serving, filler}]
-	return c != nil && c.bad >= evidence && c.suspicion() >= harmful
-}
+// Harmful reports whether a pair has to be kept apart.
+func (l *Learner) Harmful(serving, filler Image) bool { return l.Suspicion(serving, filler) >= harmful }
--- /dev/null
+++ b/pkg/pairs/learner_test.go
@@ -0,0 +1,59 @@
+package pairs
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against blame for fillers that only happen to work beside a harmful one, and against harmful ones that are cleared
+// because they disturb only under load.
+func TestLearnsTheHarmfulPairs(t *testing.T) {
+	servings := []Image{"calm", "touchy", "other"}
+	fillers := []Image{"f0", "f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8"}
+	bad := map[pair]bool{{"touchy", "f0"}: true, {"touchy", "f1"}: true, {"other", "f2"}: true}
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		l := New()
+		for range 600 {
+			serving := servings[random.IntN(len(servings))]
+			var beside []Image
+			for _, i := range random.Perm(len(fillers))[:1+random.IntN(4)] {
+				beside = append(beside, fillers[i])
+			}
+			l.Observe(serving, tail(random, serving, beside, bad), beside, nil)
+		}
+		for _, serving := range servings {
+			for _, filler := range fillers {
+				require.Equal(t, bad[pair{serving, filler}], l.Harmful(serving, filler), "seed %d, %s beside %s: %.2f", seed, filler, serving, l.Suspicion(serving, filler))
+			}
+		}
+	}
+}
+
+// tail returns a ratio as the reports of workers show it: high for a third of the time beside a harmful filler, and now and
+// then a little above the target by the load of the task itself.
+func tail(random *rand.Rand, serving Image, beside []Image, bad map[pair]bool) float64 {
+	for _, filler := range beside {
+		if bad[pair{serving, filler}] && random.Float64() < 0.35 {
+			return 5
+		}
+	}
+	if random.Float64() < 0.03 {
+		return 1.2
+	}
+	return 0.5
+}
+
+// Guards against a filler that is blamed for a tail that a known one explains.
+func TestKnownFillerExplainsATail(t *testing.T) {
+	l := New()
+	for range 5 {
+		l.Observe("s", 5, []Image{"known"}, nil)
+	}
+	before := l.Suspicion("s", "new")
+	l.Observe("s", 5, []Image{"known", "new"}, nil)
+	require.InDelta(t, before, l.Suspicion("s", "new"), 0.15)
+	require.True(t, l.Harmful("s", "known"))
+}
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -17,6 +17,10 @@
 	paceUnder = 0.7
 	// paceLag is the time after a change for which reports still cover what was before it.
 	paceLag = 700 * time.Millisecond
+	// lookInterval spaces what counts as evidence, because successive reports cover the same half second.
+	lookInterval = 800 * time.Millisecond
+	// startLag is how long a filler works before it can show in a report.
+	startLag = 150 * time.Millisecond
 	// paceRepeat is how often an unchanged pace is ordered again while the target is missed: an older order may have been
 	// carried out late.
 	paceRepeat = 2 * time.Second
@@ -72,9 +76,10 @@
 		if suspects[t] {
 			percent = w.pace.percent
 		}
-		if worst > paceOver && p.disturbs(w, t) {
+		if p.disturbs(w, t) && (worst > paceOver || t.group.step.Checkpoint) {
 			p.note(NoteStop, t.runKey(), w, "disturbs lasting tasks")
 			p.orderStop(t, now)
+			w.moved = now
 			continue
 		}
 		if t.pace != percent || (force && suspects[t]) {
@@ -96,13 +101,7 @@
 
 // observeTails learns from the tails of the lasting tasks, and returns the highest ratio of a tail to its target.
 func (p *Planner) observeTails(w *worker, fillers []*task, now time.Time) float64 {
-	var working []pairs.Image
-	for _, t := range fillers {
-		if t.pace == paceFull && now.Sub(t.began) > paceLag {
-			working = append(working, pairs.Image(t.group.step.Image))
-		}
-	}
-	settled := now.Sub(w.pace.changed) > paceLag
+	ratios := map[pairs.Image]float64{}
 	worst := 0.0
 	for t := range w.tasks {
 		target := t.group.step.TailTarget
@@ -110,14 +109,36 @@
 			continue
 		}
 		ratio := float64(t.gauge) / float64(target.Milliseconds())
+		image := pairs.Image(t.group.step.Image)
+		ratios[image] = max(ratios[image], ratio)
 		worst = max(worst, ratio)
-		if settled && len(working) > 0 {
-			p.pairs.Observe(pairs.Image(t.group.step.Image), ratio, working)
-		}
+	}
+	if now.Sub(w.looked) < lookInterval || now.Sub(w.pace.changed) < paceLag || now.Sub(w.moved) < paceLag {
+		return worst
+	}
+	w.looked = now
+	steady, recent := working(fillers, now)
+	for image, ratio := range ratios {
+		p.pairs.Observe(image, ratio, steady, recent)
 	}
 	return worst
 }
 
+// working returns the images of the fillers that work at full pace, by whether a report covers only their work.
+func working(fillers []*task, now time.Time) (steady, recent []pairs.Image) {
+	for _, t := range fillers {
+		image := pairs.Image(t.group.step.Image)
+		switch {
+		case t.pace != paceFull:
+		case now.Sub(t.began) > paceLag:
+			steady = append(steady, image)
+		case now.Sub(t.began) > startLag:
+			recent = append(recent, image)
+		}
+	}
+	return steady, recent
+}
+
 // suspects returns the fillers that are about as suspicious as the worst one.
 func (p *Planner) suspects(w *worker, fillers []*task) map[*task]bool {
 	highest := 0.0
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -29,6 +29,8 @@
 	fullUntil                      time.Time
 	health                         health
 	pace                           paceControl
+	looked                         time.Time // when tails counted as evidence last
+	moved                          time.Time // when a filler was moved away last
 }
 
 // free returns what is not committed.
