Try suspected pairs one at a time

Change: a suspected filler joins a calm worker alone, one trial in 2 s an image, and its looks clear or convict it. A filler is moved only if some worker has a place that it does not disturb. Where a filler disturbs everything it waits, 30 s at most.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -38,6 +38,7 @@
 	pace    int // percent that the worker was told
 	// since is when the worker answered the order that led to the state; reports requested later tell the truth about it.
 	since    time.Time
+	queued   time.Time // when it became ready
 	began    time.Time // when the start was decided
 	percent  int
 	moved    time.Time // when percent changed last
@@ -145,7 +146,7 @@
 		p.queueGang(g)
 		return
 	}
-	t.state = taskReady
+	t.state, t.queued = taskReady, p.now
 	g.ready++
 	g.next = min(g.next, t.index)
 	p.open[g] = struct{}{}
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -65,10 +65,12 @@
 func (p *Planner) controlPace(w *worker, now time.Time) {
 	fillers := w.fillers()
 	if len(fillers) == 0 {
+		w.ratio = p.observeTails(w, nil, now)
 		w.pace = newPaceControl()
 		return
 	}
 	worst := p.observeTails(w, fillers, now)
+	w.ratio = worst
 	force := w.pace.observe(worst, now)
 	suspects := p.suspects(w, fillers)
 	for _, t := range fillers {
@@ -76,7 +78,7 @@
 		if suspects[t] {
 			percent = w.pace.percent
 		}
-		if p.disturbs(w, t) && (worst > paceOver || t.group.step.Checkpoint) {
+		if p.disturbs(w, t) && (worst > paceOver || t.group.step.Checkpoint) && p.calmPlace(t, now) {
 			p.note(NoteStop, t.runKey(), w, "disturbs lasting tasks")
 			p.orderStop(t, now)
 			w.moved = now
@@ -165,16 +167,6 @@
 	return highest
 }
 
-// disturbs reports whether a filler is known to disturb one of the lasting tasks of a worker.
-func (p *Planner) disturbs(w *worker, filler *task) bool {
-	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 && p.pairs.Harmful(pairs.Image(t.group.step.Image), pairs.Image(filler.group.step.Image)) {
-			return true
-		}
-	}
-	return false
-}
-
 func (p *Planner) orderPace(t *task, percent int) {
 	t.pace = percent
 	p.orders = append(p.orders, Order{
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -109,7 +109,7 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range p.workers {
-		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t) {
+		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t, now) {
 			continue
 		}
 		score := p.score(w, t)
@@ -143,11 +143,11 @@
 
 // Weights of what makes a worker better for a task, beside its share of free processors.
 const (
-	scoreRack      = 2.0
-	scoreFailed    = -4.0
-	scoreSuspicion = 2.0
-	scoreImage     = 2.0
-	emptyShare     = 0.5
+	scoreRack   = 2.0
+	scoreFailed = -4.0
+	scoreHarm   = 1.0
+	scoreImage  = 2.0
+	emptyShare  = 0.5
 )
 
 func (p *Planner) score(w *worker, t *task) float64 {
@@ -156,7 +156,7 @@
 	score := float64(w.free().CPU) / capacity
 	switch {
 	case step.Filler:
-		score = float64(w.leftover())/capacity - scoreSuspicion*p.suspicion(w, t)
+		score = float64(w.leftover())/capacity - scoreHarm*p.harm(w, t)
 	case step.TailTarget > 0:
 		score += scoreImage * w.imageShare(step.Image)
 	}
@@ -190,11 +190,6 @@
 	return same / all
 }
 
-// keptApart reports whether a task must not join a worker because it would disturb what runs there.
-func (p *Planner) keptApart(w *worker, t *task) bool {
-	return t.group.step.Filler && p.disturbs(w, t)
-}
-
 func (g *group) usesRack(rack oleanderline.RackID) bool {
 	for i := range g.tasks {
 		if w := g.tasks[i].worker; w != nil && w.entry.Rack == rack {
@@ -209,6 +204,9 @@
 	t.state, t.run, t.began, t.moved, t.since = taskStarting, run, now, now, time.Time{}
 	t.pace = paceFull
 	t.unseen = false
+	if t.group.step.Filler && p.disturbs(w, t) {
+		p.tried[imageOf(t)] = now
+	}
 	p.charge(t, w)
 	p.orders = append(p.orders, Order{
 		Kind: OrderStart, Worker: w.entry.ID, Life: w.life, Key: t.runKey(),
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -38,6 +38,7 @@
 	timed    map[*group]struct{} // waiting for their due time
 	dirty    map[*job]struct{}   // with progress that is not recorded
 	pairs    *pairs.Learner
+	tried    map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
 	orders   []Order
 	notes    []Note
 	fresh    bool // nothing was ever started before this term
@@ -59,6 +60,7 @@
 		timed:    map[*group]struct{}{},
 		dirty:    map[*job]struct{}{},
 		pairs:    pairs.New(),
+		tried:    map[pairs.Image]time.Time{},
 	}
 }
 
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -29,6 +29,7 @@
 	fullUntil                      time.Time
 	health                         health
 	pace                           paceControl
+	ratio                          float64   // the highest ratio of a tail to its target in the newest report
 	looked                         time.Time // when tails counted as evidence last
 	moved                          time.Time // when a filler was moved away last
 }
