Await runs of jobs that a new leader has not read yet; leave draining workers; stop runs that stand still

Change: a run of a job that is not known is awaited for 3 s; when the job is read, the run is taken over, and its end is kept until then. TestRunsOfUnreadJobsAreAwaited fails without it. Besides: tasks leave a draining worker when they would not finish there, lasting ones as soon as there is room; a run without progress for 3 s moves (both with tests).

--- a/pkg/plan/cell_test.go
+++ b/pkg/plan/cell_test.go
@@ -53,7 +53,7 @@
 			ID: id, Address: string(id), Pool: "pool", Capacity: oleanderline.Size{CPU: 4000, Memory: 8000},
 		})
 	}
-	c.planner.SetWorkers(c.entries)
+	c.planner.SetWorkers(c.entries, c.now)
 	c.reportAll()
 	c.flush()
 	return c
@@ -89,7 +89,7 @@
 	for _, w := range workers {
 		c.planner.InheritWorker(w)
 	}
-	c.planner.SetWorkers(c.entries)
+	c.planner.SetWorkers(c.entries, c.now)
 }
 
 func (c *cell) flush() {
--- /dev/null
+++ b/pkg/plan/evacuate.go
@@ -0,0 +1,92 @@
+package plan
+
+import "time"
+
+const (
+	// checkInterval spaces the looks at all running tasks.
+	checkInterval = 250 * time.Millisecond
+	// standstill is how long a run may show no progress at full pace before it is taken as stuck: a task seven times as long
+	// as others of its kind still moves by a percent within it.
+	standstill = 3 * time.Second
+	// warmUp is how long a lasting task may take until it is at work.
+	warmUp  = 4 * time.Second
+	atWork  = 100 // percent
+	minimum = 10  // percent from which progress tells the remaining time
+	// leaveMargin is how long before its worker leaves a task is moved at the latest.
+	leaveMargin = 500 * time.Millisecond
+)
+
+// check moves tasks away from workers that leave, and stops runs that stand still.
+func (p *Planner) check(now time.Time) {
+	if now.Sub(p.checked) < checkInterval {
+		return
+	}
+	p.checked = now
+	for _, w := range p.workers {
+		if !w.reported || w.silent {
+			continue
+		}
+		for t := range w.tasks {
+			if t.state != taskRunning {
+				continue
+			}
+			switch {
+			case w.entry.Draining && p.shouldLeave(w, t, now):
+				p.move(t, "worker leaves", now)
+			case t.stuck(w.heard):
+				w.health.ended(true, now)
+				t.avoid = w.entry.ID
+				p.move(t, "no progress", now)
+			}
+		}
+	}
+}
+
+// move stops a run, whose task then starts again elsewhere from its checkpoint.
+func (p *Planner) move(t *task, reason string, now time.Time) {
+	p.note(NoteStop, t.runKey(), t.worker, reason)
+	p.orderStop(t, now)
+}
+
+// shouldLeave reports whether a task should move from a worker that drains: lasting tasks do as soon as there is room for
+// them, others if they would not finish in time.
+func (p *Planner) shouldLeave(w *worker, t *task, now time.Time) bool {
+	if t.done {
+		return false
+	}
+	if t.group.step.Lasting {
+		return p.roomElsewhere(t, now)
+	}
+	left := w.leavesAt.Sub(now)
+	return left < t.remaining(now) && (t.group.step.Checkpoint || left < leaveMargin)
+}
+
+// roomElsewhere reports whether another worker can take a task now.
+func (p *Planner) roomElsewhere(t *task, now time.Time) bool {
+	for _, w := range p.workers {
+		if w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group) {
+			return true
+		}
+	}
+	return false
+}
+
+// remaining estimates the time to the end of a run from its progress, or from the step's estimate before there is any.
+func (t *task) remaining(now time.Time) time.Duration {
+	ran := now.Sub(t.began)
+	if t.percent >= minimum {
+		return ran * time.Duration(atWork-t.percent) / time.Duration(t.percent)
+	}
+	return max(0, t.group.step.Estimate-ran)
+}
+
+// stuck reports whether a run stands still for a cause of its own, as of the newest report.
+func (t *task) stuck(heard time.Time) bool {
+	if t.percent >= atWork || heard.Sub(t.moved) <= standstill {
+		return false
+	}
+	if t.group.step.Lasting {
+		return heard.Sub(t.began) > warmUp
+	}
+	return t.pace == paceFull && heard.Sub(t.paced) > standstill
+}
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -40,6 +40,7 @@
 	since    time.Time
 	queued   time.Time // when it became ready
 	began    time.Time // when the start was decided
+	paced    time.Time // when the pace was ordered last
 	percent  int
 	moved    time.Time // when percent changed last
 	gauge    int
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -66,6 +66,7 @@
 		p.finish(j, oleanderline.JobCompleted)
 		return
 	}
+	p.adoptSeen(j)
 	for _, g := range j.groups {
 		p.openIfReady(g)
 	}
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -168,7 +168,7 @@
 }
 
 func (p *Planner) orderPace(t *task, percent int) {
-	t.pace = percent
+	t.pace, t.paced = percent, p.now
 	p.orders = append(p.orders, Order{
 		Kind: OrderPace, Worker: t.worker.entry.ID, Life: t.worker.life, Key: t.runKey(), Percent: percent,
 	})
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -26,6 +26,7 @@
 		return
 	}
 	p.giveUpUnseen(now)
+	p.check(now)
 	p.openDue(wall)
 	if len(p.open) == 0 {
 		return
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -34,10 +34,12 @@
 	queues   map[oleanderline.QueueID]oleanderline.Queue
 	jobs     map[oleanderline.JobID]*job
 	workers  map[oleanderline.WorkerID]*worker
-	open     map[*group]struct{} // with tasks that are ready
-	timed    map[*group]struct{} // waiting for their due time
-	dirty    map[*job]struct{}   // with progress that is not recorded
+	open     map[*group]struct{}              // with tasks that are ready
+	timed    map[*group]struct{}              // waiting for their due time
+	dirty    map[*job]struct{}                // with progress that is not recorded
+	awaiting map[oleanderline.RunKey]sighting // runs of jobs that are not known yet
 	pairs    *pairs.Learner
+	checked  time.Time                 // when all running tasks were looked at last
 	tried    map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
 	orders   []Order
 	notes    []Note
@@ -59,6 +61,7 @@
 		open:     map[*group]struct{}{},
 		timed:    map[*group]struct{}{},
 		dirty:    map[*job]struct{}{},
+		awaiting: map[oleanderline.RunKey]sighting{},
 		pairs:    pairs.New(),
 		tried:    map[pairs.Image]time.Time{},
 	}
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 // Guards against a step that begins before the steps it needs are done.
@@ -190,3 +191,73 @@
 	}
 	require.Equal(t, 2, running)
 }
+
+// Guards against a task that is held by a worker on which tasks stand still.
+func TestStuckRunMovesToAnotherWorker(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.place()
+	first := c.where(taskOf("a", 0, 0))[0]
+	for range 10 {
+		c.pass(standstill / 5)
+		c.reportAll()
+		c.place()
+	}
+	runs := c.where(taskOf("a", 0, 0))
+	require.Len(t, runs, 1)
+	require.Greater(t, runs[0].Run, first.Run)
+}
+
+// Guards against lasting tasks that stay on a worker until it has gone, and against new ones there.
+func TestLastingTasksLeaveADrainingWorker(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 4, Size: testSizes, Lasting: true})
+	c.place()
+	c.entries[0].Draining = true
+	c.planner.SetWorkers(c.entries, c.now)
+	for range 4 {
+		c.pass(checkInterval)
+		c.place()
+		c.reportAll()
+	}
+	c.place()
+	require.Empty(t, c.workers["w0"].running)
+	require.Len(t, c.workers["w1"].running, 4)
+}
+
+// Guards against a second run of a task that an earlier leader started from a job which the new leader has not read yet, and
+// against an end of such a run that is acknowledged unread.
+func TestRunsOfUnreadJobsAreAwaited(t *testing.T) {
+	type scenario struct {
+		name string
+		done bool
+	}
+	for _, s := range []scenario{{"running", false}, {"done", true}} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+			c.place()
+			spec := c.planner.jobs["a"].spec
+			delete(c.planner.jobs, "a")
+			c.successor(2)
+			if s.done {
+				c.endTask(taskOf("a", 0, 0), oleanderline.EndDone)
+			}
+			c.reportAll()
+			c.flush()
+			c.planner.AddJob(spec, record.Progress{}, c.now, 0)
+			c.place()
+			c.reportAll()
+			c.pass(time.Second)
+			c.place()
+			runs := c.where(taskOf("a", 0, 0))
+			if s.done {
+				require.Empty(t, runs)
+				require.Equal(t, oleanderline.JobCompleted, c.planner.jobs["a"].state())
+				return
+			}
+			require.Len(t, runs, 1)
+			require.Equal(t, 1, runs[0].Run)
+		})
+	}
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -7,6 +7,9 @@
 	"github.com/oleanderline/oleanderline"
 )
 
+// awaitJob is how long a run of a job that is not known is left alone: an earlier leader may have read the job first.
+const awaitJob = 3 * time.Second
+
 // stopRepeat is how often a stop is ordered again while the run goes on.
 const stopRepeat = time.Second
 
@@ -30,7 +33,7 @@
 	}
 	p.takeEnds(w, report.Ended, now)
 	p.takeRunning(w, report.Running, sent, now)
-	w.reported = true
+	w.reported, w.heard = true, now
 	p.controlPace(w, now)
 }
 
@@ -49,6 +52,9 @@
 		if end.Number <= w.seen {
 			continue
 		}
+		if p.awaited(end.Key, w) {
+			return // and the ends after it, so that none is acknowledged before its job is read
+		}
 		w.seen = end.Number
 		if t := p.task(end.Key.Task); t != nil {
 			p.takeEnd(w, t, end, now)
@@ -92,6 +98,9 @@
 		t := p.task(status.Key.Task)
 		if t == nil || !p.takeStatus(w, t, status, now) {
 			w.strangers++
+			if p.awaited(status.Key, w) {
+				continue
+			}
 			p.orders = append(p.orders, Order{Kind: OrderStop, Worker: w.entry.ID, Life: w.life, Key: status.Key})
 			continue
 		}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -16,29 +16,34 @@
 	recorded  bool // it is stored that any task may run on it
 	// stored, written and writtenSilent tell which record was handed out last.
 	stored, written, writtenSilent bool
-	reported                       bool // it has reported in this term
-	life                           oleanderline.WorkerLife
-	tasks                          map[*task]struct{}
-	used                           oleanderline.Size // of the tasks that count against its capacity
-	serving                        oleanderline.Millicores
-	filling                        oleanderline.Millicores // declared need of the fillers on it
-	strangers                      int                     // runs that belong to no task that is known
-	seen                           int64                   // the highest number of an end that was taken in
-	acked                          int64                   // the highest number that is recorded
-	silent                         bool                    // its last call failed
-	fullUntil                      time.Time
-	health                         health
-	pace                           paceControl
-	ratio                          float64   // the highest ratio of a tail to its target in the newest report
-	looked                         time.Time // when tails counted as evidence last
-	moved                          time.Time // when a filler was moved away last
+
+	reported bool      // it has reported in this term
+	heard    time.Time // when it reported last
+	silent   bool      // its last call failed
+	life     oleanderline.WorkerLife
+	leavesAt time.Time // while it drains
+	seen     int64     // the highest number of an end that was taken in
+	acked    int64     // the highest number that is recorded
+
+	tasks     map[*task]struct{}
+	used      oleanderline.Size // of the tasks that count against its capacity
+	serving   oleanderline.Millicores
+	filling   oleanderline.Millicores // declared need of the fillers on it
+	strangers int                     // runs that belong to no task that is known
+	fullUntil time.Time
+	health    health
+
+	pace   paceControl
+	ratio  float64   // the highest ratio of a tail to its target in the newest report
+	looked time.Time // when tails counted as evidence last
+	moved  time.Time // when a filler was moved away last
 }
 
 // free returns what is not committed.
 func (w *worker) free() oleanderline.Size { return w.entry.Capacity.Sub(w.used) }
 
 // SetWorkers takes over the directory.
-func (p *Planner) SetWorkers(entries []oleanderline.WorkerEntry) {
+func (p *Planner) SetWorkers(entries []oleanderline.WorkerEntry, now time.Time) {
 	listed := map[oleanderline.WorkerID]bool{}
 	for _, entry := range entries {
 		listed[entry.ID] = true
@@ -47,6 +52,7 @@
 			w = p.addWorker(entry.ID)
 		}
 		if entry.Draining && !w.entry.Draining {
+			w.leavesAt = now.Add(entry.Leaving)
 			p.note(NoteWorker, oleanderline.RunKey{}, w, "drains")
 		}
 		w.entry = entry
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -25,7 +25,7 @@
 	case configChanged:
 		s.planner.SetConfig(m.config)
 	case directoryRead:
-		s.planner.SetWorkers(m.entries)
+		s.planner.SetWorkers(m.entries, now)
 		s.connect()
 	case reported:
 		s.planner.Report(m.id, m.report, m.sent, now)
