Bound an earlier leader by the majority of workers; store learned pairs; refuse at once while the log does not store

Change: (1) a leader whose newest append is older than 1.5 s gives orders only while most workers accept calls sent in the last 1.5 s, so a later leader needs to wait only that time and the lease after most workers have reported to it; (2) the probabilities are stored every 2 s when they change; (3) while the log does not store, one record tries it and others get 503 with a Retry-After that grows with the outage, 1 to 3 s; a lost answer is tried once more over a fresh connection, then 504; a process whose newest read is older than 2.5 s is not ready.

--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -13,6 +14,7 @@
 const (
 	intakeLength = 512 // submissions and cancellations
 	intakeBatch  = 64  // records of one append
+	appendTries  = 2
 )
 
 // intake stores submissions and cancellations: all that wait go into one append.
@@ -20,9 +22,10 @@
 	common  *common.Common
 	log     oleanderline.KeyedLog
 	waiting chan pending
-	// closedUntil is when the next append may be tried after the log has refused one.
-	closedUntil time.Time
-	failing     bool
+	// failing is set while the log does not store, since is when that began, closed when the next record may try, and
+	// trying says that one does.
+	failing, trying atomic.Bool
+	since, closed   atomic.Int64
 }
 
 type pending struct {
@@ -35,8 +38,12 @@
 	return &intake{common: c, log: log, waiting: make(chan pending, intakeLength)}
 }
 
-// store returns nil once the record is stored. ErrUnavailable promises that it is not, and never will be.
+// store returns nil once the record is stored. ErrUnavailable promises that it is not, and never will be. While the log does
+// not store, one record tries it and all others are refused at once.
 func (i *intake) store(ctx context.Context, rec oleanderline.KeyedRecord) error {
+	if i.failing.Load() && (i.trying.Load() || i.common.Clock.Now().Before(i.closedUntil())) {
+		return oleanderline.ErrUnavailable
+	}
 	p := pending{ctx: ctx, record: rec, done: make(chan error, 1)}
 	select {
 	case i.waiting <- p:
@@ -46,6 +53,16 @@
 	return <-p.done
 }
 
+func (i *intake) closedUntil() time.Time { return time.Unix(0, i.closed.Load()) }
+
+// Outage returns for how long the log has not stored anything, or 0 if it does.
+func (i *intake) outage() time.Duration {
+	if !i.failing.Load() {
+		return 0
+	}
+	return i.common.Clock.Now().Sub(time.Unix(0, i.since.Load()))
+}
+
 func (i *intake) run(ctx context.Context) {
 	for {
 		select {
@@ -70,39 +87,42 @@
 	return batch
 }
 
-// append stores a batch. While the log refuses, what comes is refused at once, but for one attempt now and then.
+// append stores a batch. A refusal is tried again shortly, a lost answer once over a fresh connection; then the callers
+// learn at once what is known.
 func (i *intake) append(ctx context.Context, batch []pending) {
-	if i.common.Clock.Now().Before(i.closedUntil) {
-		finish(batch, oleanderline.ErrUnavailable)
-		return
-	}
+	i.trying.Store(true)
+	defer i.trying.Store(false)
 	uncertain := false
-	for {
+	for range appendTries {
 		batch = dropOverdue(batch, uncertain)
 		if len(batch) == 0 {
 			return
 		}
 		_, err := i.log.Append(ctx, record.Stream, recordsOf(batch), oleanderline.AppendCondition{})
-		switch {
-		case err == nil:
-			i.failing = false
+		if err == nil {
+			i.failing.Store(false)
 			finish(batch, nil)
 			return
-		case errors.Is(err, oleanderline.ErrUncertain):
-			uncertain = true
-		case !uncertain && i.failing:
-			i.closedUntil = i.common.Clock.Now().Add(circuitPause)
-			finish(batch, oleanderline.ErrUnavailable)
-			return
 		}
-		i.failing = true
-		timer := i.common.Clock.NewTimer(submitRetry)
-		select {
-		case <-timer.C():
-		case <-ctx.Done():
-			finish(batch, verdict(uncertain))
-			return
+		uncertain = uncertain || errors.Is(err, oleanderline.ErrUncertain)
+		if i.failing.Load() {
+			break
 		}
+		i.pause(ctx)
+	}
+	if !i.failing.Swap(true) {
+		i.since.Store(i.common.Clock.Now().UnixNano())
+	}
+	i.closed.Store(i.common.Clock.Now().Add(circuitPause).UnixNano())
+	finish(batch, verdict(uncertain))
+}
+
+func (i *intake) pause(ctx context.Context) {
+	timer := i.common.Clock.NewTimer(submitRetry)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
 	}
 }
 
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -133,14 +133,17 @@
 	settings := term.Settings{
 		Leader: leader,
 		Plan: plan.Settings{
-			Settle:  settleTime,
-			Horizon: horizon,
-			Early:   n.settings.Early,
+			Settle:   settleTime,
+			Horizon:  horizon,
+			Majority: majorityAge,
+			Lease:    runLimit,
+			Early:    n.settings.Early,
 		},
-		Lease:   min(lease, n.settings.MaxLease),
-		Hold:    holdWait,
-		Alone:   aloneFor,
-		KeepJob: n.settings.KeepJob,
+		Lease:     min(lease, n.settings.MaxLease),
+		Hold:      holdWait,
+		Alone:     aloneFor,
+		Confirmed: leaderTimeout,
+		KeepJob:   n.settings.KeepJob,
 	}
 	ports := term.Ports{
 		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Wall: n.ports.Wall,
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -11,8 +11,11 @@
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
-// retryAfter is how soon a caller should come again: about when the log's short outages are over.
-const retryAfter = time.Second
+// Bounds of the time after which a refused caller should come again.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 3 * time.Second
+)
 
 // Queue implements oleanderline.JobService.
 func (n *Node) Queue(host, path string) (queue oleanderline.Queue, rest string, err error) {
@@ -118,12 +121,15 @@
 
 // Ready implements oleanderline.JobService.
 func (n *Node) Ready() bool {
-	_, loaded := n.replica.Age(n.common.Clock.Now())
-	return loaded && n.config.Load() != nil && !n.stopping.Load()
+	age, loaded := n.replica.Age(n.common.Clock.Now())
+	return loaded && age < readyFor && n.config.Load() != nil && !n.stopping.Load()
 }
 
-// RetryAfter implements oleanderline.JobService.
-func (n *Node) RetryAfter() time.Duration { return retryAfter }
+// RetryAfter implements oleanderline.JobService. An outage lasts about as long again as it has lasted, so callers space
+// their attempts further the longer it goes on.
+func (n *Node) RetryAfter() time.Duration {
+	return min(max(n.intake.outage(), minRetryAfter), maxRetryAfter)
+}
 
 // MaxBody implements oleanderline.JobService.
 func (n *Node) MaxBody() int64 {
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -42,17 +42,22 @@
 	lease = 4 * time.Second
 	// aloneFor is how long a leader goes on while the log does not answer. Longer outages end all runs.
 	aloneFor = 10 * time.Second
+	// runLimit is how long a run lasts after its last order at most: the clock of a worker may be 2% slow.
+	runLimit = lease + lease/20 + 200*time.Millisecond
 	// horizon is how long after a claim a run of an earlier leader may last: that leader had not been heard for
-	// leaderTimeout, and the clock of a worker may be 2% slow.
-	horizon    = aloneFor - leaderTimeout + lease + lease/20 + 200*time.Millisecond
-	holdWait   = 600 * time.Millisecond
-	settleTime = 700 * time.Millisecond
+	// leaderTimeout.
+	horizon = aloneFor - leaderTimeout + runLimit
+	// majorityAge covers a hold that waits, its answer and a slow process.
+	majorityAge = 1500 * time.Millisecond
+	holdWait    = 600 * time.Millisecond
+	settleTime  = 700 * time.Millisecond
 
 	readWait     = 1200 * time.Millisecond
 	readRetry    = 100 * time.Millisecond
 	followPause  = 80 * time.Millisecond // between reads of a process that does not lead
 	leaderPause  = 10 * time.Millisecond
-	freshFor     = time.Second // how old a read may be for an answer that a job is unknown
+	freshFor     = time.Second             // how old a read may be for an answer that a job is unknown
+	readyFor     = 2500 * time.Millisecond // how old a read may be for new callers to be sent here
 	submitRetry  = 50 * time.Millisecond
 	circuitPause = 250 * time.Millisecond // between attempts to store while the log refuses
 )
--- a/pkg/pairs/learner.go
+++ b/pkg/pairs/learner.go
@@ -3,6 +3,8 @@
 // them together.
 package pairs
 
+import "math"
+
 // The model: a pair is harmful or not. A harmful filler beside a lasting task raises its tail with probability strength in
 // each look, because it needs the task to be under load; without a harmful one a tail is raised with a small probability.
 const (
@@ -16,6 +18,8 @@
 	calm         = 0.75
 	// floor keeps a pair open to later evidence.
 	floor = 0.005
+	// precision rounds stored probabilities.
+	precision = 1000
 	// harmful is the probability from which a pair is kept apart.
 	harmful = 0.4
 )
@@ -25,12 +29,43 @@
 
 type pair struct{ serving, filler Image }
 
+// Evidence is what is known about one pair, as it is stored for the next leader.
+type Evidence struct {
+	Serving Image   `json:"s"`
+	Filler  Image   `json:"f"`
+	Harm    float64 `json:"p"` // probability that the filler disturbs
+}
+
 // Learner is the evidence of one leader. Its zero value is not usable; use New.
-type Learner struct{ harm map[pair]float64 }
+type Learner struct {
+	harm    map[pair]float64
+	changed bool
+}
 
 // New returns a learner without evidence.
 func New() *Learner { return &Learner{harm: map[pair]float64{}} }
 
+// Restore takes over the evidence of an earlier leader.
+func (l *Learner) Restore(evidence []Evidence) {
+	for _, e := range evidence {
+		l.set(e.Serving, e.Filler, e.Harm)
+	}
+	l.changed = false
+}
+
+// Changes returns all evidence if any of it has changed since the last call.
+func (l *Learner) Changes() ([]Evidence, bool) {
+	if !l.changed {
+		return nil, false
+	}
+	l.changed = false
+	evidence := make([]Evidence, 0, len(l.harm))
+	for key, harm := range l.harm {
+		evidence = append(evidence, Evidence{Serving: key.serving, Filler: key.filler, Harm: math.Round(harm*precision) / precision})
+	}
+	return evidence, true
+}
+
 // Observe takes in the highest ratio of tail latency to target among the lasting tasks of one image on a worker. steady are
 // the images of fillers that worked all the while, recent those that did so for a part of it. Each image counts once.
 func (l *Learner) Observe(serving Image, ratio float64, steady, recent []Image) {
@@ -65,6 +100,7 @@
 
 func (l *Learner) set(serving, filler Image, p float64) {
 	l.harm[pair{serving, filler}] = min(max(p, floor), 1-floor)
+	l.changed = true
 }
 
 func distinct(images []Image) []Image {
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -20,6 +20,10 @@
 	// Horizon is how long after the start of a term a run that an earlier leader has started may go on unseen, on a worker
 	// that has not reported.
 	Horizon time.Duration
+	// Majority is how long an earlier leader gives orders after most workers have last accepted its calls, and Lease how
+	// long a run goes on after the last order.
+	Majority time.Duration
+	Lease    time.Duration
 	// Early is how long before its due time an occurrence may start.
 	Early time.Duration
 }
@@ -43,7 +47,8 @@
 	tried    map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
 	orders   []Order
 	notes    []Note
-	fresh    bool // nothing was ever started before this term
+	majority time.Time // when most workers had reported in this term
+	fresh    bool      // nothing was ever started before this term
 }
 
 // New returns the planner of a term that begins now. claims counts the claims of leadership, this one included.
@@ -82,6 +87,9 @@
 	}
 }
 
+// Pairs returns what this planner has learned about pairs of images, and takes over what others have.
+func (p *Planner) Pairs() *pairs.Learner { return p.pairs }
+
 // Orders returns the orders decided since the last call.
 func (p *Planner) Orders() []Order {
 	orders := p.orders
@@ -122,7 +130,7 @@
 
 // giveUpUnseen takes workers that have not reported for the whole horizon as empty.
 func (p *Planner) giveUpUnseen(now time.Time) {
-	if p.fresh || now.Sub(p.began) < p.settings.Horizon {
+	if p.fresh || !p.lapsedUnseen(now) {
 		return
 	}
 	for _, w := range p.workers {
@@ -143,5 +151,46 @@
 
 // unseenMayRun reports whether a task that no worker has reported may run on one that has not reported yet.
 func (p *Planner) unseenMayRun(now time.Time) bool {
-	return !p.fresh && now.Sub(p.began) < p.settings.Horizon && !p.allReported()
+	return !p.fresh && !p.lapsedUnseen(now) && !p.allReported()
+}
+
+// lapsedUnseen reports whether every run that an earlier leader has started and that was not reported has lapsed: no leader
+// gives orders beyond the horizon, nor for long after most workers have seen this term.
+func (p *Planner) lapsedUnseen(now time.Time) bool {
+	if now.Sub(p.began) >= p.settings.Horizon {
+		return true
+	}
+	if p.majority.IsZero() && p.mostReported() {
+		p.majority = now
+	}
+	return !p.majority.IsZero() && now.Sub(p.majority) >= p.settings.Majority+p.settings.Lease
+}
+
+func (p *Planner) mostReported() bool {
+	reported, all := 0, 0
+	for _, w := range p.workers {
+		if w.inherited {
+			all++
+			if w.life != 0 {
+				reported++
+			}
+		}
+	}
+	return 2*reported > all
+}
+
+// Supported reports whether most workers have answered calls that were sent within the time of Majority. As long as they
+// do, no later leader can have reached most of them.
+func (p *Planner) Supported(now time.Time) bool {
+	recent, all := 0, 0
+	for _, w := range p.workers {
+		if !w.stored && !w.listed {
+			continue
+		}
+		all++
+		if now.Sub(w.asked) < p.settings.Majority {
+			recent++
+		}
+	}
+	return 2*recent > all
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -34,6 +34,9 @@
 	p.takeEnds(w, report.Ended, now)
 	p.takeRunning(w, report.Running, sent, now)
 	w.reported, w.heard = true, now
+	if sent.After(w.asked) {
+		w.asked = sent
+	}
 	p.controlPace(w, now)
 }
 
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -19,6 +19,7 @@
 
 	reported bool      // it has reported in this term
 	heard    time.Time // when it reported last
+	asked    time.Time // when the call was sent that it answered last
 	silent   bool      // its last call failed
 	life     oleanderline.WorkerLife
 	leavesAt time.Time // while it drains
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
 // Stream holds all records of a cell.
@@ -19,6 +20,7 @@
 // Keys, and prefixes of keys that end with an id.
 const (
 	KeyLeader      = "l"
+	KeyPairs       = "i"
 	prefixJob      = "j/"
 	prefixCancel   = "c/"
 	prefixProgress = "p/"
@@ -36,6 +38,7 @@
 	KindProgress
 	KindWorker
 	KindLeader
+	KindPairs
 )
 
 // Progress is what has been recorded of a job by its leader.
@@ -69,8 +72,11 @@
 
 // Split returns what a key says: the kind of the record and the id.
 func Split(key string) (Kind, string) {
-	if key == KeyLeader {
+	switch key {
+	case KeyLeader:
 		return KindLeader, ""
+	case KeyPairs:
+		return KindPairs, ""
 	}
 	prefix, id, found := strings.Cut(key, "/")
 	if !found {
@@ -109,6 +115,11 @@
 	return encode(prefixWorker+string(worker.ID), worker)
 }
 
+// ForPairs returns the record of what is known about pairs of images.
+func ForPairs(evidence []pairs.Evidence) (oleanderline.KeyedRecord, error) {
+	return encode(KeyPairs, evidence)
+}
+
 // ForLeader returns the record of the leader.
 func ForLeader(leader Leader) (oleanderline.KeyedRecord, error) { return encode(KeyLeader, leader) }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -44,6 +45,7 @@
 	jobs    map[oleanderline.JobID]*Entry
 	workers map[oleanderline.WorkerID]record.Worker
 	leader  record.Leader
+	pairs   []pairs.Evidence
 	next    oleanderline.Offset
 	loaded  bool
 	readAt  time.Time
@@ -111,6 +113,8 @@
 		err = r.applyWorker(oleanderline.WorkerID(id), rec)
 	case record.KindLeader:
 		err = r.applyLeader(rec)
+	case record.KindPairs:
+		r.pairs, err = record.Decode[[]pairs.Evidence](rec)
 	}
 	return Change{Kind: kind, Job: job, Leader: r.leader}, err
 }
@@ -242,6 +246,13 @@
 	return r.leader
 }
 
+// Pairs returns what is known about pairs of images.
+func (r *Replica) Pairs() []pairs.Evidence {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.pairs
+}
+
 // Next returns the offset to read from.
 func (r *Replica) Next() oleanderline.Offset {
 	r.mu.RLock()
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
 
@@ -36,6 +37,9 @@
 	case lapsed:
 		s.planner.Lapsed(m.id, now)
 	case ticked:
+		if s.planner.Supported(now) {
+			s.supported.Store(now.UnixNano())
+		}
 		s.planner.Place(now, s.ports.Wall())
 	case flushWant:
 		s.collect(m.reply)
@@ -136,7 +140,27 @@
 		s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
 	}
 	s.connect()
-	reply <- flush{records: append(records, workers...), done: flushed{mark: mark, workers: ids}}
+	records = append(append(records, workers...), s.pairs()...)
+	reply <- flush{records: records, done: flushed{mark: mark, workers: ids}}
+}
+
+// pairs returns the record of what was learned about pairs of images, now and then.
+func (s *Session) pairs() []oleanderline.KeyedRecord {
+	now := s.common.Clock.Now()
+	if now.Sub(s.learned) < pairsInterval {
+		return nil
+	}
+	evidence, changed := s.planner.Pairs().Changes()
+	if !changed {
+		return nil
+	}
+	s.learned = now
+	rec, err := record.ForPairs(evidence)
+	if err != nil {
+		s.common.Event(common.EventRecordMalformed).WithError(err).Error("pairs cannot be encoded")
+		return nil
+	}
+	return []oleanderline.KeyedRecord{rec}
 }
 
 func (s *Session) flushed(m flushed) {
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -29,8 +29,11 @@
 	duty     *duty.Duty
 	links    map[oleanderline.WorkerID]*linked // used only by the duty
 	writer   *writer
+	learned  time.Time    // when what was learned was stored last
 	renewed  atomic.Int64 // when the newest append that was answered had been sent
 	ended    atomic.Bool
+	// supported is when most workers were last known to accept the calls of this term.
+	supported atomic.Int64
 }
 
 type linked struct {
@@ -51,6 +54,7 @@
 	s.renewed.Store(began.UnixNano())
 	s.writer = newWriter(s)
 	s.planner.SetConfig(config)
+	s.planner.Pairs().Restore(jobs.Pairs())
 	wall := ports.Wall()
 	jobs.Jobs(func(entry replica.Entry) { s.add(entry, wall) })
 	inherited := jobs.Workers()
@@ -69,9 +73,17 @@
 // Ended reports whether another leader has taken over.
 func (s *Session) Ended() bool { return s.ended.Load() }
 
-// Authority reports whether orders may be given at a time: a later leader relies on this bound.
+// Authority reports whether orders may be given at a time. A later leader relies on its bounds: it claims no sooner than
+// Confirmed after the newest record that it has read, and most workers then refuse the calls of this term.
 func (s *Session) Authority(now time.Time) bool {
-	return !s.ended.Load() && now.Sub(time.Unix(0, s.renewed.Load())) < s.settings.Alone
+	if s.ended.Load() {
+		return false
+	}
+	alone := now.Sub(time.Unix(0, s.renewed.Load()))
+	if alone < s.settings.Confirmed {
+		return true
+	}
+	return alone < s.settings.Alone && now.Sub(time.Unix(0, s.supported.Load())) < supportAge
 }
 
 // Stop ends the term. If resign is set, it stores that the leader has gone, so that another can take over at once.
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -15,8 +15,10 @@
 	Lease  time.Duration // of the runs on a worker
 	Hold   time.Duration // how long a hold waits for an end
 	// Alone is how long the leader goes on without an answer from the log.
-	Alone   time.Duration
-	KeepJob time.Duration // how long a finished job stays known
+	Alone time.Duration
+	// Confirmed is how long after an append no other process can have claimed.
+	Confirmed time.Duration
+	KeepJob   time.Duration // how long a finished job stays known
 }
 
 // Ports are what a session speaks to.
@@ -38,7 +40,10 @@
 	flushRetry        = 100 * time.Millisecond
 	directoryPause    = 250 * time.Millisecond
 	directoryWait     = 1500 * time.Millisecond
+	pairsInterval     = 2 * time.Second
 	forgetInterval    = 5 * time.Second
 	mailbox           = 8192 // messages
-	postPause         = 2 * time.Millisecond
+	// supportAge covers the time between two looks at which workers have answered.
+	supportAge = 100 * time.Millisecond
+	postPause  = 2 * time.Millisecond
 )
