--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -24,6 +24,8 @@
 	// paceRepeat is how often an unchanged pace is ordered again while the target is missed: an older order may have been
 	// carried out late.
 	paceRepeat = 2 * time.Second
+	// doubtFor is how long a target is missed beside fillers that are not suspicious before they are slowed down too.
+	doubtFor = 1500 * time.Millisecond
 	// suspectShare is the share of the highest suspicion on a worker from which a filler is slowed down.
 	suspectShare = 0.4
 )
@@ -72,7 +74,7 @@
 	worst := p.observeTails(w, fillers, now)
 	w.ratio = worst
 	force := w.pace.observe(worst, now)
-	suspects := p.suspects(w, fillers)
+	suspects := p.suspects(w, fillers, now)
 	for _, t := range fillers {
 		percent := paceFull
 		if suspects[t] {
@@ -141,8 +143,15 @@
 	return steady, recent
 }
 
-// suspects returns the fillers that are about as suspicious as the worst one.
-func (p *Planner) suspects(w *worker, fillers []*task) map[*task]bool {
+// suspects returns the fillers that are about as suspicious as the worst one. Where none is suspicious, the load of the
+// lasting tasks themselves is taken as the cause for a while; then all fillers are suspect.
+func (p *Planner) suspects(w *worker, fillers []*task, now time.Time) map[*task]bool {
+	if w.ratio <= paceOver {
+		w.over = time.Time{}
+	} else if w.over.IsZero() {
+		w.over = now
+	}
+	all := !w.over.IsZero() && now.Sub(w.over) > doubtFor
 	highest := 0.0
 	suspicion := map[*task]float64{}
 	for _, t := range fillers {
@@ -151,7 +160,7 @@
 	}
 	suspects := map[*task]bool{}
 	for _, t := range fillers {
-		suspects[t] = suspicion[t] >= suspectShare*highest
+		suspects[t] = all || suspicion[t] >= max(clean, suspectShare*highest)
 	}
 	return suspects
 }
