--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -50,7 +50,12 @@
 	default:
 		return oleanderline.ErrUnavailable
 	}
-	return <-p.done
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+		return oleanderline.ErrUncertain // the record may be on its way
+	}
 }
 
 func (i *intake) closedUntil() time.Time { return time.Unix(0, i.closed.Load()) }
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -261,3 +261,38 @@
 		})
 	}
 }
+
+// Guards against a task that stays stopping for ever, because neither its start nor its stop was answered or carried out.
+func TestUnansweredStopIsRepeated(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.planner.Place(c.now, c.now)
+	orders := c.planner.Orders()
+	c.planner.Answered(Result{Order: orders[0], Err: oleanderline.ErrUncertain, Attempts: 3}, c.now)
+	stops := c.planner.Orders()
+	c.planner.Answered(Result{Order: stops[0], Err: oleanderline.ErrUncertain, Attempts: 2}, c.now)
+	for range 3 {
+		c.pass(stopRepeat)
+		c.reportAll()
+		c.place()
+	}
+	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+}
+
+// Guards against a second run of a task whose start was carried out by the new life of a worker, when the report that tells
+// of the new life is older than the start.
+func TestStartInANewLifeIsNotLost(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	asked := c.now
+	c.pass(10 * time.Millisecond)
+	c.place()
+	run := c.where(taskOf("a", 0, 0))[0]
+	for id, a := range c.workers {
+		if _, ok := a.running[run]; ok {
+			c.planner.Report(id, oleanderline.WorkerReport{Life: testLife + 1}, asked, c.now)
+		}
+	}
+	c.place()
+	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -24,7 +24,7 @@
 		return // an answer of an earlier life, overtaken
 	}
 	if report.Life != w.life {
-		p.newLife(w, report.Life, now)
+		p.newLife(w, report.Life)
 	}
 	if w.silent {
 		w.silent = false
@@ -40,11 +40,11 @@
 	p.controlPace(w, now)
 }
 
-// newLife begins a new life of a worker: it runs nothing that an earlier life has started.
-func (p *Planner) newLife(w *worker, life oleanderline.WorkerLife, now time.Time) {
+// newLife begins a new life of a worker. Which tasks it has lost is told by its lists: a start that was ordered in the
+// earlier life may have been carried out in the new one.
+func (p *Planner) newLife(w *worker, life oleanderline.WorkerLife) {
 	if w.life != 0 {
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "started again")
-		p.loseAll(w, now, "worker started again")
 	}
 	w.life, w.seen, w.acked = life, 0, 0
 	w.health = health{}
@@ -110,7 +110,14 @@
 		listed[t] = struct{}{}
 	}
 	for t := range w.tasks {
-		if _, ok := listed[t]; ok || t.since.IsZero() || !sent.After(t.since) {
+		if _, ok := listed[t]; ok {
+			continue
+		}
+		if t.state == taskLeaving && t.since.IsZero() && now.Sub(t.stopping) >= stopRepeat {
+			p.orderStop(t, now) // the last stop was not answered
+			continue
+		}
+		if t.since.IsZero() || !sent.After(t.since) {
 			continue
 		}
 		if t.state == taskRunning || t.state == taskLeaving {
