Let strong VMs lead

Change: each process stores its processor share when it starts; one with less than three quarters of the largest share claims half a second later. A follower's read ends when it is to claim, so claims are spread as drawn instead of by the length of a read.

--- a/pkg/lead/watch.go
+++ b/pkg/lead/watch.go
@@ -34,15 +34,22 @@
 // processes so that they do not all claim at once. Time during which this process could not read does not count: the
 // leader may have been unable to write for the same reason.
 func (w *Watch) Claim(now time.Time, delay time.Duration) bool {
+	due, known := w.Due(delay)
+	return known && !now.Before(due)
+}
+
+// Due returns when this process should claim if it reads nothing of the leader until then. It is not known while reads
+// fail.
+func (w *Watch) Due(delay time.Duration) (due time.Time, known bool) {
 	if w.readable.IsZero() {
-		return false
+		return time.Time{}, false
 	}
 	since := w.heard
 	if w.readable.After(since) {
 		since = w.readable
 	}
 	if w.resigned && w.readable.Before(w.heard) {
-		return now.Sub(since) >= delay
+		return since.Add(delay), true
 	}
-	return now.Sub(since) >= w.timeout+delay
+	return since.Add(w.timeout + delay), true
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/lead"
+	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
@@ -57,6 +58,22 @@
 	n.duties.Go(n.followConfig)
 	n.duties.Go(n.followRecords)
 	n.duties.Go(func() { n.intake.run(n.ctx) })
+	n.duties.Go(n.introduce)
+}
+
+// introduce stores what others need to know of this process.
+func (n *Node) introduce() {
+	rec, err := record.ForNode(n.settings.VM, record.Node{Cores: n.settings.Cores})
+	if err != nil {
+		n.common.Event(common.EventRecordMalformed).WithError(err).Error("process cannot be encoded")
+		return
+	}
+	for n.ctx.Err() == nil {
+		if err := n.intake.store(n.ctx, rec); err == nil {
+			return
+		}
+		n.sleep(introduceRetry)
+	}
 }
 
 // Drain begins a planned stop: this process is not ready any more, and hands leadership over.
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -16,10 +16,10 @@
 // followRecords keeps the replica up to date and claims leadership when the leader is lost.
 func (n *Node) followRecords() {
 	loaded := false
-	delay := n.claimDelay()
+	delay := rand.N(claimSpread)
 	for n.ctx.Err() == nil {
 		now := n.common.Clock.Now()
-		changes, err := n.readRecords(loaded)
+		changes, err := n.readRecords(loaded, delay)
 		if n.ctx.Err() != nil {
 			return
 		}
@@ -39,13 +39,13 @@
 		n.dropEndedSession()
 		if n.shouldClaim(delay) {
 			n.claim()
-			delay = n.claimDelay()
+			delay = rand.N(claimSpread)
 		}
 		n.pause()
 	}
 }
 
-func (n *Node) readRecords(loaded bool) ([]replica.Change, error) {
+func (n *Node) readRecords(loaded bool, delay time.Duration) ([]replica.Change, error) {
 	if !loaded {
 		batch, err := n.ports.Log.Newest(n.ctx, record.Stream)
 		if err != nil {
@@ -53,17 +53,25 @@
 		}
 		return n.replica.Load(batch, n.common.Clock.Now()), nil
 	}
-	wait := readWait
-	if n.session.Load() == nil {
-		wait = leaderTimeout / 4
-	}
-	batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.Next(), wait)
+	batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.Next(), n.readWait(delay))
 	if err != nil {
 		return nil, err
 	}
 	return n.replica.Apply(batch, n.common.Clock.Now()), nil
 }
 
+// readWait returns how long a read may wait. A process that does not lead wakes up when it is to claim.
+func (n *Node) readWait(delay time.Duration) time.Duration {
+	if n.session.Load() != nil {
+		return readWait
+	}
+	due, known := n.watch.Due(n.claimDelay(delay))
+	if !known {
+		return minReadWait
+	}
+	return min(max(due.Sub(n.common.Clock.Now()), minReadWait), readWait)
+}
+
 func (n *Node) pause() {
 	if n.session.Load() != nil {
 		n.sleep(leaderPause)
@@ -98,19 +106,19 @@
 	}
 }
 
-func (n *Node) claimDelay() time.Duration {
-	delay := rand.N(claimSpread)
-	if n.settings.Cores < weakCores {
-		delay += weakDelay
+// claimDelay adds to a delay that was drawn at random what keeps weak VMs from leading while stronger ones live.
+func (n *Node) claimDelay(drawn time.Duration) time.Duration {
+	if n.settings.Cores < weakShare*n.replica.MostCores() {
+		return drawn + weakDelay
 	}
-	return delay
+	return drawn
 }
 
 func (n *Node) shouldClaim(delay time.Duration) bool {
 	if n.session.Load() != nil || n.stopping.Load() || n.config.Load() == nil {
 		return false
 	}
-	return n.watch.Claim(n.common.Clock.Now(), delay)
+	return n.watch.Claim(n.common.Clock.Now(), n.claimDelay(delay))
 }
 
 // claim makes this process the leader if no other process claims first. The order of claims is that of the log.
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -34,9 +34,9 @@
 	leaderTimeout = 1500 * time.Millisecond
 	// claimSpread spaces the claims of processes that take the leader as lost at the same time.
 	claimSpread = 400 * time.Millisecond
-	// weakDelay keeps VMs with a small processor share from leading while stronger ones live.
-	weakDelay = 400 * time.Millisecond
-	weakCores = 0.15
+	// weakDelay keeps VMs with less than weakShare of the largest processor share from leading while stronger ones live.
+	weakDelay = claimSpread + 100*time.Millisecond
+	weakShare = 0.75
 
 	// lease is how long a run goes on without its leader. It covers the loss of a leader and the start of the next.
 	lease = 4 * time.Second
@@ -52,12 +52,14 @@
 	holdWait    = 600 * time.Millisecond
 	settleTime  = 700 * time.Millisecond
 
-	readWait     = 1200 * time.Millisecond
-	readRetry    = 100 * time.Millisecond
-	followPause  = 80 * time.Millisecond // between reads of a process that does not lead
-	leaderPause  = 10 * time.Millisecond
-	freshFor     = time.Second             // how old a read may be for an answer that a job is unknown
-	readyFor     = 2500 * time.Millisecond // how old a read may be for new callers to be sent here
-	submitRetry  = 50 * time.Millisecond
-	circuitPause = 250 * time.Millisecond // between attempts to store while the log refuses
+	readWait       = 1200 * time.Millisecond
+	minReadWait    = 5 * time.Millisecond
+	readRetry      = 100 * time.Millisecond
+	followPause    = 80 * time.Millisecond // between reads of a process that does not lead
+	leaderPause    = 10 * time.Millisecond
+	freshFor       = time.Second             // how old a read may be for an answer that a job is unknown
+	readyFor       = 2500 * time.Millisecond // how old a read may be for new callers to be sent here
+	introduceRetry = time.Second
+	submitRetry    = 50 * time.Millisecond
+	circuitPause   = 250 * time.Millisecond // between attempts to store while the log refuses
 )
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -25,6 +25,7 @@
 	prefixCancel   = "c/"
 	prefixProgress = "p/"
 	prefixWorker   = "w/"
+	prefixNode     = "n/"
 )
 
 // Kind tells what a record says.
@@ -39,6 +40,7 @@
 	KindWorker
 	KindLeader
 	KindPairs
+	KindNode
 )
 
 // Progress is what has been recorded of a job by its leader.
@@ -91,6 +93,8 @@
 		return KindProgress, id
 	case prefixWorker:
 		return KindWorker, id
+	case prefixNode:
+		return KindNode, id
 	}
 	return KindUnknown, ""
 }
@@ -115,6 +119,21 @@
 	return encode(prefixWorker+string(worker.ID), worker)
 }
 
+// Node is a process of the cell, as it introduces itself when it starts.
+type Node struct {
+	Cores float64 `json:"cores"` // processor share of its VM
+}
+
+// ForNode returns the record of a process.
+func ForNode(vm oleanderline.VMID, node Node) (oleanderline.KeyedRecord, error) {
+	return encode(prefixNode+string(vm), node)
+}
+
+// DropNode returns the record that removes a process.
+func DropNode(vm oleanderline.VMID) oleanderline.KeyedRecord {
+	return oleanderline.KeyedRecord{Key: prefixNode + string(vm)}
+}
+
 // ForPairs returns the record of what is known about pairs of images.
 func ForPairs(evidence []pairs.Evidence) (oleanderline.KeyedRecord, error) {
 	return encode(KeyPairs, evidence)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -46,6 +46,7 @@
 	workers map[oleanderline.WorkerID]record.Worker
 	leader  record.Leader
 	pairs   []pairs.Evidence
+	nodes   map[oleanderline.VMID]record.Node
 	next    oleanderline.Offset
 	loaded  bool
 	readAt  time.Time
@@ -57,6 +58,7 @@
 	return &Replica{
 		jobs:    map[oleanderline.JobID]*Entry{},
 		workers: map[oleanderline.WorkerID]record.Worker{},
+		nodes:   map[oleanderline.VMID]record.Node{},
 		faulty:  faulty,
 	}
 }
@@ -67,6 +69,7 @@
 	defer r.mu.Unlock()
 	r.jobs = map[oleanderline.JobID]*Entry{}
 	r.workers = map[oleanderline.WorkerID]record.Worker{}
+	r.nodes = map[oleanderline.VMID]record.Node{}
 	r.loaded = true
 	return r.apply(batch, now)
 }
@@ -111,6 +114,8 @@
 		err = r.applyProgress(job, rec, now)
 	case record.KindWorker:
 		err = r.applyWorker(oleanderline.WorkerID(id), rec)
+	case record.KindNode:
+		err = r.applyNode(oleanderline.VMID(id), rec)
 	case record.KindLeader:
 		err = r.applyLeader(rec)
 	case record.KindPairs:
@@ -184,6 +189,19 @@
 	return nil
 }
 
+func (r *Replica) applyNode(vm oleanderline.VMID, rec oleanderline.KeyedRecord) error {
+	if len(rec.Value) == 0 {
+		delete(r.nodes, vm)
+		return nil
+	}
+	node, err := record.Decode[record.Node](rec)
+	if err != nil {
+		return err
+	}
+	r.nodes[vm] = node
+	return nil
+}
+
 func (r *Replica) applyLeader(rec oleanderline.KeyedRecord) error {
 	leader, err := record.Decode[record.Leader](rec)
 	if err != nil {
@@ -246,6 +264,17 @@
 	return r.leader
 }
 
+// MostCores returns the largest processor share of the processes that have introduced themselves.
+func (r *Replica) MostCores() float64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	most := 0.0
+	for _, node := range r.nodes {
+		most = max(most, node.Cores)
+	}
+	return most
+}
+
 // Pairs returns what is known about pairs of images.
 func (r *Replica) Pairs() []pairs.Evidence {
 	r.mu.RLock()
