Read records when a caller asks

Change: a follower pauses 0.3 s between reads, and reads at once when a caller asks for a job that has not finished. A leader yields to a stronger VM that has started.

--- a/job_service.go
+++ b/job_service.go
@@ -15,7 +15,7 @@
 	// has stored nothing, ErrUncertain means that it may have. ErrConflict means that the id names another job.
 	Submit(ctx context.Context, job Job) error
 	// State returns the state of a job. It fails with ErrUnknownJob, or with ErrNotReady if this process cannot know.
-	State(queue QueueID, id JobID) (JobState, error)
+	State(ctx context.Context, queue QueueID, id JobID) (JobState, error)
 	// Cancel stores that a job is cancelled.
 	Cancel(ctx context.Context, queue QueueID, id JobID) error
 	// Waiting returns the number of accepted jobs of a queue of which no task has started.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -25,6 +25,7 @@
 	intake   *intake
 	config   atomic.Pointer[oleanderline.CellConfig]
 	stopping atomic.Bool
+	wanted   chan struct{} // asks the follower of the records for a read
 	ctx      context.Context
 	cancel   context.CancelFunc
 	duties   sync.WaitGroup
@@ -43,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		common: c, settings: settings, ports: ports, ctx: ctx, cancel: cancel,
-		watch: lead.NewWatch(leaderTimeout),
+		watch: lead.NewWatch(leaderTimeout), wanted: make(chan struct{}, 1),
 	}
 	n.replica = replica.New(func(err error) {
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("record skipped")
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -72,12 +73,39 @@
 	return min(max(due.Sub(n.common.Clock.Now()), minReadWait), readWait)
 }
 
+// pause spaces reads. A process that does not lead reads seldom, and at once when a caller asks for something that may have
+// changed.
 func (n *Node) pause() {
 	if n.session.Load() != nil {
 		n.sleep(leaderPause)
 		return
 	}
-	n.sleep(followPause)
+	timer := n.common.Clock.NewTimer(followPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-n.wanted:
+	case <-n.ctx.Done():
+	}
+}
+
+// refresh waits shortly for a read that began after the call, unless the newest one is recent.
+func (n *Node) refresh(ctx context.Context) {
+	if age, loaded := n.replica.Age(n.common.Clock.Now()); !loaded || age < recentRead || age > followPause {
+		return // there is nothing to wait for, or a read is waiting for records already
+	}
+	read := n.replica.Changed()
+	select {
+	case n.wanted <- struct{}{}:
+	default:
+	}
+	timer := n.common.Clock.NewTimer(refreshLimit)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
 }
 
 // apply passes what was read to the watch, and to the session while this process leads.
@@ -91,6 +119,8 @@
 			if entry, ok := n.replica.Job(change.Job); ok && s != nil {
 				s.AddJob(entry)
 			}
+		case record.KindNode:
+			n.yieldToStronger(s)
 		case record.KindCancel:
 			if s != nil {
 				s.CancelJob(change.Job)
@@ -99,6 +129,18 @@
 	}
 }
 
+// yieldToStronger hands leadership over when a VM with a larger processor share has started.
+func (n *Node) yieldToStronger(s *term.Session) {
+	if s == nil || s.Ended() || n.settings.Cores >= weakShare*n.replica.MostCores() {
+		return
+	}
+	n.duties.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, yieldLimit)
+		defer cancel()
+		s.Stop(ctx, true)
+	})
+}
+
 func (n *Node) dropEndedSession() {
 	if s := n.session.Load(); s != nil && s.Ended() {
 		n.session.Store(nil)
--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -52,7 +52,9 @@
 	time.Sleep(12 * time.Second) // the longest fault ends
 	w.heal()
 	time.Sleep(afterFaults)
-	w.checks.final(func(id oleanderline.JobID) (oleanderline.JobState, error) { return w.member(0).node.State("q", id) })
+	w.checks.final(func(id oleanderline.JobID) (oleanderline.JobState, error) {
+		return w.member(0).node.State(w.ctx, "q", id)
+	})
 	require.Empty(t, w.checks.result())
 }
 
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -75,8 +75,12 @@
 }
 
 // State implements oleanderline.JobService.
-func (n *Node) State(_ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
+func (n *Node) State(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
 	entry, ok := n.replica.Job(id)
+	if !ok || !entry.State().Final() {
+		n.refresh(ctx)
+		entry, ok = n.replica.Job(id)
+	}
 	if !ok {
 		return 0, n.unknown(id)
 	}
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -55,7 +55,10 @@
 	readWait       = 1200 * time.Millisecond
 	minReadWait    = 5 * time.Millisecond
 	readRetry      = 100 * time.Millisecond
-	followPause    = 80 * time.Millisecond // between reads of a process that does not lead
+	followPause    = 300 * time.Millisecond // between reads of a process that does not lead
+	recentRead     = 40 * time.Millisecond  // a read as recent as this answers callers
+	refreshLimit   = 100 * time.Millisecond
+	yieldLimit     = 2 * time.Second
 	leaderPause    = 10 * time.Millisecond
 	freshFor       = time.Second             // how old a read may be for an answer that a job is unknown
 	readyFor       = 2500 * time.Millisecond // how old a read may be for new callers to be sent here
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -48,6 +48,7 @@
 	pairs   []pairs.Evidence
 	nodes   map[oleanderline.VMID]record.Node
 	next    oleanderline.Offset
+	changed chan struct{} // closed and replaced by each read
 	loaded  bool
 	readAt  time.Time
 	faulty  func(error)
@@ -59,6 +60,7 @@
 		jobs:    map[oleanderline.JobID]*Entry{},
 		workers: map[oleanderline.WorkerID]record.Worker{},
 		nodes:   map[oleanderline.VMID]record.Node{},
+		changed: make(chan struct{}),
 		faulty:  faulty,
 	}
 }
@@ -95,6 +97,8 @@
 	}
 	r.next = batch.Next
 	r.readAt = now
+	close(r.changed)
+	r.changed = make(chan struct{})
 	return changes
 }
 
@@ -289,6 +293,13 @@
 	return r.next
 }
 
+// Changed returns a channel that is closed by the next read.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.changed
+}
+
 // Age returns how old the last successful read is, and whether there has been one.
 func (r *Replica) Age(now time.Time) (time.Duration, bool) {
 	r.mu.RLock()
