Keep a worker in use after a brief silence; acknowledge ends once; trust only a running run about later runs

(4) In the stand-in, a hold went on waiting through a crash of its worker.

Change: (1) whether a worker is recorded follows what was handed out to be stored; (2) an acknowledgement that was answered is not sent again; (3) only a run that goes on tells that there is no later one; (4) a crash ends holds. Each of (1) to (3) has a test that fails without it.

--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -87,6 +87,8 @@
 	defer w.mu.Unlock()
 	w.down = true
 	w.endAll()
+	close(w.changed) // holds that wait end
+	w.changed = make(chan struct{})
 }
 
 // endAll ends all runs without a trace.
@@ -103,6 +105,7 @@
 	defer w.mu.Unlock()
 	w.down = false
 	w.endAll()
+	close(w.changed)
 	w.begin()
 }
 
@@ -240,7 +243,11 @@
 func (w *Worker) Hold(ctx context.Context, order oleanderline.HoldRuns) (oleanderline.WorkerReport, error) {
 	timer := time.NewTimer(order.Wait)
 	defer timer.Stop()
+	life := w.Life()
 	for {
+		if w.Life() != life {
+			return oleanderline.WorkerReport{}, oleanderline.ErrUncertain // a crash ends the connection
+		}
 		report, changed, err := w.holdNow(order)
 		if err != nil || len(report.Ended) > 0 || order.Wait == 0 {
 			return report, err
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -64,6 +64,7 @@
 	leaseEnd time.Time // when everything on the worker has lapsed at the latest
 	life     oleanderline.WorkerLife
 	acked    int64
+	told     int64 // the highest acknowledgement that was answered
 	seen     int64
 }
 
@@ -120,13 +121,14 @@
 			l.sleep(ctx, retryPause)
 			continue
 		}
-		report, err := l.runner.Hold(ctx, l.nextHold(now, silent))
+		order := l.nextHold(now, silent)
+		report, err := l.runner.Hold(ctx, order)
 		silent = err != nil
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			l.learn(report)
+			l.learn(report, order.Acked)
 			l.events.Report(l.id, report, now)
 			l.waitForAck(ctx)
 			continue
@@ -149,10 +151,13 @@
 func (l *Link) nextHold(now time.Time, silent bool) oleanderline.HoldRuns {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	order := oleanderline.HoldRuns{Life: l.life, Term: l.settings.Term, Acked: l.acked}
+	order := oleanderline.HoldRuns{Life: l.life, Term: l.settings.Term}
 	if silent {
 		return order
 	}
+	if l.acked > l.told {
+		order.Acked = l.acked
+	}
 	if l.known {
 		order.Deadline = l.deadline(now)
 	}
@@ -178,12 +183,15 @@
 	return l.known && now.After(l.leaseEnd)
 }
 
-// learn takes in the worker's clock and the ends that it listed.
-func (l *Link) learn(report oleanderline.WorkerReport) {
+// learn takes in the worker's clock and the ends that it listed, in answer to a hold that acknowledged ends up to told. An
+// acknowledgement is not repeated once it is answered: in a new life of the worker, whose ends are numbered anew, it would
+// cover ends that were never read.
+func (l *Link) learn(report oleanderline.WorkerReport, told int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.told = max(l.told, told)
 	if report.Life != l.life {
-		l.life, l.acked, l.seen = report.Life, 0, 0
+		l.life, l.acked, l.seen, l.told = report.Life, 0, 0, 0
 	}
 	for _, end := range report.Ended {
 		l.seen = max(l.seen, end.Number)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -124,3 +124,27 @@
 	require.ErrorIs(t, result.Err, oleanderline.ErrUncertain)
 	require.Equal(t, startTries, result.Attempts)
 }
+
+// Guards against an acknowledgement that is repeated to a new life of a worker, where it would cover ends never read.
+func TestAcknowledgementIsSentOnce(t *testing.T) {
+	runner, events := &fakeRunner{}, newRecorder()
+	l := startLink(t, runner, events, time.Second)
+	<-events.reports
+	l.Ack(plan.Acked{Life: 1, Number: 5})
+	require.Eventually(t, func() bool { return runner.acks(5) == 1 && runner.acks(0) > 5 }, 10*time.Second, time.Millisecond)
+}
+
+// acks counts the holds that acknowledged ends up to a number, since the last of them for 0.
+func (r *fakeRunner) acks(number int64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, hold := range r.holds {
+		if hold.Acked == number {
+			count++
+		} else if number == 0 {
+			count = 0
+		}
+	}
+	return count
+}
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -296,3 +296,31 @@
 	c.place()
 	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
 }
+
+// Guards against a task that is started again because an end of an older run is listed, while a later run of the earlier
+// leader may go on at a worker that has not reported.
+func TestOldEndDoesNotTellOfLaterRuns(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.place()
+	first := c.endTask(taskOf("a", 0, 0), oleanderline.EndFailed)
+	c.reportAll()
+	c.place()
+	c.workers[first].ended = append([]oleanderline.RunEnd(nil), c.workers[first].ended...)
+	c.successor(2)
+	c.report(first)
+	c.pass(time.Second)
+	c.place()
+	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+}
+
+// Guards against a worker that gets no work any more after it was silent for so short that no record told of it.
+func TestBriefSilenceDoesNotExcludeAWorker(t *testing.T) {
+	c := newCell(t, 1)
+	c.planner.Silent("w0")
+	c.reportAll()
+	c.flush()
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.place()
+	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -28,7 +28,6 @@
 	}
 	if w.silent {
 		w.silent = false
-		w.recorded = false // the record says that it is silent, or there is none
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "answers again")
 	}
 	p.takeEnds(w, report.Ended, now)
@@ -67,7 +66,6 @@
 
 func (p *Planner) takeEnd(w *worker, t *task, end oleanderline.RunEnd, now time.Time) {
 	p.note(NoteEnd, end.Key, w, end.How.String())
-	t.unseen = false
 	t.run = max(t.run, end.Key.Run)
 	current := t.worker == w && t.runKey() == end.Key
 	if end.Checkpoint != "" && (current || t.worker == nil) {
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -111,7 +111,7 @@
 		}
 		if w.empty() {
 			if w.stored {
-				w.stored, w.written = false, false
+				w.stored, w.written, w.recorded = false, false, false
 				records = append(records, record.DropWorker(id))
 			}
 			continue
@@ -127,6 +127,7 @@
 			return nil, nil, err
 		}
 		w.written, w.writtenSilent, w.stored = true, w.silent, true
+		w.recorded = w.recorded && !w.silent
 		records = append(records, rec)
 		ids = append(ids, id)
 	}
@@ -148,7 +149,7 @@
 
 // WorkerRecorded tells that the newest record of a worker is stored.
 func (p *Planner) WorkerRecorded(id oleanderline.WorkerID) {
-	if w := p.workers[id]; w != nil && !w.silent && !w.writtenSilent {
+	if w := p.workers[id]; w != nil && w.written && !w.writtenSilent {
 		w.recorded = true
 	}
 }
@@ -159,7 +160,7 @@
 	if w == nil || w.silent {
 		return
 	}
-	w.silent, w.recorded = true, false
+	w.silent = true
 	p.note(NoteWorker, oleanderline.RunKey{}, w, "does not answer")
 }
 
