Soak the real programs on loopback

A seeded run starts four nodes as processes against stand-ins of the store and eight minions, which speak the platform's protocol, through proxies that delay, silence, cut one way or reset connections; it kills, stops, pauses and restarts the processes and crashes workers, and checks what callers and workers see. The checks are those of the schedules, moved to pkg/cellfake.

--- /dev/null
+++ b/pkg/cellfake/job.go
@@ -0,0 +1,34 @@
+package cellfake
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// DrawJob makes a job of 1 to 3 steps. The payload says which tasks fail and how long they take.
+func DrawJob(random *rand.Rand, queue oleanderline.Queue, id string) oleanderline.Job {
+	job := oleanderline.Job{ID: oleanderline.JobID(id), Queue: queue.ID, Policy: queue, Payload: fmt.Sprintf("%d", random.IntN(1<<30))}
+	steps := 1 + random.IntN(3)
+	for s := range steps {
+		step := oleanderline.Step{
+			Count: 1 + random.IntN(5), Estimate: time.Second,
+			Size: oleanderline.Size{CPU: oleanderline.Millicores(500 + random.IntN(1000)), Memory: 500},
+		}
+		if s > 0 && random.IntN(4) > 0 {
+			step.After = []int{random.IntN(s)}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	if random.IntN(6) == 0 {
+		for s := range job.Steps {
+			job.Steps[s].Lasting = true
+			job.Steps[s].After = nil
+		}
+		job.Steps = job.Steps[:1] // lasting jobs leave room for the others
+		job.Steps[0].Count = min(2, job.Steps[0].Count)
+	}
+	return job
+}
--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -52,16 +52,16 @@
 	time.Sleep(12 * time.Second) // the longest fault ends
 	w.heal()
 	time.Sleep(afterFaults)
-	w.checks.final(func(id oleanderline.JobID) (oleanderline.JobState, error) {
+	w.checks.Final(func(id oleanderline.JobID) (oleanderline.JobState, error) {
 		return w.member(0).node.State(w.ctx, "q", id)
 	})
-	require.Empty(t, w.checks.result())
+	require.Empty(t, w.checks.Result())
 }
 
 // callers hands jobs in over the time of the faults and cancels some.
 func (w *world) callers() {
 	for i := range jobsPerRun {
-		job := w.drawJob(fmt.Sprintf("%016x", i+1))
+		job := cellfake.DrawJob(w.calls, worldQueue, fmt.Sprintf("%016x", i+1))
 		if w.submit(job) && w.calls.IntN(6) == 0 {
 			time.Sleep(500 * time.Millisecond)
 			w.cancelJob(job.ID)
