Store and read through a peer while the log turns this process away

Change: a process that cannot store or read itself does so through up to two peers by net/rpc. The shared key is a random record of the log, stored by whoever is first. 'Not stored' and 'maybe stored' keep their meaning over the wire (tests).

Ruled out: not ready sooner, because clients stay on open channels.

--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -67,6 +67,7 @@
 	n := node.New(c, node.Settings{
 		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold, PlannedStop: settings.PlannedStop,
 		KeepJob: settings.KeepJobs, Early: settings.Early,
+		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
 		Log: store, Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		Workers: platform.StreamWorkers, DecodeWorker: platform.DecodeWorker,
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -25,5 +25,6 @@
 	EventRunLost          Event = "E6033" // a run is taken as over without an end from its worker
 	EventWorkerChange     Event = "E6034" // what the leader believes about a worker has changed
 	EventPace             Event = "E6035" // the leader changes the pace of a run
+	EventPeersUnserved    Event = "E6014" // other processes cannot store and read through this one
 	EventLinesDropped     Event = "E6040" // log lines were left out because the bound a second was reached or the output is blocked
 )
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/lead"
 	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/relay"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
@@ -23,6 +24,7 @@
 	replica  *replica.Replica
 	watch    *lead.Watch
 	intake   *intake
+	relay    *relay.Client
 	config   atomic.Pointer[oleanderline.CellConfig]
 	stopping atomic.Bool
 	wanted   chan struct{} // asks the follower of the records for a read
@@ -50,6 +52,7 @@
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("record skipped")
 	})
 	n.intake = newIntake(c, ports.Log)
+	n.relay = relay.NewClient(func() []string { return n.replica.Peers(settings.VM) })
 	n.logReads = reachability{common: c, what: "records"}
 	return n
 }
@@ -60,11 +63,12 @@
 	n.duties.Go(n.followRecords)
 	n.duties.Go(func() { n.intake.run(n.ctx) })
 	n.duties.Go(n.introduce)
+	n.duties.Go(n.servePeers)
 }
 
 // introduce stores what others need to know of this process.
 func (n *Node) introduce() {
-	rec, err := record.ForNode(n.settings.VM, record.Node{Cores: n.settings.Cores})
+	rec, err := record.ForNode(n.settings.VM, record.Node{Cores: n.settings.Cores, Address: n.settings.PeerAddress})
 	if err != nil {
 		n.common.Event(common.EventRecordMalformed).WithError(err).Error("process cannot be encoded")
 		return
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/replica"
 )
 
 // Bounds of the time after which a refused caller should come again.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if err := n.intake.store(ctx, rec); err != nil {
+	if err := n.store(ctx, rec); err != nil {
 		n.refused("submit", job.ID, err)
 		return err
 	}
@@ -77,16 +78,28 @@
 // State implements oleanderline.JobService.
 func (n *Node) State(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
 	entry, ok := n.replica.Job(id)
-	if !ok || !entry.State().Final() {
-		n.refresh(ctx)
-		entry, ok = n.replica.Job(id)
+	if ok && entry.State().Final() {
+		return entry.State(), nil
 	}
-	if !ok {
+	if age, loaded := n.replica.Age(n.common.Clock.Now()); !loaded || age > staleRead {
+		return n.askPeer(ctx, id, entry, ok)
+	}
+	n.refresh(ctx)
+	if entry, ok = n.replica.Job(id); !ok {
 		return 0, n.unknown(id)
 	}
 	return entry.State(), nil
 }
 
+// askPeer returns the state of a job from a process that has read lately, or else what this one has read.
+func (n *Node) askPeer(ctx context.Context, id oleanderline.JobID, entry replica.Entry, known bool) (oleanderline.JobState, error) {
+	state, err := n.relay.State(ctx, id)
+	if err == nil || !known {
+		return state, err
+	}
+	return entry.State(), nil
+}
+
 // unknown says that a job does not exist, or that this process cannot know.
 func (n *Node) unknown(id oleanderline.JobID) error {
 	age, loaded := n.replica.Age(n.common.Clock.Now())
@@ -107,7 +120,7 @@
 	if entry.State().Final() {
 		return nil
 	}
-	if err := n.intake.store(ctx, record.ForCancel(id)); err != nil {
+	if err := n.store(ctx, record.ForCancel(id)); err != nil {
 		n.refused("cancel", id, err)
 		return err
 	}
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -10,6 +10,7 @@
 type Settings struct {
 	VM          oleanderline.VMID
 	Cores       float64       // processor share of this VM
+	PeerAddress string        // where to serve other processes of the cell; "" for nowhere
 	MaxLease    time.Duration // the longest that workers accept
 	PlannedStop time.Duration // how long a planned stop may take
 	KeepJob     time.Duration // how long a finished job stays known
@@ -60,6 +61,7 @@
 	refreshLimit   = 100 * time.Millisecond
 	yieldLimit     = 2 * time.Second
 	leaderPause    = 10 * time.Millisecond
+	staleRead      = 1500 * time.Millisecond // how old a read may be before a peer is asked
 	freshFor       = time.Second             // how old a read may be for an answer that a job is unknown
 	readyFor       = 2500 * time.Millisecond // how old a read may be for new callers to be sent here
 	introduceRetry = time.Second
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -14,6 +14,9 @@
 // Stream holds all records of a cell.
 const Stream oleanderline.Stream = "jobs"
 
+// StreamKeys holds the key that the processes of a cell share.
+const StreamKeys oleanderline.Stream = "keys"
+
 // StreamClaims holds the claims of leadership.
 const StreamClaims oleanderline.Stream = "claims"
 
@@ -121,7 +124,8 @@
 
 // Node is a process of the cell, as it introduces itself when it starts.
 type Node struct {
-	Cores float64 `json:"cores"` // processor share of its VM
+	Cores   float64 `json:"cores"`          // processor share of its VM
+	Address string  `json:"addr,omitempty"` // where it serves its peers
 }
 
 // ForNode returns the record of a process.
@@ -190,5 +194,10 @@
 // keyClaim is the only key of the stream of claims, so that its newest record is the newest claim.
 const keyClaim = "claim"
 
+// ForKey returns the record of the key that processes share.
+func ForKey(key string) oleanderline.KeyedRecord {
+	return oleanderline.KeyedRecord{Key: "key", Value: []byte(key)}
+}
+
 // ForClaim returns the record of a claim of leadership.
 func ForClaim(claim any) (oleanderline.KeyedRecord, error) { return encode(keyClaim, claim) }
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,192 @@
+// Package relay lets a process whose own path to the log has failed store and read through another process. It speaks
+// net/rpc between own VMs.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+)
+
+const (
+	serviceName = "Relay"
+	// callLimit bounds one attempt, and attempts how many peers are asked.
+	callLimit = 700 * time.Millisecond
+	attempts  = 2
+)
+
+// Backend is what a process does for others.
+type Backend interface {
+	// StoreHere stores a record over this process's own path.
+	StoreHere(ctx context.Context, rec oleanderline.KeyedRecord) error
+	// StateHere returns the state of a job as this process has read it.
+	StateHere(id oleanderline.JobID) (oleanderline.JobState, error)
+}
+
+// Outcome is how a relayed call ended, as errors do not keep their identity on the wire.
+type Outcome int
+
+// Outcomes.
+const (
+	OutcomeDone Outcome = iota
+	OutcomeUnavailable
+	OutcomeUncertain
+	OutcomeUnknownJob
+	OutcomeNotReady
+)
+
+// StoreReply answers a call of Store.
+type StoreReply struct{ Outcome Outcome }
+
+// StateReply answers a call of State.
+type StateReply struct {
+	Outcome Outcome
+	State   oleanderline.JobState
+}
+
+// Service serves the calls of peers.
+type Service struct{ backend Backend }
+
+// Store stores a record for a peer.
+func (s *Service) Store(rec oleanderline.KeyedRecord, reply *StoreReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	reply.Outcome = outcomeOf(s.backend.StoreHere(ctx, rec))
+	return nil
+}
+
+// State returns the state of a job to a peer.
+func (s *Service) State(id oleanderline.JobID, reply *StateReply) error {
+	state, err := s.backend.StateHere(id)
+	reply.Outcome, reply.State = outcomeOf(err), state
+	return nil
+}
+
+// Register offers the backend to peers.
+func Register(server *peer.Server, backend Backend) error {
+	return server.Register(serviceName, &Service{backend: backend})
+}
+
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return OutcomeDone
+	case errors.Is(err, oleanderline.ErrUnknownJob):
+		return OutcomeUnknownJob
+	case errors.Is(err, oleanderline.ErrNotReady):
+		return OutcomeNotReady
+	case errors.Is(err, oleanderline.ErrUncertain):
+		return OutcomeUncertain
+	}
+	return OutcomeUnavailable
+}
+
+func (o Outcome) err() error {
+	return [...]error{nil, oleanderline.ErrUnavailable, oleanderline.ErrUncertain, oleanderline.ErrUnknownJob, oleanderline.ErrNotReady}[o]
+}
+
+// Client calls peers.
+type Client struct {
+	peers func() []string // addresses
+
+	mu    sync.Mutex
+	key   string
+	conns map[string]*peer.Client
+}
+
+// NewClient returns a client that cannot call before SetKey.
+func NewClient(peers func() []string) *Client {
+	return &Client{peers: peers, conns: map[string]*peer.Client{}}
+}
+
+// SetKey sets the key that all processes share.
+func (c *Client) SetKey(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.key = key
+}
+
+// Store stores a record through a peer. ErrUnavailable promises that no peer has stored it, or will.
+func (c *Client) Store(ctx context.Context, rec oleanderline.KeyedRecord) error {
+	uncertain := false
+	err := c.each(func(conn *peer.Client) error {
+		var reply StoreReply
+		err := c.call(ctx, conn, "Store", rec, &reply)
+		if err == nil {
+			err = reply.Outcome.err()
+		}
+		uncertain = uncertain || errors.Is(err, oleanderline.ErrUncertain)
+		return err
+	})
+	if err != nil && uncertain {
+		return oleanderline.ErrUncertain
+	}
+	return err
+}
+
+// State asks a peer for the state of a job.
+func (c *Client) State(ctx context.Context, id oleanderline.JobID) (oleanderline.JobState, error) {
+	var state oleanderline.JobState
+	err := c.each(func(conn *peer.Client) error {
+		var reply StateReply
+		if err := c.call(ctx, conn, "State", id, &reply); err != nil {
+			return err
+		}
+		state = reply.State
+		return reply.Outcome.err()
+	})
+	return state, err
+}
+
+// each calls peers in random order until one succeeds or says that a job is unknown.
+func (c *Client) each(call func(conn *peer.Client) error) error {
+	err := fmt.Errorf("no peer to ask: %w", oleanderline.ErrUnavailable)
+	addresses := c.peers()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(attempts, len(addresses))] {
+		conn := c.conn(address)
+		if conn == nil {
+			return err
+		}
+		if err = call(conn); err == nil || errors.Is(err, oleanderline.ErrUnknownJob) {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, conn *peer.Client, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return conn.Call(ctx, serviceName+"."+method, args, reply)
+}
+
+// conn returns the connection to a peer, or nil before the key is known.
+func (c *Client) conn(address string) *peer.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.key == "" {
+		return nil
+	}
+	conn := c.conns[address]
+	if conn == nil {
+		conn = peer.NewClient(address, c.key)
+		c.conns[address] = conn
+	}
+	return conn
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+)
+
+const testKey = "0123456789abcdef"
+
+// backend answers with fixed errors.
+type backend struct {
+	store, state error
+	stored       []oleanderline.KeyedRecord
+}
+
+func (b *backend) StoreHere(_ context.Context, rec oleanderline.KeyedRecord) error {
+	b.stored = append(b.stored, rec)
+	return b.store
+}
+
+func (b *backend) StateHere(oleanderline.JobID) (oleanderline.JobState, error) {
+	return oleanderline.JobRunning, b.state
+}
+
+func serve(t *testing.T, b Backend) string {
+	t.Helper()
+	c := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+	server := peer.NewServer(c, testKey)
+	require.NoError(t, Register(server, b))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(listener) }() // it ends with the test
+	t.Cleanup(func() { require.NoError(t, server.Close()) })
+	return listener.Addr().String()
+}
+
+func newTestClient(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	client := NewClient(func() []string { return append([]string(nil), addresses...) })
+	client.SetKey(testKey)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against a result that changes its meaning on the way: "not stored" must stay apart from "maybe stored".
+func TestOutcomesKeepTheirMeaning(t *testing.T) {
+	type scenario struct {
+		name string
+		err  error
+	}
+	for _, s := range []scenario{
+		{"stored", nil},
+		{"not stored", oleanderline.ErrUnavailable},
+		{"maybe stored", oleanderline.ErrUncertain},
+		{"unknown job", oleanderline.ErrUnknownJob},
+		{"not ready", oleanderline.ErrNotReady},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			b := &backend{store: s.err, state: s.err}
+			client := newTestClient(t, serve(t, b))
+			rec := oleanderline.KeyedRecord{Key: "k", Value: []byte("v")}
+			require.ErrorIs(t, client.Store(context.Background(), rec), s.err)
+			require.Equal(t, rec, b.stored[0])
+			_, err := client.State(context.Background(), "id")
+			require.ErrorIs(t, err, s.err)
+		})
+	}
+}
+
+// Guards against a caller that is told "not stored" because the last of two peers refused, while the first may have stored.
+func TestUncertainPeerIsNotForgotten(t *testing.T) {
+	maybe := serve(t, &backend{store: oleanderline.ErrUncertain})
+	never := serve(t, &backend{store: oleanderline.ErrUnavailable})
+	client := newTestClient(t, maybe, never)
+	require.ErrorIs(t, client.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUncertain)
+}
+
+// Guards against calls without a key, and without any peer.
+func TestWithoutPeersNothingIsStored(t *testing.T) {
+	client := NewClient(func() []string { return nil })
+	require.ErrorIs(t, client.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUnavailable)
+	unkeyed := NewClient(func() []string { return []string{"127.0.0.1:1"} })
+	require.ErrorIs(t, unkeyed.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUnavailable)
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -279,6 +279,19 @@
 	return most
 }
 
+// Peers returns the addresses of the processes other than self.
+func (r *Replica) Peers(self oleanderline.VMID) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var addresses []string
+	for vm, node := range r.nodes {
+		if vm != self && node.Address != "" {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	return addresses
+}
+
 // Pairs returns what is known about pairs of images.
 func (r *Replica) Pairs() []pairs.Evidence {
 	r.mu.RLock()
