--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -64,6 +64,10 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * megabyte))
 	}
 	store := platform.NewStore(settings.Store)
+	var adviser oleanderline.Adviser
+	if settings.Adviser != "" {
+		adviser = platform.NewAdviser(settings.Adviser)
+	}
 	n := node.New(c, node.Settings{
 		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold, PlannedStop: settings.PlannedStop,
 		KeepJob: settings.KeepJobs, Early: settings.Early,
@@ -74,7 +78,7 @@
 		Dial: func(id oleanderline.WorkerID, address string) oleanderline.Runner {
 			return platform.NewMinion(id, address)
 		},
-		Wall: time.Now,
+		Adviser: adviser, Wall: time.Now,
 	})
 	return &program{common: c, args: args, settings: settings, path: path, node: n}
 }
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -26,5 +26,6 @@
 	EventWorkerChange     Event = "E6034" // what the leader believes about a worker has changed
 	EventPace             Event = "E6035" // the leader changes the pace of a run
 	EventPeersUnserved    Event = "E6014" // other processes cannot store and read through this one
+	EventAdviceFailed     Event = "E6036" // the adviser did not answer; it is asked again
 	EventLinesDropped     Event = "E6040" // log lines were left out because the bound a second was reached or the output is blocked
 )
--- a/pkg/ctl/publish.go
+++ b/pkg/ctl/publish.go
@@ -69,7 +69,7 @@
 	case errors.Is(err, rules.ErrInvalid):
 		return t.fail(ExitUsage, "%v; nothing was published", err)
 	case errors.Is(err, rules.ErrUnsettled):
-		return t.fail(ExitFailure, "%v; nothing was published; give --operators, or see --begin in docs/operations.md", err)
+		return t.fail(ExitFailure, "%v; nothing was published; give --operators, or see --begin in docs/OPERATIONS.md", err)
 	default:
 		return t.fail(ExitFailure, "the log service does not answer; nothing was published, the rules in force stay in force: %v", err)
 	}
--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -42,7 +42,7 @@
   3  lost a race: another revision than the base was accepted last
   4  outcome unknown: the file may be published or not
 
-"oleanderctl COMMAND --help" shows the arguments of a command. See docs/rules.md and docs/operations.md.`
+"oleanderctl COMMAND --help" shows the arguments of a command. See docs/rules.md and docs/OPERATIONS.md.`
 }
 
 // CheckCommand are the arguments of check.
@@ -67,7 +67,7 @@
 	Base  *int64 `arg:"--base" help:"revision that the file changes [default: the first line that show wrote]" placeholder:"REVISION"`
 	By    string `arg:"--by,env:USER" help:"who publishes" placeholder:"NAME"`
 	ID    string `arg:"--id" help:"id of an earlier attempt whose outcome is unknown" placeholder:"ID"`
-	Begin bool   `arg:"--begin" help:"publish although no own VM and no entry of the stream tells the newest revision; read docs/operations.md first"`
+	Begin bool   `arg:"--begin" help:"publish although no own VM and no entry of the stream tells the newest revision; read docs/OPERATIONS.md first"`
 	Wait  bool   `arg:"--wait" help:"wait until every own VM has the revision in force"`
 }
 
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -196,7 +196,7 @@
 		KeepJob:   n.settings.KeepJob,
 	}
 	ports := term.Ports{
-		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Wall: n.ports.Wall,
+		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Adviser: n.ports.Adviser, Wall: n.ports.Wall,
 	}
 	n.session.Store(term.Start(n.common, settings, ports, n.replica, n.config.Load(), began))
 }
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -26,6 +26,7 @@
 	Workers      oleanderline.Stream // directory of workers
 	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	Adviser      oleanderline.Adviser // nil if there is none
 	Wall         func() time.Time
 }
 
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -17,6 +17,8 @@
 	tasks []task
 	left  int // tasks that are not done
 	ready int // tasks that are ready to start
+	// tickets holds what the queue's adviser, if it has one, has said about workers.
+	tickets map[oleanderline.WorkerID]ticket
 	// next is where the search for a ready task begins.
 	next int
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -99,6 +99,7 @@
 		}
 		w := p.pick(t, now)
 		if w == nil {
+			p.ask(g, now)
 			return
 		}
 		p.start(t, w, max(t.run, p.runBase)+1, now)
@@ -113,6 +114,9 @@
 		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t, now) {
 			continue
 		}
+		if _, ok := t.group.ticketFor(w, now); !ok {
+			continue
+		}
 		score := p.score(w, t)
 		if best == nil || score > bestScore || (score == bestScore && w.entry.ID < best.entry.ID) {
 			best, bestScore = w, score
@@ -209,9 +213,10 @@
 		p.tried[imageOf(t)] = now
 	}
 	p.charge(t, w)
+	value, _ := t.group.ticketFor(w, now)
 	p.orders = append(p.orders, Order{
 		Kind: OrderStart, Worker: w.entry.ID, Life: w.life, Key: t.runKey(),
-		Payload: t.group.job.spec.Payload, Checkpoint: t.saved,
+		Payload: t.group.job.spec.Payload, Checkpoint: t.saved, Ticket: value,
 	})
 	p.note(NoteStart, t.runKey(), w, "")
 }
@@ -235,6 +240,7 @@
 			return
 		}
 	}
+	p.ask(g, now)
 }
 
 // racksFor returns the racks to try for a gang: each one alone if it has to stay together, else all of them as one.
@@ -286,6 +292,9 @@
 		if w.entry.Rack != rack || !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
 			continue
 		}
+		if _, ok := t.group.ticketFor(w, now); !ok {
+			continue
+		}
 		if best == nil || p.score(w, t) > p.score(best, t) {
 			best = w
 		}
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -324,3 +324,30 @@
 	c.place()
 	require.Len(t, c.where(taskOf("a", 0, 0)), 1)
 }
+
+// Guards against starts without a ticket or with one that has expired, and against questions about the same workers again.
+func TestStartsNeedTicketsOfTheAdviser(t *testing.T) {
+	c := newCell(t, 3)
+	queue := testQueue
+	queue.Advice = oleanderline.AdvicePolicy{Decision: time.Second, PerWorker: time.Millisecond, Validity: 3 * time.Second}
+	c.planner.SetConfig(&oleanderline.CellConfig{Version: 2, Queues: []oleanderline.Queue{queue}})
+	c.add("a", oleanderline.Step{Count: 1, Size: testSizes})
+	c.place()
+	require.Empty(t, c.where(taskOf("a", 0, 0)))
+	questions := c.planner.Questions()
+	require.Len(t, questions, 1)
+	require.Len(t, questions[0].Workers, 3)
+	c.planner.Advised(questions[0], oleanderline.Advice{
+		Tickets: map[oleanderline.WorkerID]string{"w1": "ticket"}, Validity: queue.Advice.Validity,
+	}, nil, c.now)
+	c.place()
+	require.Len(t, c.workers["w1"].running, 1)
+	require.Equal(t, "ticket", c.workers["w1"].orders[0].Ticket)
+	require.Empty(t, c.planner.Questions())
+	c.endTask(taskOf("a", 0, 0), oleanderline.EndStopped)
+	c.pass(queue.Advice.Validity)
+	c.reportAll()
+	c.place()
+	require.Empty(t, c.where(taskOf("a", 0, 0)), "the ticket has expired")
+	require.Equal(t, []oleanderline.WorkerID{"w1"}, c.planner.Questions()[0].Workers)
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -222,6 +222,9 @@
 	if errors.As(result.Err, &refused) && refused.Reason == oleanderline.RefusedRoom {
 		w.fullUntil = now.Add(fullPause)
 	}
+	if refused != nil && refused.Reason == oleanderline.RefusedTicket {
+		delete(t.group.tickets, w.entry.ID)
+	}
 	p.note(NoteStop, t.runKey(), w, result.Err.Error())
 	if errors.As(result.Err, &refused) && refused.Reason == oleanderline.RefusedUnhealthy {
 		w.fullUntil = now.Add(unhealthyPause)
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -41,6 +41,8 @@
 			s.supported.Store(now.UnixNano())
 		}
 		s.planner.Place(now, s.ports.Wall())
+	case advised:
+		s.planner.Advised(m.question, m.advice, m.err, m.asked)
 	case flushWant:
 		s.collect(m.reply)
 	case flushed:
@@ -69,6 +71,9 @@
 		}
 		go s.Result(plan.Result{Order: order, Err: oleanderline.ErrUnavailable})
 	}
+	for _, question := range s.planner.Questions() {
+		s.duties.Go(func() { s.ask(question) })
+	}
 	for _, note := range s.planner.Notes() {
 		s.log(note)
 	}
@@ -140,10 +145,44 @@
 		s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
 	}
 	s.connect()
-	records = append(append(records, workers...), s.pairs()...)
+	records = append(append(append(records, workers...), s.pairs()...), s.forget()...)
 	reply <- flush{records: records, done: flushed{mark: mark, workers: ids}}
 }
 
+// ask puts a question to the adviser.
+func (s *Session) ask(question plan.Question) {
+	asked := s.common.Clock.Now()
+	if s.ports.Adviser == nil {
+		s.sleep(adviceSlack)
+		s.post(advised{question: question, err: oleanderline.ErrUnavailable, asked: asked})
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, question.Limit+adviceSlack)
+	defer cancel()
+	advice, err := s.ports.Adviser.Advise(ctx, question.Step, question.Workers)
+	if err != nil && s.ctx.Err() == nil {
+		s.common.Event(common.EventAdviceFailed).WithField("step", question.Step.String()).WithError(err).Warn("no advice")
+		s.sleep(adviceSlack)
+	}
+	s.post(advised{question, advice, err, asked})
+}
+
+// forget returns the records that drop jobs which finished long ago, now and then.
+func (s *Session) forget() []oleanderline.KeyedRecord {
+	now := s.common.Clock.Now()
+	if now.Sub(s.forgot) < forgetInterval {
+		return nil
+	}
+	s.forgot = now
+	var records []oleanderline.KeyedRecord
+	ids := s.replica.Expired(now, s.settings.KeepJob)
+	for _, id := range ids[:min(len(ids), forgetMost)] {
+		s.planner.Forget(id)
+		records = append(records, record.DropJob(id)...)
+	}
+	return records
+}
+
 // pairs returns the record of what was learned about pairs of images, now and then.
 func (s *Session) pairs() []oleanderline.KeyedRecord {
 	now := s.common.Clock.Now()
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -24,8 +24,14 @@
 		id  oleanderline.WorkerID
 		err error
 	}
-	lapsed    struct{ id oleanderline.WorkerID }
-	ticked    struct{}
+	lapsed  struct{ id oleanderline.WorkerID }
+	ticked  struct{}
+	advised struct {
+		question plan.Question
+		advice   oleanderline.Advice
+		err      error
+		asked    time.Time
+	}
 	flushWant struct{ reply chan<- flush }
 	flushed   struct {
 		mark    plan.Mark
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -30,6 +30,7 @@
 	links    map[oleanderline.WorkerID]*linked // used only by the duty
 	writer   *writer
 	learned  time.Time    // when what was learned was stored last
+	forgot   time.Time    // when finished jobs were dropped last
 	renewed  atomic.Int64 // when the newest append that was answered had been sent
 	ended    atomic.Bool
 	// supported is when most workers were last known to accept the calls of this term.
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -28,6 +28,8 @@
 	Workers oleanderline.Stream
 	Decode  func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial    func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	// Adviser is nil if there is none.
+	Adviser oleanderline.Adviser
 	// Wall returns the time of day.
 	Wall func() time.Time
 }
@@ -41,6 +43,8 @@
 	directoryPause    = 250 * time.Millisecond
 	directoryWait     = 1500 * time.Millisecond
 	pairsInterval     = 2 * time.Second
+	adviceSlack       = 500 * time.Millisecond // for the way to the adviser and back
+	forgetMost        = 50                     // jobs dropped at a time
 	forgetInterval    = 5 * time.Second
 	mailbox           = 8192 // messages
 	// supportAge covers the time between two looks at which workers have answered.
