Let one filler explain a tail

Change: the probabilities of the suspects of one look rise to a sum of one at most. TestCompanionsAreNotConvictedTogether fails without it.

--- a/pkg/pairs/learner.go
+++ b/pkg/pairs/learner.go
@@ -82,7 +82,9 @@
 	}
 }
 
-// blame raises the probability of each filler by Bayes' rule, given that at least one of them or chance raised a tail.
+// blame raises the probability of each filler by Bayes' rule, given that at least one of them or chance raised a tail. One
+// harmful filler explains a tail, so together they rise to one at most: otherwise fillers that are often seen together
+// would convict one another.
 func (l *Learner) blame(serving Image, fillers []Image, chance float64) {
 	calmAll := 1 - chance
 	for _, filler := range fillers {
@@ -92,9 +94,17 @@
 	for i, filler := range fillers {
 		before[i] = l.Suspicion(serving, filler)
 	}
-	for i, filler := range fillers {
+	after := make([]float64, len(fillers))
+	sumBefore, sumAfter := 0.0, 0.0
+	for i := range fillers {
 		calmIfHarmful := calmAll / (1 - before[i]*strength) * (1 - strength)
-		l.set(serving, filler, before[i]*(1-calmIfHarmful)/(1-calmAll))
+		after[i] = before[i] * (1 - calmIfHarmful) / (1 - calmAll)
+		sumBefore += before[i]
+		sumAfter += after[i]
+	}
+	scale := min(1, max(1, sumBefore)/sumAfter)
+	for i, filler := range fillers {
+		l.set(serving, filler, max(before[i], after[i]*scale))
 	}
 }
 
--- a/pkg/pairs/learner_test.go
+++ b/pkg/pairs/learner_test.go
@@ -57,3 +57,16 @@
 	require.InDelta(t, before, l.Suspicion("s", "new"), 0.15)
 	require.True(t, l.Harmful("s", "known"))
 }
+
+// Guards against harmless fillers that are convicted because they always work beside a harmful one.
+func TestCompanionsAreNotConvictedTogether(t *testing.T) {
+	l := New()
+	for range 20 {
+		l.Observe("s", 5, []Image{"a", "b", "c"}, nil)
+	}
+	for _, filler := range []Image{"a", "b", "c"} {
+		require.False(t, l.Harmful("s", filler))
+	}
+	l.Observe("s", 5, []Image{"a"}, nil)
+	require.True(t, l.Harmful("s", "a"))
+}
