--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -37,6 +37,7 @@
 	// claimsSeen is the number of the newest claim by another process that has not been heard yet.
 	claimsSeen int
 	logReads   reachability
+	metrics    *nodeMetrics
 }
 
 var _ oleanderline.JobService = (*Node)(nil)
@@ -53,6 +54,7 @@
 	})
 	n.intake = newIntake(c, ports.Log)
 	n.relay = relay.NewClient(func() []string { return n.replica.Peers(settings.VM) })
+	n.metrics = newNodeMetrics(c.Metrics, n)
 	n.logReads = reachability{common: c, what: "records"}
 	return n
 }
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -67,10 +67,19 @@
 
 // store stores a record over the own path, or through a peer if that fails.
 func (n *Node) store(ctx context.Context, rec oleanderline.KeyedRecord) error {
+	began := n.common.Clock.Now()
+	err := n.storeAnywhere(ctx, rec)
+	n.metrics.storeTime.Update(n.common.Clock.Now().Sub(began).Seconds())
+	n.metrics.storeEnded(err)
+	return err
+}
+
+func (n *Node) storeAnywhere(ctx context.Context, rec oleanderline.KeyedRecord) error {
 	err := n.intake.store(ctx, rec)
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
+	n.metrics.relayed.Inc()
 	relayed := n.relay.Store(ctx, rec)
 	if relayed != nil && errors.Is(err, oleanderline.ErrUncertain) {
 		return err
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -25,6 +25,10 @@
 			return
 		}
 		n.logReads.result(err)
+		n.metrics.reads.Inc()
+		if err != nil {
+			n.metrics.readErrors.Inc()
+		}
 		switch {
 		case errors.Is(err, oleanderline.ErrTrimmed):
 			loaded = false
@@ -165,6 +169,7 @@
 
 // claim makes this process the leader if no other process claims first. The order of claims is that of the log.
 func (n *Node) claim() {
+	n.metrics.claims.Inc()
 	began := n.common.Clock.Now()
 	old := n.replica.Leader()
 	n.common.Event(common.EventClaimed).WithField("term", old.Term).WithField("leader", old.VM).Info("leader is lost, claiming")
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -40,6 +40,7 @@
 func (n *Node) Submit(ctx context.Context, job oleanderline.Job) error {
 	if entry, ok := n.replica.Job(job.ID); ok {
 		if !sameJob(entry.Job, job) {
+			n.metrics.conflicts.Inc()
 			return oleanderline.ErrConflict
 		}
 		return nil
@@ -77,6 +78,7 @@
 
 // State implements oleanderline.JobService.
 func (n *Node) State(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
+	n.metrics.states.Inc()
 	entry, ok := n.replica.Job(id)
 	if ok && entry.State().Final() {
 		return entry.State(), nil
@@ -93,6 +95,7 @@
 
 // askPeer returns the state of a job from a process that has read lately, or else what this one has read.
 func (n *Node) askPeer(ctx context.Context, id oleanderline.JobID, entry replica.Entry, known bool) (oleanderline.JobState, error) {
+	n.metrics.relayed.Inc()
 	state, err := n.relay.State(ctx, id)
 	if err == nil || !known {
 		return state, err
@@ -104,9 +107,11 @@
 func (n *Node) unknown(id oleanderline.JobID) error {
 	age, loaded := n.replica.Age(n.common.Clock.Now())
 	if !loaded || age > readWait+freshFor {
+		n.metrics.notReady.Inc()
 		n.refused("state", id, oleanderline.ErrNotReady)
 		return oleanderline.ErrNotReady
 	}
+	n.metrics.unknown.Inc()
 	n.refused("state", id, oleanderline.ErrUnknownJob)
 	return oleanderline.ErrUnknownJob
 }
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -47,6 +47,7 @@
 	tried     map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
 	asking    bool                      // a question to the adviser is under way
 	questions []Question
+	firsts    []time.Duration // from the arrival of a job to its first start
 	orders    []Order
 	notes     []Note
 	majority  time.Time // when most workers had reported in this term
@@ -99,6 +100,13 @@
 	return orders
 }
 
+// FirstStarts returns how long jobs have waited whose first task has started since the last call.
+func (p *Planner) FirstStarts() []time.Duration {
+	firsts := p.firsts
+	p.firsts = nil
+	return firsts
+}
+
 // Notes returns the decisions to log since the last call.
 func (p *Planner) Notes() []Note {
 	notes := p.notes
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -29,6 +30,7 @@
 		s.planner.SetWorkers(m.entries, now)
 		s.connect()
 	case reported:
+		s.metrics.holdTime.Update(now.Sub(m.sent).Seconds())
 		s.planner.Report(m.id, m.report, m.sent, now)
 	case answered:
 		s.planner.Answered(m.result, now)
@@ -74,6 +76,9 @@
 	for _, question := range s.planner.Questions() {
 		s.duties.Go(func() { s.ask(question) })
 	}
+	for _, waited := range s.planner.FirstStarts() {
+		s.metrics.startTime.Update(waited.Seconds())
+	}
 	for _, note := range s.planner.Notes() {
 		s.log(note)
 	}
@@ -90,6 +95,9 @@
 }
 
 func (s *Session) log(note plan.Note) {
+	if note.Kind == plan.NoteLost {
+		s.metrics.lost.Inc()
+	}
 	entry := s.common.Event(noteEvents[note.Kind])
 	if note.Run.Task.Job != "" {
 		entry = entry.WithField("task", note.Run.Task.String()).WithField("run", note.Run.Run)
@@ -215,6 +223,7 @@
 
 // Report implements link.Events.
 func (s *Session) Report(id oleanderline.WorkerID, report oleanderline.WorkerReport, sent time.Time) {
+	s.metrics.report(report)
 	s.post(reported{id, report, sent})
 	if len(report.Ended) > 0 {
 		s.writer.wake()
@@ -222,10 +231,21 @@
 }
 
 // Result implements link.Events.
-func (s *Session) Result(result plan.Result) { s.post(answered{result}) }
+func (s *Session) Result(result plan.Result) {
+	s.metrics.result(result)
+	s.post(answered{result})
+}
+
+func isRefusal(err error) bool {
+	var refused *oleanderline.RefusedError
+	return errors.As(err, &refused)
+}
 
 // Silent implements link.Events.
-func (s *Session) Silent(id oleanderline.WorkerID, err error) { s.post(fellSilent{id, err}) }
+func (s *Session) Silent(id oleanderline.WorkerID, err error) {
+	s.metrics.silent.Inc()
+	s.post(fellSilent{id, err})
+}
 
 // Lapsed implements link.Events.
 func (s *Session) Lapsed(id oleanderline.WorkerID) { s.post(lapsed{id}) }
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -29,6 +29,7 @@
 	duty     *duty.Duty
 	links    map[oleanderline.WorkerID]*linked // used only by the duty
 	writer   *writer
+	metrics  *termMetrics
 	learned  time.Time    // when what was learned was stored last
 	forgot   time.Time    // when finished jobs were dropped last
 	renewed  atomic.Int64 // when the newest append that was answered had been sent
@@ -54,6 +55,8 @@
 	}
 	s.renewed.Store(began.UnixNano())
 	s.writer = newWriter(s)
+	s.metrics = newTermMetrics(c.Metrics)
+	s.metrics.terms.Inc()
 	s.planner.SetConfig(config)
 	s.planner.Pairs().Restore(jobs.Pairs())
 	wall := ports.Wall()
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -111,6 +111,7 @@
 		sent := s.common.Clock.Now()
 		condition := oleanderline.AppendCondition{Writer: WriterID, Term: s.settings.Leader.Term, Sequence: w.sequence}
 		_, err := s.ports.Log.Append(s.ctx, record.Stream, records, condition)
+		s.metrics.flushTime.Update(s.common.Clock.Now().Sub(sent).Seconds())
 		var sequence *oleanderline.SequenceError
 		switch {
 		case err == nil:
@@ -133,6 +134,7 @@
 
 func (w *writer) stored(sent time.Time) {
 	w.sequence++
+	w.session.metrics.flushes.Inc()
 	w.session.renewed.Store(sent.UnixNano())
 	if w.down {
 		w.down = false
@@ -141,6 +143,7 @@
 }
 
 func (w *writer) failed(err error) {
+	w.session.metrics.flushLost.Inc()
 	if !w.down && w.session.ctx.Err() == nil {
 		w.down = true
 		w.session.common.Event(common.EventLogLost).WithError(err).Warn("the log does not store")
