--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -218,7 +219,16 @@
 		Kind: OrderStart, Worker: w.entry.ID, Life: w.life, Key: t.runKey(),
 		Payload: t.group.job.spec.Payload, Checkpoint: t.saved, Ticket: value,
 	})
-	p.note(NoteStart, t.runKey(), w, "")
+	p.note(NoteStart, t.runKey(), w, t.startReason(w, now))
+}
+
+// startReason gives the figures that decided a start: how long the task was ready, how long its job is on its way of its
+// objective, and how much of the worker was free.
+func (t *task) startReason(w *worker, now time.Time) string {
+	j := t.group.job
+	return "ready for " + now.Sub(t.queued).Round(time.Millisecond).String() +
+		", job at " + now.Sub(j.arrived).Round(time.Millisecond).String() + " of " + j.objective().Round(time.Millisecond).String() +
+		", worker has " + strconv.FormatInt(int64(w.free().CPU), 10) + "m left"
 }
 
 // placeGang starts all tasks of a gang in one run, or none.
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -98,7 +98,7 @@
 	if note.Kind == plan.NoteLost {
 		s.metrics.lost.Inc()
 	}
-	entry := s.common.Event(noteEvents[note.Kind])
+	entry := s.common.Event(noteEvents[note.Kind]).WithField("term", s.settings.Leader.Term)
 	if note.Run.Task.Job != "" {
 		entry = entry.WithField("task", note.Run.Task.String()).WithField("run", note.Run.Run)
 	}
