--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -69,7 +69,7 @@
 
 func newCommons() []*common.Common {
 	commons := make([]*common.Common, worldNodes)
-	var out io.Writer = io.Discard
+	out := io.Discard
 	level := logrus.PanicLevel
 	if os.Getenv("OLEANDER_LOG") != "" {
 		out, level = os.Stdout, logrus.InfoLevel
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,81 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+var now = time.Unix(1000, 0)
+
+func jobRecord(t *testing.T, id oleanderline.JobID, payload string) oleanderline.KeyedRecord {
+	t.Helper()
+	rec, err := record.ForJob(&oleanderline.Job{ID: id, Queue: "q", Payload: payload, Steps: []oleanderline.Step{{Count: 1}}})
+	require.NoError(t, err)
+	return rec
+}
+
+func progressRecord(t *testing.T, id oleanderline.JobID, progress record.Progress) oleanderline.KeyedRecord {
+	t.Helper()
+	rec, err := record.ForProgress(id, &progress)
+	require.NoError(t, err)
+	return rec
+}
+
+// Guards against a state that depends on the order in which pages of the newest records come, or that goes back.
+func TestStateOfAJob(t *testing.T) {
+	type scenario struct {
+		name    string
+		records []oleanderline.KeyedRecord
+		want    oleanderline.JobState
+	}
+	started := record.Progress{Started: true}
+	completed := record.Progress{Started: true, State: oleanderline.JobCompleted}
+	for _, s := range []scenario{
+		{"stored", []oleanderline.KeyedRecord{jobRecord(t, "a", "x")}, oleanderline.JobPending},
+		{"started", []oleanderline.KeyedRecord{jobRecord(t, "a", "x"), progressRecord(t, "a", started)}, oleanderline.JobRunning},
+		{"progress first", []oleanderline.KeyedRecord{progressRecord(t, "a", started), jobRecord(t, "a", "x")}, oleanderline.JobRunning},
+		{"cancelled", []oleanderline.KeyedRecord{jobRecord(t, "a", "x"), record.ForCancel("a")}, oleanderline.JobCancelled},
+		{"completed, then cancelled", []oleanderline.KeyedRecord{jobRecord(t, "a", "x"), progressRecord(t, "a", completed), record.ForCancel("a")}, oleanderline.JobCompleted},
+		{"cancelled, then completed", []oleanderline.KeyedRecord{jobRecord(t, "a", "x"), record.ForCancel("a"), progressRecord(t, "a", completed)}, oleanderline.JobCancelled},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			r := New(func(err error) { require.NoError(t, err) })
+			r.Apply(oleanderline.KeyedBatch{Records: s.records, Next: 9}, now)
+			entry, ok := r.Job("a")
+			require.True(t, ok)
+			require.Equal(t, s.want, entry.State())
+			require.Equal(t, oleanderline.Offset(9), r.Next())
+		})
+	}
+}
+
+// Guards against a second submission of an id that replaces the first, and against malformed records that stop the reader.
+func TestFirstSubmissionCounts(t *testing.T) {
+	var faults []error
+	r := New(func(err error) { faults = append(faults, err) })
+	r.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
+		jobRecord(t, "a", "first"), jobRecord(t, "a", "second"), {Key: "p/a", Value: []byte("{")}, {Key: "unknown", Value: []byte("x")},
+	}}, now)
+	entry, ok := r.Job("a")
+	require.True(t, ok)
+	require.Equal(t, "first", entry.Job.Payload)
+	require.Len(t, faults, 1)
+}
+
+// Guards against jobs that are dropped before their time, or stay for ever.
+func TestFinishedJobsExpire(t *testing.T) {
+	r := New(func(err error) { require.NoError(t, err) })
+	r.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
+		jobRecord(t, "a", "x"), jobRecord(t, "b", "x"), progressRecord(t, "a", record.Progress{State: oleanderline.JobFailed}),
+	}}, now)
+	require.Empty(t, r.Expired(now.Add(time.Minute), time.Minute))
+	require.Equal(t, []oleanderline.JobID{"a"}, r.Expired(now.Add(time.Minute+1), time.Minute))
+	r.Apply(oleanderline.KeyedBatch{Records: record.DropJob("a")}, now)
+	_, ok := r.Job("a")
+	require.False(t, ok)
+}
