--- a/pkg/plan/advice.go
+++ b/pkg/plan/advice.go
@@ -85,6 +85,7 @@
 	if t == nil || err != nil {
 		return
 	}
+	t.group.rankAt = time.Time{}
 	if t.group.tickets == nil {
 		t.group.tickets = map[oleanderline.WorkerID]ticket{}
 	}
--- a/pkg/plan/apart.go
+++ b/pkg/plan/apart.go
@@ -21,8 +21,8 @@
 
 // disturbs reports whether a filler is known to disturb one of the lasting tasks of a worker.
 func (p *Planner) disturbs(w *worker, filler *task) bool {
-	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 && p.pairs.Harmful(imageOf(t), imageOf(filler)) {
+	for serving := range w.lasting {
+		if p.pairs.Harmful(serving, imageOf(filler)) {
 			return true
 		}
 	}
@@ -35,22 +35,17 @@
 // answers a load of fillers that disturb nearly every lasting image: they share few workers instead of harming all.
 func (p *Planner) harm(w *worker, filler *task) float64 {
 	harm := 0.0
-	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 {
-			suspicion := p.pairs.Suspicion(imageOf(t), imageOf(filler))
-			harm += suspicion * (1 - p.disturbedBy(w, t))
-		}
+	for serving, count := range w.lasting {
+		harm += float64(count) * p.pairs.Suspicion(serving, imageOf(filler)) * (1 - p.disturbedBy(w, serving))
 	}
 	return harm
 }
 
-// disturbedBy returns how likely the fillers that a worker has disturb one of its lasting tasks.
-func (p *Planner) disturbedBy(w *worker, serving *task) float64 {
+// disturbedBy returns how likely the fillers that a worker has disturb its lasting tasks of an image.
+func (p *Planner) disturbedBy(w *worker, serving pairs.Image) float64 {
 	highest := 0.0
-	for t := range w.tasks {
-		if t.group.step.Filler {
-			highest = max(highest, p.pairs.Suspicion(imageOf(serving), imageOf(t)))
-		}
+	for filler := range w.fillers {
+		highest = max(highest, p.pairs.Suspicion(serving, filler))
 	}
 	return highest
 }
--- /dev/null
+++ b/pkg/plan/bench_test.go
@@ -0,0 +1,86 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+// backlog is a planner with many workers, filled with lasting tasks and fillers, and a backlog of fillers.
+func backlog(workers, jobs int) *Planner {
+	now := time.Unix(1000, 0)
+	p := New(testSettings(), 1, now)
+	p.SetConfig(testConfig)
+	var entries []oleanderline.WorkerEntry
+	for i := range workers {
+		id := oleanderline.WorkerID(fmt.Sprintf("w%d", i))
+		entries = append(entries, oleanderline.WorkerEntry{ID: id, Address: string(id), Pool: "pool", Capacity: oleanderline.Size{CPU: 32000, Memory: 128000}})
+	}
+	p.SetWorkers(entries, now)
+	for _, entry := range entries {
+		p.Report(entry.ID, oleanderline.WorkerReport{Life: testLife}, now, now)
+	}
+	_, ids, _ := p.Records()
+	for _, id := range ids {
+		p.WorkerRecorded(id)
+	}
+	for i := range workers / 4 {
+		step := oleanderline.Step{Count: 14, Size: oleanderline.Size{CPU: 6400, Memory: 13000}, Lasting: true, TailTarget: 45 * time.Millisecond, Image: fmt.Sprintf("s%d", i%5)}
+		p.AddJob(oleanderline.Job{ID: oleanderline.JobID(fmt.Sprintf("l%d", i)), Queue: "q", Steps: []oleanderline.Step{step}}, record.Progress{}, now, 0)
+	}
+	for i := range jobs {
+		step := oleanderline.Step{Count: 20, Size: oleanderline.Size{CPU: 3500, Memory: 6400}, Filler: true, Image: fmt.Sprintf("f%d", i%9)}
+		p.AddJob(oleanderline.Job{ID: oleanderline.JobID(fmt.Sprintf("j%d", i)), Queue: "q", Steps: []oleanderline.Step{step}}, record.Progress{}, now, 0)
+	}
+	for s := range 5 {
+		for f := range 9 {
+			if (s+f)%3 == 0 {
+				p.pairs.Observe(pairs.Image(fmt.Sprintf("s%d", s)), 5, []pairs.Image{pairs.Image(fmt.Sprintf("f%d", f))}, nil)
+			}
+		}
+	}
+	return p
+}
+
+// passLimit is how long a pass may take at most: the leader's heartbeat, which waits behind it, is due every 0.4 s, and its
+// processor share may be a fifth of a core.
+const passLimit = 40 * time.Millisecond
+
+// Guards against a pass over a large backlog that takes so long that the leader's heartbeats stop: one of 2.3 s made leaders
+// of 490 workers follow one another every two seconds.
+func TestPassOverALargeBacklogIsShort(t *testing.T) {
+	p := backlog(490, 400)
+	now := time.Unix(1001, 0)
+	longest := time.Duration(0)
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		began := time.Now()
+		p.Place(now, now)
+		longest = max(longest, time.Since(began))
+		p.Orders()
+		p.Notes()
+	}
+	require.Less(t, longest, raceFactor*passLimit)
+}
+
+// BenchmarkPass measures a pass with a backlog that finds no place.
+func BenchmarkPass(b *testing.B) {
+	p := backlog(490, 400)
+	now := time.Unix(1001, 0)
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		p.Place(now, now)
+	}
+	for b.Loop() {
+		now = now.Add(20 * time.Millisecond)
+		p.Place(now, now)
+		p.Orders()
+		p.Notes()
+	}
+}
--- a/pkg/plan/cell_test.go
+++ b/pkg/plan/cell_test.go
@@ -143,7 +143,9 @@
 	a.ended = append(a.ended, oleanderline.RunEnd{Number: int64(len(a.ended) + 1), Key: key, How: how, Checkpoint: "saved"})
 }
 
+// place lets the time pass in which a group without a worker is not looked at again.
 func (c *cell) place() {
+	c.pass(rankAgain)
 	c.planner.Place(c.now, c.now)
 	c.deliver()
 }
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -10,13 +10,14 @@
 
 // group is the tasks of one step in one occurrence of its job.
 type group struct {
-	job   *job
-	k     int
-	index int
-	step  *oleanderline.Step
-	tasks []task
-	left  int // tasks that are not done
-	ready int // tasks that are ready to start
+	job    *job
+	k      int
+	index  int
+	step   *oleanderline.Step
+	tasks  []task
+	left   int       // tasks that are not done
+	ready  int       // tasks that are ready to start
+	rankAt time.Time // when workers are looked at again after none could take a task
 	// tickets holds what the queue's adviser, if it has one, has said about workers.
 	tickets map[oleanderline.WorkerID]ticket
 	// next is where the search for a ready task begins.
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -65,7 +65,7 @@
 
 // controlPace learns from a report and moves or slows down the fillers that disturb the lasting tasks of a worker.
 func (p *Planner) controlPace(w *worker, now time.Time) {
-	fillers := w.fillers()
+	fillers := w.workingFillers()
 	if len(fillers) == 0 {
 		w.ratio = p.observeTails(w, nil, now)
 		w.pace = newPaceControl()
@@ -92,8 +92,8 @@
 	}
 }
 
-// fillers returns the fillers that work on the worker.
-func (w *worker) fillers() []*task {
+// workingFillers returns the fillers that work on the worker.
+func (w *worker) workingFillers() []*task {
 	var fillers []*task
 	for t := range w.tasks {
 		if t.group.step.Filler && t.state == taskRunning {
@@ -168,10 +168,8 @@
 // suspicion returns how likely a filler is to disturb one of the lasting tasks of a worker.
 func (p *Planner) suspicion(w *worker, filler *task) float64 {
 	highest := 0.0
-	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 {
-			highest = max(highest, p.pairs.Suspicion(pairs.Image(t.group.step.Image), pairs.Image(filler.group.step.Image)))
-		}
+	for serving := range w.lasting {
+		highest = max(highest, p.pairs.Suspicion(serving, imageOf(filler)))
 	}
 	return highest
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
 const (
@@ -33,12 +34,20 @@
 		return
 	}
 	unseen := p.unseenMayRun(now)
+	started, groups := 0, 0
 	for _, c := range p.candidates(now) {
+		if now.Before(c.group.rankAt) {
+			continue
+		}
+		if started >= startsAtOnce || groups >= rankedAtOnce {
+			return // the next pass goes on
+		}
+		groups++
 		if c.group.step.Gang {
 			p.placeGang(c.group, unseen, now)
 			continue
 		}
-		p.placeGroup(c.group, unseen, now)
+		started += p.placeGroup(c.group, unseen, now)
 	}
 }
 
@@ -87,43 +96,33 @@
 	return 1
 }
 
-func (p *Planner) placeGroup(g *group, unseen bool, now time.Time) {
+// placeGroup starts tasks of a group and returns how many.
+func (p *Planner) placeGroup(g *group, unseen bool, now time.Time) int {
 	g.next = 0
+	var r ranking
+	started := 0
 	for {
 		t := g.takeReady()
 		if t == nil {
-			return
+			return started
 		}
 		if t.mayRunUnseen(unseen) {
 			g.next++
 			continue
 		}
-		w := p.pick(t, now)
-		if w == nil {
-			p.ask(g, now)
-			return
+		if r == nil || g.step.SameRack { // the rack of the first task decides about the others
+			r = p.rank(t, now)
 		}
-		p.start(t, w, max(t.run, p.runBase)+1, now)
-	}
-}
-
-// pick returns the worker with the most room for a task, or nil. A worker on which the task has failed comes last.
-func (p *Planner) pick(t *task, now time.Time) *worker {
-	var best *worker
-	bestScore := 0.0
-	for _, w := range p.workers {
-		if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t, now) {
-			continue
-		}
-		if _, ok := t.group.ticketFor(w, now); !ok {
-			continue
-		}
-		score := p.score(w, t)
-		if best == nil || score > bestScore || (score == bestScore && w.entry.ID < best.entry.ID) {
-			best, bestScore = w, score
+		i := p.best(&r, t, now)
+		if i < 0 {
+			g.rankAt = now.Add(p.rankPause())
+			p.ask(g, now)
+			return started
 		}
+		p.start(t, r[i].worker, max(t.run, p.runBase)+1, now)
+		p.moved(r, i, t)
+		started++
 	}
-	return best
 }
 
 // holds reports whether the worker has room for one more task of the group.
@@ -149,11 +148,10 @@
 
 // Weights of what makes a worker better for a task, beside its share of free processors.
 const (
-	scoreRack   = 2.0
-	scoreFailed = -4.0
-	scoreHarm   = 1.0
-	scoreImage  = 2.0
-	emptyShare  = 0.5
+	scoreRack  = 2.0
+	scoreHarm  = 1.0
+	scoreImage = 2.0
+	emptyShare = 0.5
 )
 
 func (p *Planner) score(w *worker, t *task) float64 {
@@ -164,7 +162,7 @@
 	case step.Filler:
 		score = float64(w.leftover())/capacity - scoreHarm*p.harm(w, t)
 	case step.TailTarget > 0:
-		score += scoreImage * w.imageShare(step.Image)
+		score += scoreImage * w.imageShare(imageOf(t))
 	}
 	if step.Rack != "" && step.Rack == w.entry.Rack {
 		score += scoreRack
@@ -172,28 +170,20 @@
 	if step.SameRack && t.group.usesRack(w.entry.Rack) {
 		score += scoreRack
 	}
-	if t.avoid == w.entry.ID {
-		score += scoreFailed
-	}
 	return score
 }
 
 // imageShare returns the share of a worker's lasting tasks that run an image, and a half if it has none. Lasting tasks of
 // the same image are disturbed by the same fillers, so keeping them together leaves more workers for each filler.
-func (w *worker) imageShare(image string) float64 {
-	same, all := 0.0, 0.0
-	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 {
-			all++
-			if t.group.step.Image == image {
-				same++
-			}
-		}
+func (w *worker) imageShare(image pairs.Image) float64 {
+	all := 0
+	for _, count := range w.lasting {
+		all += count
 	}
 	if all == 0 {
 		return emptyShare
 	}
-	return same / all
+	return float64(w.lasting[image]) / float64(all)
 }
 
 func (g *group) usesRack(rack oleanderline.RackID) bool {
@@ -250,6 +240,7 @@
 			return
 		}
 	}
+	g.rankAt = now.Add(p.rankPause())
 	p.ask(g, now)
 }
 
@@ -293,20 +284,16 @@
 	return true
 }
 
+// pickIn returns the best worker for a task in a rack, or in any if it is "".
 func (p *Planner) pickIn(t *task, rack oleanderline.RackID, now time.Time) *worker {
-	if rack == "" {
-		return p.pick(t, now)
-	}
 	var best *worker
+	bestScore := 0.0
 	for _, w := range p.workers {
-		if w.entry.Rack != rack || !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) {
+		if (rack != "" && w.entry.Rack != rack) || !p.mayTake(w, t, now) {
 			continue
 		}
-		if _, ok := t.group.ticketFor(w, now); !ok {
-			continue
-		}
-		if best == nil || p.score(w, t) > p.score(best, t) {
-			best = w
+		if score := p.score(w, t); best == nil || score > bestScore {
+			best, bestScore = w, score
 		}
 	}
 	return best
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -27,7 +28,9 @@
 	acked    int64     // the highest number that is recorded
 
 	tasks     map[*task]struct{}
-	used      oleanderline.Size // of the tasks that count against its capacity
+	lasting   map[pairs.Image]int // its lasting tasks with a target
+	fillers   map[pairs.Image]int // its fillers
+	used      oleanderline.Size   // of the tasks that count against its capacity
 	serving   oleanderline.Millicores
 	filling   oleanderline.Millicores // declared need of the fillers on it
 	strangers int                     // runs that belong to no task that is known
@@ -84,7 +87,8 @@
 }
 
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
-	w := &worker{entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl()}
+	w := &worker{entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl(),
+		lasting: map[pairs.Image]int{}, fillers: map[pairs.Image]int{}}
 	p.workers[id] = w
 	return w
 }
@@ -185,10 +189,27 @@
 	}
 }
 
+// count keeps the numbers of tasks by image.
+func (w *worker) count(t *task, change int) {
+	images := w.lasting
+	switch {
+	case t.group.step.Filler:
+		images = w.fillers
+	case t.group.step.TailTarget == 0:
+		return
+	}
+	image := imageOf(t)
+	images[image] += change
+	if images[image] == 0 {
+		delete(images, image)
+	}
+}
+
 // charge commits room on a worker to a task.
 func (p *Planner) charge(t *task, w *worker) {
 	t.worker = w
 	w.tasks[t] = struct{}{}
+	w.count(t, 1)
 	t.group.job.charged++
 	size := t.group.step.Size
 	if t.group.step.Filler {
@@ -208,6 +229,7 @@
 		return
 	}
 	delete(w.tasks, t)
+	w.count(t, -1)
 	t.worker = nil
 	t.group.job.charged--
 	size := t.group.step.Size
