--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -87,8 +87,10 @@
 }
 
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
-	w := &worker{entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl(),
-		lasting: map[pairs.Image]int{}, fillers: map[pairs.Image]int{}}
+	w := &worker{
+		entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl(),
+		lasting: map[pairs.Image]int{}, fillers: map[pairs.Image]int{},
+	}
 	p.workers[id] = w
 	return w
 }
