--- /dev/null
+++ b/pkg/follow/follower.go
@@ -0,0 +1,42 @@
+// Package follow reads a keyed stream as it grows: first the newest record of each key, then every record.
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Follower reads one stream. It is not safe for concurrent use.
+type Follower struct {
+	log    oleanderline.KeyedLog
+	stream oleanderline.Stream
+	wait   time.Duration
+	next   oleanderline.Offset
+	loaded bool
+}
+
+// New returns a follower whose reads wait for new records for at most wait.
+func New(log oleanderline.KeyedLog, stream oleanderline.Stream, wait time.Duration) *Follower {
+	return &Follower{log: log, stream: stream, wait: wait}
+}
+
+// Next returns the next records. whole is set if they are the newest of each key, which replace all before them. After an
+// error the call is repeated; records that are not kept any more make it begin anew.
+func (f *Follower) Next(ctx context.Context) (records []oleanderline.KeyedRecord, whole bool, err error) {
+	var batch oleanderline.KeyedBatch
+	whole = !f.loaded
+	if whole {
+		batch, err = f.log.Newest(ctx, f.stream)
+	} else {
+		batch, err = f.log.Read(ctx, f.stream, f.next, f.wait)
+	}
+	if err != nil {
+		f.loaded = f.loaded && !errors.Is(err, oleanderline.ErrTrimmed)
+		return nil, false, err
+	}
+	f.loaded, f.next = true, batch.Next
+	return batch.Records, whole, nil
+}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -5,26 +5,19 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/follow"
 )
 
 // followConfig applies each newer version of the operators' configuration.
 func (n *Node) followConfig() {
-	var next oleanderline.Offset
-	loaded := false
+	follower := follow.New(n.ports.Log, n.ports.Config, readWait)
 	reads := reachability{common: n.common, what: "configuration"}
 	for n.ctx.Err() == nil {
-		var batch oleanderline.KeyedBatch
-		var err error
-		if loaded {
-			batch, err = n.ports.Log.Read(n.ctx, n.ports.Config, next, readWait)
-		} else {
-			batch, err = n.ports.Log.Newest(n.ctx, n.ports.Config)
-		}
+		records, _, err := follower.Next(n.ctx)
 		if n.ctx.Err() != nil {
 			return
 		}
 		if errors.Is(err, oleanderline.ErrTrimmed) {
-			loaded = false
 			continue
 		}
 		reads.result(err)
@@ -32,8 +25,7 @@
 			n.sleep(readRetry)
 			continue
 		}
-		loaded, next = true, batch.Next
-		for _, rec := range batch.Records {
+		for _, rec := range records {
 			if rec.Key == n.ports.ConfigKey && len(rec.Value) > 0 {
 				n.applyConfig(rec)
 			}
--- a/pkg/term/directory.go
+++ b/pkg/term/directory.go
@@ -1,36 +1,29 @@
 package term
 
 import (
-	"errors"
 	"maps"
 	"slices"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/follow"
 )
 
 // followDirectory reads the directory of workers and passes each change of its content on.
 func (s *Session) followDirectory() {
 	entries := map[oleanderline.WorkerID]oleanderline.WorkerEntry{}
-	var next oleanderline.Offset
-	loaded := false
+	follower := follow.New(s.ports.Log, s.ports.Workers, directoryWait)
 	for s.ctx.Err() == nil {
-		var batch oleanderline.KeyedBatch
-		var err error
-		if loaded {
-			batch, err = s.ports.Log.Read(s.ctx, s.ports.Workers, next, directoryWait)
-		} else {
-			batch, err = s.ports.Log.Newest(s.ctx, s.ports.Workers)
-			clear(entries)
-		}
+		records, whole, err := follower.Next(s.ctx)
 		if err != nil {
-			loaded = loaded && !errors.Is(err, oleanderline.ErrTrimmed)
 			s.sleep(directoryPause)
 			continue
 		}
-		changed := !loaded
-		loaded, next = true, batch.Next
-		for _, rec := range batch.Records {
+		if whole {
+			clear(entries)
+		}
+		changed := whole
+		for _, rec := range records {
 			changed = s.applyEntry(entries, rec) || changed
 		}
 		if changed {
