Let the order of storing decide between a cancellation and a final state

Change: the offsets decide. TestStateOfAJob applies the records in both directions and fails without the change.

--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -164,7 +164,7 @@
 
 func (p *Planner) started(t *task) {
 	j := t.group.job
-	if !j.progress.Started {
+	if !j.progress.Started && j.active() {
 		p.firsts = append(p.firsts, p.now.Sub(j.arrived))
 		j.progress.Started = true
 		p.dirty[j] = struct{}{}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -15,6 +15,9 @@
 	Job       oleanderline.Job
 	Progress  record.Progress
 	Cancelled bool
+	// cancelledAt and finalAt are the offsets of the cancellation and of the final state: the one that was stored first
+	// counts, in whatever order they are read.
+	cancelledAt, finalAt oleanderline.Offset
 	// FinishedAt is when this process saw that the job had finished.
 	FinishedAt time.Time
 }
@@ -22,7 +25,7 @@
 // State returns what callers see.
 func (e *Entry) State() oleanderline.JobState {
 	switch {
-	case e.Progress.State.Final():
+	case e.Progress.State.Final() && (!e.Cancelled || e.finalAt < e.cancelledAt):
 		return e.Progress.State
 	case e.Cancelled:
 		return oleanderline.JobCancelled
@@ -111,8 +114,7 @@
 		err = r.applyJob(job, rec)
 	case record.KindCancel:
 		if len(rec.Value) > 0 {
-			r.entry(job).Cancelled = true
-			r.finish(r.entry(job), now)
+			r.applyCancel(r.entry(job), rec, now)
 		}
 	case record.KindProgress:
 		err = r.applyProgress(job, rec, now)
@@ -137,6 +139,14 @@
 	return entry
 }
 
+// applyCancel keeps the first cancellation.
+func (r *Replica) applyCancel(entry *Entry, rec oleanderline.KeyedRecord, now time.Time) {
+	if !entry.Cancelled {
+		entry.Cancelled, entry.cancelledAt = true, rec.Offset
+	}
+	r.finish(entry, now)
+}
+
 func (r *Replica) finish(entry *Entry, now time.Time) {
 	if entry.FinishedAt.IsZero() && entry.State().Final() {
 		entry.FinishedAt = now
@@ -171,8 +181,8 @@
 		return err
 	}
 	entry := r.entry(id)
-	if entry.Cancelled && progress.State == oleanderline.JobCompleted {
-		progress.State = oleanderline.JobCancelled // the cancellation was stored first
+	if progress.State.Final() && !entry.Progress.State.Final() {
+		entry.finalAt = rec.Offset
 	}
 	entry.Progress = progress
 	r.finish(entry, now)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,12 +45,18 @@
 		{"cancelled, then completed", []oleanderline.KeyedRecord{jobRecord(t, "a", "x"), record.ForCancel("a"), progressRecord(t, "a", completed)}, oleanderline.JobCancelled},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			r := New(func(err error) { require.NoError(t, err) })
-			r.Apply(oleanderline.KeyedBatch{Records: s.records, Next: 9}, now)
-			entry, ok := r.Job("a")
-			require.True(t, ok)
-			require.Equal(t, s.want, entry.State())
-			require.Equal(t, oleanderline.Offset(9), r.Next())
+			for i := range s.records {
+				s.records[i].Offset = oleanderline.Offset(i)
+			}
+			for _, backwards := range []bool{false, true} {
+				r := New(func(err error) { require.NoError(t, err) })
+				r.Load(oleanderline.KeyedBatch{Records: s.records, Next: 9}, now)
+				entry, ok := r.Job("a")
+				require.True(t, ok)
+				require.Equal(t, s.want, entry.State(), "backwards: %v", backwards)
+				require.Equal(t, oleanderline.Offset(9), r.Next())
+				slices.Reverse(s.records) // pages of the newest records come in any order
+			}
 		})
 	}
 }
