Pass a configuration that came meanwhile to a new leader; remove unused settings

A version applied by the follower of the configuration between the start of a session and its being seen was not passed to its planner until the next version; not seen in a run. Settings that nothing reads were decoded.

--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -69,8 +69,8 @@
 		adviser = platform.NewAdviser(settings.Adviser)
 	}
 	n := node.New(c, node.Settings{
-		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold, PlannedStop: settings.PlannedStop,
-		KeepJob: settings.KeepJobs, Early: settings.Early,
+		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold,
+		KeepJob:     settings.KeepJobs,
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
 		Log: store, Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -52,7 +52,6 @@
 			Horizon:  horizon,
 			Majority: majorityAge,
 			Lease:    runLimit,
-			Early:    n.settings.Early,
 		},
 		Lease:     min(lease, n.settings.MaxLease),
 		Hold:      holdWait,
@@ -63,7 +62,9 @@
 	ports := term.Ports{
 		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Adviser: n.ports.Adviser, Wall: n.ports.Wall,
 	}
-	n.session.Store(term.Start(n.common, settings, ports, n.replica, n.config.Load(), began))
+	s := term.Start(n.common, settings, ports, n.replica, n.config.Load(), began)
+	n.session.Store(s)
+	s.SetConfig(n.config.Load()) // a version may have come before the follower of the configuration saw the session
 }
 
 // errClaimedMeanwhile means that another process has claimed, and has not been heard yet. It gets the same time as a leader.
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -12,9 +12,7 @@
 	Cores       float64       // processor share of this VM
 	PeerAddress string        // where to serve other processes of the cell; "" for nowhere
 	MaxLease    time.Duration // the longest that workers accept
-	PlannedStop time.Duration // how long a planned stop may take
 	KeepJob     time.Duration // how long a finished job stays known
-	Early       time.Duration // how long before its due time an occurrence may start
 }
 
 // Ports are what a node speaks to.
--- a/pkg/plan/gang.go
+++ b/pkg/plan/gang.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		t.state = taskLeaving // keeps release from queueing it
-		p.release(t, time.Time{})
+		p.release(t)
 	}
 	for i := range g.tasks {
 		g.tasks[i].state = taskReady
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -24,8 +24,6 @@
 	// long a run goes on after the last order.
 	Majority time.Duration
 	Lease    time.Duration
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 }
 
 // Planner holds the jobs, tasks and workers of one leader's term.
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -84,7 +84,7 @@
 	}
 	switch {
 	case current:
-		p.release(t, now)
+		p.release(t)
 	case t.done:
 		p.stop(t, "another run is done")
 	case t.worker == nil:
@@ -120,7 +120,7 @@
 		}
 		if t.state == taskRunning || t.state == taskLeaving {
 			p.note(NoteLost, t.runKey(), w, "not listed by its worker")
-			p.release(t, now)
+			p.release(t)
 		}
 	}
 }
@@ -231,7 +231,7 @@
 		w.fullUntil = now.Add(unhealthyPause)
 	}
 	if p.surelyNotStarted(result, refused) {
-		p.release(t, now)
+		p.release(t)
 		return
 	}
 	p.orderStop(t, now)
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -95,7 +95,7 @@
 	return w
 }
 
-// Workers returns the id and address of every worker that has to be called, and whether tasks may run on it.
+// Workers calls visit with the id and address of every worker that has to be called.
 func (p *Planner) Workers(visit func(id oleanderline.WorkerID, address string)) {
 	for id, w := range p.workers {
 		visit(id, w.entry.Address)
@@ -117,22 +117,23 @@
 
 // Lapsed tells that the deadline of everything on a worker has passed.
 func (p *Planner) Lapsed(id oleanderline.WorkerID, now time.Time) {
+	p.now = now
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
 	w.reported = true // whatever an earlier leader has started there has lapsed as well
-	p.loseAll(w, now, "deadline passed")
+	p.loseAll(w, "deadline passed")
 }
 
 // loseAll releases the tasks of a worker, except those whose start is still being ordered: its result decides.
-func (p *Planner) loseAll(w *worker, now time.Time, reason string) {
+func (p *Planner) loseAll(w *worker, reason string) {
 	for t := range w.tasks {
 		if t.state == taskStarting {
 			continue
 		}
 		p.note(NoteLost, t.runKey(), w, reason)
-		p.release(t, now)
+		p.release(t)
 	}
 }
 
@@ -170,7 +171,7 @@
 }
 
 // release frees the room of a task whose run is over, and queues the task again unless it is done.
-func (p *Planner) release(t *task, _ time.Time) {
+func (p *Planner) release(t *task) {
 	w := t.worker
 	if w == nil {
 		return
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -44,8 +44,8 @@
 	cancel  context.CancelFunc
 }
 
-// Start begins a term. fenced is the offset after the append that fenced earlier leaders; the replica has been read up to
-// it. began is when the claim was sent.
+// Start begins a term. Earlier leaders have been fenced in the log, and the replica has been read up to the end that it had
+// then. began is when the claim was sent.
 func Start(c *common.Common, settings Settings, ports Ports, jobs *replica.Replica, config *oleanderline.CellConfig, began time.Time) *Session {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Session{
