--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 )
 
@@ -222,12 +223,7 @@
 }
 
 func (l *Link) sleep(ctx context.Context, d time.Duration) {
-	timer := l.clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
+	common.Sleep(ctx, l.clock, d)
 }
 
 func (l *Link) carryOut(ctx context.Context) {
--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -113,7 +113,7 @@
 		if i.failing.Load() {
 			break
 		}
-		i.pause(ctx)
+		common.Sleep(ctx, i.common.Clock, submitRetry)
 	}
 	if !i.failing.Swap(true) {
 		i.since.Store(i.common.Clock.Now().UnixNano())
@@ -122,15 +122,6 @@
 	finish(batch, verdict(uncertain))
 }
 
-func (i *intake) pause(ctx context.Context) {
-	timer := i.common.Clock.NewTimer(submitRetry)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-ctx.Done():
-	}
-}
-
 func recordsOf(batch []pending) []oleanderline.KeyedRecord {
 	records := make([]oleanderline.KeyedRecord, len(batch))
 	for j, p := range batch {
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// stored counts how a call that stores has ended.
+// storeEnded counts how a call that stores has ended.
 func (m *nodeMetrics) storeEnded(err error) {
 	switch {
 	case err == nil:
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,14 +100,7 @@
 	}
 }
 
-func (n *Node) sleep(d time.Duration) {
-	timer := n.common.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-n.ctx.Done():
-	}
-}
+func (n *Node) sleep(d time.Duration) { common.Sleep(n.ctx, n.common.Clock, d) }
 
 // reachability logs when something is lost and when it is regained.
 type reachability struct {
--- a/pkg/plan/apart.go
+++ b/pkg/plan/apart.go
@@ -78,7 +78,7 @@
 // calmPlace reports whether a worker has room for a filler that disturbs nothing there.
 func (p *Planner) calmPlace(filler *task, now time.Time) bool {
 	for _, w := range p.workers {
-		if w != filler.worker && w.usable(now) && w.suits(filler.group) && w.holds(filler.group) && !p.disturbs(w, filler) {
+		if w.hasRoomFor(filler, now) && !p.disturbs(w, filler) {
 			return true
 		}
 	}
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -64,13 +64,18 @@
 // roomElsewhere reports whether another worker can take a task now.
 func (p *Planner) roomElsewhere(t *task, now time.Time) bool {
 	for _, w := range p.workers {
-		if w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group) {
+		if w.hasRoomFor(t, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasRoomFor reports whether a task could move to the worker.
+func (w *worker) hasRoomFor(t *task, now time.Time) bool {
+	return w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group)
+}
+
 // remaining estimates the time to the end of a run from its progress, or from the step's estimate before there is any.
 func (t *task) remaining(now time.Time) time.Duration {
 	ran := now.Sub(t.began)
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -150,11 +150,4 @@
 	}
 }
 
-func (s *Session) sleep(d time.Duration) {
-	timer := s.common.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-	case <-s.ctx.Done():
-	}
-}
+func (s *Session) sleep(d time.Duration) { common.Sleep(s.ctx, s.common.Clock, d) }
