--- a/pkg/pairs/learner.go
+++ b/pkg/pairs/learner.go
@@ -5,17 +5,9 @@
 
 import "math"
 
-// The model: a pair is harmful or not. A harmful filler beside a lasting task raises its tail with probability strength in
-// each look, because it needs the task to be under load; without a harmful one a tail is raised with a small probability.
 const (
-	prior    = 0.2
-	strength = 0.35
-	// chanceRaised and chanceGrave are how often a tail is above raised or above grave without a harmful filler.
-	chanceRaised = 0.04
-	chanceGrave  = 0.002
-	raised       = 1.15 // ratio of a tail to its target
-	grave        = 2.0
-	calm         = 0.75
+	// prior is how likely an unknown pair is to be harmful.
+	prior = 0.2
 	// floor keeps a pair open to later evidence.
 	floor = 0.005
 	// precision rounds stored probabilities.
@@ -66,37 +58,36 @@
 	return evidence, true
 }
 
-// Observe takes in the highest ratio of tail latency to target among the lasting tasks of one image on a worker. steady are
-// the images of fillers that worked all the while, recent those that did so for a part of it. Each image counts once.
-func (l *Learner) Observe(serving Image, ratio float64, steady, recent []Image) {
+// Observe takes in what a report shows. Each image counts once.
+func (l *Learner) Observe(look Look) {
+	m, tail := look.model()
 	switch {
-	case ratio < calm:
-		for _, filler := range distinct(steady) {
-			p := l.Suspicion(serving, filler)
-			l.set(serving, filler, p*(1-strength)/(1-p*strength))
+	case tail < m.calm:
+		for _, filler := range distinct(look.Steady) {
+			p := l.Suspicion(look.Serving, filler)
+			l.set(look.Serving, filler, p*(1-m.strength)/(1-p*m.strength))
 		}
-	case ratio > grave:
-		l.blame(serving, distinct(append(steady, recent...)), chanceGrave)
-	case ratio > raised:
-		l.blame(serving, distinct(append(steady, recent...)), chanceRaised)
+	case tail > m.grave:
+		l.blame(look, m.strength, m.chanceGrave)
+	case tail > m.raised:
+		l.blame(look, m.strength, m.chanceRaised)
 	}
 }
 
 // blame raises the probability of each filler by Bayes' rule, given that at least one of them or chance raised a tail. One
 // harmful filler explains a tail, so together they rise to one at most: otherwise fillers that are often seen together
 // would convict one another.
-func (l *Learner) blame(serving Image, fillers []Image, chance float64) {
+func (l *Learner) blame(look Look, strength, chance float64) {
+	fillers := distinct(append(look.Steady, look.Recent...))
 	calmAll := 1 - chance
 	for _, filler := range fillers {
-		calmAll *= 1 - l.Suspicion(serving, filler)*strength
+		calmAll *= 1 - l.Suspicion(look.Serving, filler)*strength
 	}
 	before := make([]float64, len(fillers))
-	for i, filler := range fillers {
-		before[i] = l.Suspicion(serving, filler)
-	}
 	after := make([]float64, len(fillers))
 	sumBefore, sumAfter := 0.0, 0.0
-	for i := range fillers {
+	for i, filler := range fillers {
+		before[i] = l.Suspicion(look.Serving, filler)
 		calmIfHarmful := calmAll / (1 - before[i]*strength) * (1 - strength)
 		after[i] = before[i] * (1 - calmIfHarmful) / (1 - calmAll)
 		sumBefore += before[i]
@@ -104,7 +95,7 @@
 	}
 	scale := min(1, max(1, sumBefore)/sumAfter)
 	for i, filler := range fillers {
-		l.set(serving, filler, max(before[i], after[i]*scale))
+		l.set(look.Serving, filler, max(before[i], after[i]*scale))
 	}
 }
 
--- a/pkg/pairs/learner_test.go
+++ b/pkg/pairs/learner_test.go
@@ -22,7 +22,7 @@
 			for _, i := range random.Perm(len(fillers))[:1+random.IntN(4)] {
 				beside = append(beside, fillers[i])
 			}
-			l.Observe(serving, tail(random, serving, beside, bad), beside, nil)
+			l.Observe(Look{Serving: serving, Ratio: tail(random, serving, beside, bad), Steady: beside})
 		}
 		for _, serving := range servings {
 			for _, filler := range fillers {
@@ -50,10 +50,10 @@
 func TestKnownFillerExplainsATail(t *testing.T) {
 	l := New()
 	for range 5 {
-		l.Observe("s", 5, []Image{"known"}, nil)
+		l.Observe(Look{Serving: "s", Ratio: 5, Steady: []Image{"known"}})
 	}
 	before := l.Suspicion("s", "new")
-	l.Observe("s", 5, []Image{"known", "new"}, nil)
+	l.Observe(Look{Serving: "s", Ratio: 5, Steady: []Image{"known", "new"}})
 	require.InDelta(t, before, l.Suspicion("s", "new"), 0.15)
 	require.True(t, l.Harmful("s", "known"))
 }
@@ -62,11 +62,42 @@
 func TestCompanionsAreNotConvictedTogether(t *testing.T) {
 	l := New()
 	for range 20 {
-		l.Observe("s", 5, []Image{"a", "b", "c"}, nil)
+		l.Observe(Look{Serving: "s", Ratio: 5, Steady: []Image{"a", "b", "c"}})
 	}
 	for _, filler := range []Image{"a", "b", "c"} {
 		require.False(t, l.Harmful("s", filler))
 	}
-	l.Observe("s", 5, []Image{"a"}, nil)
+	l.Observe(Look{Serving: "s", Ratio: 5, Steady: []Image{"a"}})
 	require.True(t, l.Harmful("s", "a"))
 }
+
+// Guards against harm that is learned only when the load is so high that the target is missed: replicas elsewhere carry the
+// same load, so one comparison at low load convicts or clears a filler that works alone.
+func TestComparisonWithReplicasTellsAtAnyLoad(t *testing.T) {
+	type scenario struct {
+		name    string
+		excess  float64
+		harmful bool
+		cleared bool
+	}
+	for _, s := range []scenario{
+		{"much slower than its replicas", 2.5, true, false},
+		{"slower than its replicas", 1.6, true, false},
+		{"within what rounding explains", 1.3, false, false},
+		{"as fast as its replicas", 1, false, true},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			l := New()
+			l.Observe(Look{Serving: "s", Ratio: 0.5, Excess: s.excess, Steady: []Image{"f"}})
+			require.Equal(t, s.harmful, l.Harmful("s", "f"))
+			require.Equal(t, s.cleared, l.Suspicion("s", "f") < prior/2)
+		})
+	}
+}
+
+// Guards against a filler that is blamed for the load of a lasting task, which its replicas carry as well.
+func TestLoadThatReplicasShareIsNotBlamed(t *testing.T) {
+	l := New()
+	l.Observe(Look{Serving: "s", Ratio: 1.3, Excess: 1.05, Steady: []Image{"f"}})
+	require.Less(t, l.Suspicion("s", "f"), prior)
+}
--- a/pkg/plan/apart.go
+++ b/pkg/plan/apart.go
@@ -12,7 +12,7 @@
 	apartFor = 30 * time.Second
 	// trialInterval spaces the trials of a pair that is suspected but not certain to be harmful.
 	trialInterval = 2 * time.Second
-	certain       = 0.7
+	certain       = 0.95
 	// clean is the suspicion up to which another filler does not blur a trial.
 	clean = 0.1
 	// calmRatio is the ratio of tails to targets on a worker that a trial needs.
--- a/pkg/plan/bench_test.go
+++ b/pkg/plan/bench_test.go
@@ -43,7 +43,9 @@
 	for s := range 5 {
 		for f := range 9 {
 			if (s+f)%3 == 0 {
-				p.pairs.Observe(pairs.Image(fmt.Sprintf("s%d", s)), 5, []pairs.Image{pairs.Image(fmt.Sprintf("f%d", f))}, nil)
+				p.pairs.Observe(pairs.Look{
+					Serving: pairs.Image(fmt.Sprintf("s%d", s)), Ratio: 5, Steady: []pairs.Image{pairs.Image(fmt.Sprintf("f%d", f))},
+				})
 			}
 		}
 	}
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -1,6 +1,10 @@
 package plan
 
-import "time"
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
 
 const (
 	// checkInterval spaces the looks at all running tasks.
@@ -14,6 +18,8 @@
 	minimum = 10  // percent from which progress tells the remaining time
 	// leaveMargin is how long before its worker leaves a task is moved at the latest.
 	leaveMargin = 500 * time.Millisecond
+	// promiseFor covers the stop of a run and its start elsewhere.
+	promiseFor = time.Second
 )
 
 // check moves tasks away from workers that leave, and stops runs that stand still.
@@ -21,7 +27,9 @@
 	if now.Sub(p.checked) < checkInterval {
 		return
 	}
+	since := now.Sub(p.checked)
 	p.checked = now
+	p.measureHeadroom(since)
 	for _, w := range p.workers {
 		if !w.reported || w.silent {
 			continue
@@ -31,7 +39,7 @@
 				continue
 			}
 			switch {
-			case w.entry.Draining && p.shouldLeave(w, t, now):
+			case w.leaves() && p.shouldLeave(w, t, now):
 				p.move(t, "worker leaves", now)
 			case t.stuck(w.heard):
 				w.health.ended(true, now)
@@ -48,29 +56,43 @@
 	p.orderStop(t, now)
 }
 
-// shouldLeave reports whether a task should move from a worker that drains: lasting tasks do as soon as there is room for
+// shouldLeave reports whether a task should move from a worker that drains or is vacated: lasting tasks do as soon as there is room for
 // them, others if they would not finish in time.
 func (p *Planner) shouldLeave(w *worker, t *task, now time.Time) bool {
 	if t.done {
 		return false
 	}
 	if t.group.step.Lasting {
-		return p.roomElsewhere(t, now)
+		return t.mayMiss() && p.roomElsewhere(t, now)
 	}
 	left := w.leavesAt.Sub(now)
 	return left < t.remaining(now) && (t.group.step.Checkpoint || left < leaveMargin)
 }
 
-// roomElsewhere reports whether another worker can take a task now.
+// roomElsewhere reports whether another worker can take a task now, and promises the room to it: tasks that are moved at the
+// same time must not count on the same room.
 func (p *Planner) roomElsewhere(t *task, now time.Time) bool {
 	for _, w := range p.workers {
-		if w.hasRoomFor(t, now) {
+		if w.hasRoomFor(t, now) && w.promise(t.group.step.Size, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// promise sets room aside for a task that is on its way, and reports false if there is not enough beside earlier promises.
+func (w *worker) promise(size oleanderline.Size, now time.Time) bool {
+	if now.After(w.promisedUntil) {
+		w.promised = oleanderline.Size{}
+	}
+	promised := w.promised.Add(size)
+	if !w.used.Add(promised).Fits(w.entry.Capacity) {
+		return false
+	}
+	w.promised, w.promisedUntil = promised, now.Add(promiseFor)
+	return true
+}
+
 // hasRoomFor reports whether a task could move to the worker.
 func (w *worker) hasRoomFor(t *task, now time.Time) bool {
 	return w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group)
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -17,6 +17,8 @@
 	chain    []time.Duration // by step: the longest estimated path from its start to the end of the job
 	charged  int             // tasks that hold room on a worker
 	left     int             // groups that are not done
+	// startedBefore reports whether an earlier leader has started tasks of the job.
+	startedBefore bool
 }
 
 // state returns the state to be recorded next.
@@ -43,7 +45,7 @@
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Policy, progress: progress, arrived: now.Add(-age)}
+	j := &job{spec: spec, queue: spec.Policy, progress: progress, arrived: now.Add(-age), startedBefore: progress.Started}
 	if queue, ok := p.queues[spec.Queue]; ok {
 		j.queue = queue
 	}
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -24,6 +24,8 @@
 	// paceRepeat is how often an unchanged pace is ordered again while the target is missed: an older order may have been
 	// carried out late.
 	paceRepeat = 2 * time.Second
+	// noticeableShare is the share of a worker's processors from which the work of fillers shows in the tails beside them.
+	noticeableShare = 0.05
 	// doubtFor is how long a target is missed beside fillers that are not suspicious before they are slowed down too.
 	doubtFor = 1500 * time.Millisecond
 	// suspectShare is the share of the highest suspicion on a worker from which a filler is slowed down.
@@ -105,7 +107,7 @@
 
 // observeTails learns from the tails of the lasting tasks, and returns the highest ratio of a tail to its target.
 func (p *Planner) observeTails(w *worker, fillers []*task, now time.Time) float64 {
-	ratios := map[pairs.Image]float64{}
+	tails := map[pairs.Image]*imageTails{}
 	worst := 0.0
 	for t := range w.tasks {
 		target := t.group.step.TailTarget
@@ -113,33 +115,56 @@
 			continue
 		}
 		ratio := float64(t.gauge) / float64(target.Milliseconds())
-		image := pairs.Image(t.group.step.Image)
-		ratios[image] = max(ratios[image], ratio)
 		worst = max(worst, ratio)
+		image := imageOf(t)
+		if tails[image] == nil {
+			tails[image] = &imageTails{}
+		}
+		tails[image].add(ratio, t.excess(now))
 	}
 	if now.Sub(w.looked) < lookInterval || now.Sub(w.pace.changed) < paceLag || now.Sub(w.moved) < paceLag {
 		return worst
 	}
 	w.looked = now
-	steady, recent := working(fillers, now)
-	for image, ratio := range ratios {
-		p.pairs.Observe(image, ratio, steady, recent)
+	steady, recent := w.working(fillers, now)
+	for image, seen := range tails {
+		p.pairs.Observe(pairs.Look{
+			Serving: image, Ratio: seen.ratio, Excess: seen.excess(), Steady: steady, Recent: recent,
+		})
 	}
 	return worst
 }
 
-// working returns the images of the fillers that work at full pace, by whether a report covers only their work.
-func working(fillers []*task, now time.Time) (steady, recent []pairs.Image) {
+// working returns the images of the fillers that work at full pace, by whether a report covers only their work. Those that
+// use too little of the worker to show are left out of the first.
+func (w *worker) working(fillers []*task, now time.Time) (steady, recent []pairs.Image) {
+	used := map[pairs.Image]float64{}
 	for _, t := range fillers {
-		image := pairs.Image(t.group.step.Image)
+		if t.pace != paceFull {
+			continue
+		}
+		image := imageOf(t)
 		switch {
-		case t.pace != paceFull:
 		case now.Sub(t.began) > paceLag:
-			steady = append(steady, image)
+			used[image] += float64(t.gauge) / max(1, float64(w.entry.Capacity.CPU))
 		case now.Sub(t.began) > startLag:
 			recent = append(recent, image)
 		}
 	}
+	for image, at := range w.left {
+		if now.Sub(at) < paceLag {
+			recent = append(recent, image)
+		} else {
+			delete(w.left, image)
+		}
+	}
+	for image, share := range used {
+		if share >= noticeableShare {
+			steady = append(steady, image)
+		} else {
+			recent = append(recent, image)
+		}
+	}
 	return steady, recent
 }
 
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -114,7 +114,7 @@
 			r = p.rank(t, now)
 		}
 		i := p.best(&r, t, now)
-		if i < 0 {
+		if i < 0 || !p.leavesHeadroom(t) {
 			g.rankAt = now.Add(p.rankPause())
 			p.ask(g, now)
 			return started
@@ -148,10 +148,11 @@
 
 // Weights of what makes a worker better for a task, beside its share of free processors.
 const (
-	scoreRack  = 2.0
-	scoreHarm  = 1.0
-	scoreImage = 2.0
-	emptyShare = 0.5
+	scoreRack     = 2.0
+	scoreHarm     = 1.0
+	scoreImage    = 2.0
+	scoreReplicas = 3.0
+	emptyShare    = 0.5
 )
 
 func (p *Planner) score(w *worker, t *task) float64 {
@@ -161,8 +162,11 @@
 	switch {
 	case step.Filler:
 		score = float64(w.leftover())/capacity - scoreHarm*p.harm(w, t)
-	case step.TailTarget > 0:
-		score += scoreImage * w.imageShare(imageOf(t))
+	case step.Lasting:
+		score = scoreImage*w.imageShare(imageOf(t)) - score
+		if 2*t.group.onWorker(w) >= step.Count {
+			score -= scoreReplicas
+		}
 	}
 	if step.Rack != "" && step.Rack == w.entry.Rack {
 		score += scoreRack
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -18,30 +18,35 @@
 	// stored, written and writtenSilent tell which record was handed out last.
 	stored, written, writtenSilent bool
 
-	reported bool      // it has reported in this term
-	heard    time.Time // when it reported last
-	asked    time.Time // when the call was sent that it answered last
-	silent   bool      // its last call failed
-	life     oleanderline.WorkerLife
-	leavesAt time.Time // while it drains
-	seen     int64     // the highest number of an end that was taken in
-	acked    int64     // the highest number that is recorded
-
-	tasks     map[*task]struct{}
-	lasting   map[pairs.Image]int // its lasting tasks with a target
-	fillers   map[pairs.Image]int // its fillers
-	used      oleanderline.Size   // of the tasks that count against its capacity
-	serving   oleanderline.Millicores
-	filling   oleanderline.Millicores // declared need of the fillers on it
-	strangers int                     // runs that belong to no task that is known
-	fullUntil time.Time
-	health    health
+	reported      bool      // it has reported in this term
+	heard         time.Time // when it reported last
+	asked         time.Time // when the call was sent that it answered last
+	silent        bool      // its last call failed
+	life          oleanderline.WorkerLife
+	leavesAt      time.Time         // while it drains or is vacated
+	promised      oleanderline.Size // to tasks that move here
+	promisedUntil time.Time
+	vacating      bool  // it is to become empty for maintenance
+	seen          int64 // the highest number of an end that was taken in
+	acked         int64 // the highest number that is recorded
+
+	tasks      map[*task]struct{}
+	lasting    map[pairs.Image]int     // its lasting tasks with a target
+	fillers    map[pairs.Image]int     // its fillers
+	used       oleanderline.Size       // of the tasks that count against its capacity
+	serving    oleanderline.Millicores // of the lasting tasks with a target
+	lastingCPU oleanderline.Millicores // of all lasting tasks
+	filling    oleanderline.Millicores // declared need of the fillers on it
+	strangers  int                     // runs that belong to no task that is known
+	fullUntil  time.Time
+	health     health
 
 	pace   paceControl
-	ratio  float64   // the highest ratio of a tail to its target in the newest report
-	over   time.Time // since when the ratio is above the target
-	looked time.Time // when tails counted as evidence last
-	moved  time.Time // when a filler was moved away last
+	ratio  float64                   // the highest ratio of a tail to its target in the newest report
+	over   time.Time                 // since when the ratio is above the target
+	looked time.Time                 // when tails counted as evidence last
+	moved  time.Time                 // when a filler was moved away last
+	left   map[pairs.Image]time.Time // when fillers of an image left last
 }
 
 // free returns what is not committed.
@@ -89,7 +94,7 @@
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
 	w := &worker{
 		entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, pace: newPaceControl(),
-		lasting: map[pairs.Image]int{}, fillers: map[pairs.Image]int{},
+		lasting: map[pairs.Image]int{}, fillers: map[pairs.Image]int{}, left: map[pairs.Image]time.Time{},
 	}
 	p.workers[id] = w
 	return w
@@ -167,6 +172,9 @@
 	if t.group.step.TailTarget > 0 {
 		w.serving += size.CPU
 	}
+	if t.group.step.Lasting {
+		w.lastingCPU += size.CPU
+	}
 	w.used = w.used.Add(size)
 }
 
@@ -182,12 +190,16 @@
 	t.group.job.charged--
 	size := t.group.step.Size
 	if t.group.step.Filler {
+		w.left[imageOf(t)] = p.now
 		w.filling -= size.CPU
 		size.CPU = 0
 	}
 	if t.group.step.TailTarget > 0 {
 		w.serving -= size.CPU
 	}
+	if t.group.step.Lasting {
+		w.lastingCPU -= size.CPU
+	}
 	w.used = w.used.Sub(size)
 	t.state = taskIdle
 	t.percent, t.gauge = 0, 0
@@ -196,7 +208,7 @@
 
 // usable reports whether new tasks may be placed on the worker at all.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.recorded && w.reported && !w.silent && !w.entry.Draining && w.strangers == 0 &&
+	return w.listed && w.recorded && w.reported && !w.silent && !w.leaves() && w.strangers == 0 &&
 		!now.Before(w.fullUntil) && w.health.admits(now)
 }
 
