--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -19,6 +19,7 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/logring"
 	"github.com/oleanderline/oleanderline/pkg/node"
+	"github.com/oleanderline/oleanderline/pkg/term"
 	"github.com/oleanderline/oleanderline/platform"
 )
 
@@ -68,9 +69,14 @@
 	if settings.Adviser != "" {
 		adviser = platform.NewAdviser(settings.Adviser)
 	}
+	var fleet oleanderline.Fleet
+	if settings.Fleet != "" {
+		fleet = platform.NewFleet(settings.Fleet)
+	}
 	n := node.New(c, node.Settings{
 		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold,
 		KeepJob:     settings.KeepJobs,
+		Maintenance: term.Maintenance{Takes: settings.Maintenance, Quiet: settings.HolderLease},
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
 		Log: store, Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
@@ -78,7 +84,8 @@
 		Dial: func(id oleanderline.WorkerID, address string) oleanderline.Runner {
 			return platform.NewMinion(id, address)
 		},
-		Adviser: adviser, Wall: time.Now,
+		Adviser: adviser, Fleet: fleet, IsWindow: platform.IsWindow, DecodeWindow: platform.DecodeWindow,
+		Status: platform.StreamStatus, EncodeWindow: platform.EncodeWindowState, Wall: time.Now,
 	})
 	return &program{common: c, args: args, settings: settings, path: path, node: n}
 }
--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -109,6 +109,12 @@
 	w.begin()
 }
 
+func (w *Worker) runCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // Life returns the present life.
 func (w *Worker) Life() oleanderline.WorkerLife {
 	w.mu.Lock()
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -27,5 +27,8 @@
 	EventPace             Event = "E6035" // the leader changes the pace of a run
 	EventPeersUnserved    Event = "E6014" // other processes cannot store and read through this one
 	EventAdviceFailed     Event = "E6036" // the adviser did not answer; it is asked again
+	EventMaintenance      Event = "E6037" // the leader takes the VM of a worker down for maintenance
+	EventFleetLost        Event = "E6038" // the list of VMs or the states of maintenance windows are behind; maintenance waits
+	EventWindowMalformed  Event = "E6039" // a maintenance window of the operators is malformed and skipped
 	EventLinesDropped     Event = "E6040" // log lines were left out because the bound a second was reached or the output is blocked
 )
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -58,13 +58,16 @@
 		Alone:     aloneFor,
 		Confirmed: leaderTimeout,
 		KeepJob:   n.settings.KeepJob,
+		VM:        n.settings.VM, Maintenance: n.settings.Maintenance,
 	}
 	ports := term.Ports{
-		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Adviser: n.ports.Adviser, Wall: n.ports.Wall,
+		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Adviser: n.ports.Adviser,
+		Fleet: n.ports.Fleet, Status: n.ports.Status, EncodeWindow: n.ports.EncodeWindow, Wall: n.ports.Wall,
 	}
 	s := term.Start(n.common, settings, ports, n.replica, n.config.Load(), began)
 	n.session.Store(s)
 	s.SetConfig(n.config.Load()) // a version may have come before the follower of the configuration saw the session
+	n.windows.each(s.AddWindow)
 }
 
 // errClaimedMeanwhile means that another process has claimed, and has not been heard yet. It gets the same time as a leader.
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -26,8 +26,12 @@
 			continue
 		}
 		for _, rec := range records {
-			if rec.Key == n.ports.ConfigKey && len(rec.Value) > 0 {
+			switch {
+			case len(rec.Value) == 0:
+			case rec.Key == n.ports.ConfigKey:
 				n.applyConfig(rec)
+			case n.ports.Fleet != nil && n.ports.IsWindow(rec.Key):
+				n.applyWindow(rec)
 			}
 		}
 	}
@@ -50,3 +54,16 @@
 	n.common.Event(common.EventConfigApplied).WithField("version", config.Version).WithField("queues", len(config.Queues)).
 		Info("configuration applied")
 }
+
+// applyWindow passes a maintenance window on to the leader.
+func (n *Node) applyWindow(rec oleanderline.KeyedRecord) {
+	window, err := n.ports.DecodeWindow(rec)
+	if err != nil {
+		n.common.Event(common.EventWindowMalformed).WithField("offset", rec.Offset).WithError(err).Warn("maintenance window skipped")
+		return
+	}
+	n.windows.add(window)
+	if s := n.session.Load(); s != nil {
+		s.AddWindow(window)
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -26,6 +26,7 @@
 	intake   *intake
 	relay    *relay.Client
 	config   atomic.Pointer[oleanderline.CellConfig]
+	windows  windows
 	stopping atomic.Bool
 	wanted   chan struct{} // asks the follower of the records for a read
 	ctx      context.Context
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
 // Settings of a Node.
@@ -13,6 +14,7 @@
 	PeerAddress string        // where to serve other processes of the cell; "" for nowhere
 	MaxLease    time.Duration // the longest that workers accept
 	KeepJob     time.Duration // how long a finished job stays known
+	Maintenance term.Maintenance
 }
 
 // Ports are what a node speaks to.
@@ -25,6 +27,13 @@
 	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
 	Adviser      oleanderline.Adviser // nil if there is none
+	// Fleet, if there is one, carries out the maintenance windows in the stream of the configuration, as told by IsWindow
+	// and DecodeWindow. Their states go to Status.
+	Fleet        oleanderline.Fleet
+	IsWindow     func(key string) bool
+	DecodeWindow func(oleanderline.KeyedRecord) (oleanderline.MaintenanceWindow, error)
+	Status       oleanderline.Stream
+	EncodeWindow func(id oleanderline.WindowID, complete bool) (oleanderline.KeyedRecord, error)
 	Wall         func() time.Time
 }
 
--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
 const (
@@ -25,6 +26,7 @@
 	maxHold      = 6 * time.Second
 	streamOp     = oleanderline.Stream("op")
 	streamDir    = oleanderline.Stream("servers")
+	streamStatus = oleanderline.Stream("status")
 )
 
 // world is a cell whose processes run in one process on virtual time, with a store and workers that fail as a seed says,
@@ -40,6 +42,8 @@
 	store   *cellfake.Store
 	workers []*cellfake.Worker
 	checks  *cellfake.Checker
+	fleet   *cellfake.Fleet // nil without maintenance
+	window  oleanderline.MaintenanceWindow
 
 	mu    sync.Mutex
 	seed  uint64
@@ -83,7 +87,7 @@
 	return commons
 }
 
-func newWorld(t *testing.T, seed uint64, commons []*common.Common) *world {
+func newWorld(t *testing.T, seed uint64, commons []*common.Common, options ...func(*world)) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), calls: rand.New(rand.NewPCG(seed, 1)), commons: commons, ctx: ctx, cancel: cancel,
@@ -98,6 +102,9 @@
 		w.list(id)
 	}
 	w.put(streamOp, "config", "1")
+	for _, option := range options {
+		option(w)
+	}
 	w.nodes = make([]*member, worldNodes)
 	for i := range worldNodes {
 		w.revive(i)
@@ -132,6 +139,15 @@
 		},
 		Wall: time.Now,
 	})
+	if w.fleet != nil {
+		m.node.settings.Maintenance = term.Maintenance{Takes: 2 * time.Second, Quiet: 3 * time.Second}
+		m.node.ports.Fleet, m.node.ports.Status = w.fleet, streamStatus
+		m.node.ports.IsWindow = func(key string) bool { return key == "window" }
+		m.node.ports.DecodeWindow = func(oleanderline.KeyedRecord) (oleanderline.MaintenanceWindow, error) { return w.window, nil }
+		m.node.ports.EncodeWindow = func(_ oleanderline.WindowID, complete bool) (oleanderline.KeyedRecord, error) {
+			return oleanderline.KeyedRecord{Key: "window", Value: fmt.Append(nil, complete)}, nil
+		}
+	}
 	m.node.Start()
 	return m
 }
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -5,9 +5,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
@@ -29,6 +31,7 @@
 	prefixProgress = "p/"
 	prefixWorker   = "w/"
 	prefixNode     = "n/"
+	prefixWindow   = "m/"
 )
 
 // Kind tells what a record says.
@@ -44,6 +47,7 @@
 	KindLeader
 	KindPairs
 	KindNode
+	KindWindow
 )
 
 // Progress is what has been recorded of a job by its leader.
@@ -98,6 +102,8 @@
 		return KindWorker, id
 	case prefixNode:
 		return KindNode, id
+	case prefixWindow:
+		return KindWindow, id
 	}
 	return KindUnknown, ""
 }
@@ -143,6 +149,20 @@
 	return encode(KeyPairs, evidence)
 }
 
+// ForWindow returns the record of the progress of a maintenance window.
+func ForWindow(id oleanderline.WindowID, progress maintenance.Progress) (oleanderline.KeyedRecord, error) {
+	return encode(prefixWindow+strconv.FormatInt(int64(id), 10), progress)
+}
+
+// WindowOf returns the number of a maintenance window from the id in its key.
+func WindowOf(id string) (oleanderline.WindowID, error) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("number of a maintenance window: %w", err)
+	}
+	return oleanderline.WindowID(number), nil
+}
+
 // ForLeader returns the record of the leader.
 func ForLeader(leader Leader) (oleanderline.KeyedRecord, error) { return encode(KeyLeader, leader) }
 
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -2,10 +2,12 @@
 package replica
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
@@ -50,6 +52,7 @@
 	leader  record.Leader
 	pairs   []pairs.Evidence
 	nodes   map[oleanderline.VMID]record.Node
+	windows map[oleanderline.WindowID]maintenance.Progress
 	next    oleanderline.Offset
 	changed chan struct{} // closed and replaced by each read
 	loaded  bool
@@ -63,6 +66,7 @@
 		jobs:    map[oleanderline.JobID]*Entry{},
 		workers: map[oleanderline.WorkerID]record.Worker{},
 		nodes:   map[oleanderline.VMID]record.Node{},
+		windows: map[oleanderline.WindowID]maintenance.Progress{},
 		changed: make(chan struct{}),
 		faulty:  faulty,
 	}
@@ -75,6 +79,7 @@
 	r.jobs = map[oleanderline.JobID]*Entry{}
 	r.workers = map[oleanderline.WorkerID]record.Worker{}
 	r.nodes = map[oleanderline.VMID]record.Node{}
+	r.windows = map[oleanderline.WindowID]maintenance.Progress{}
 	r.loaded = true
 	return r.apply(batch, now)
 }
@@ -122,6 +127,8 @@
 		err = r.applyWorker(oleanderline.WorkerID(id), rec)
 	case record.KindNode:
 		err = r.applyNode(oleanderline.VMID(id), rec)
+	case record.KindWindow:
+		err = r.applyWindow(id, rec)
 	case record.KindLeader:
 		err = r.applyLeader(rec)
 	case record.KindPairs:
@@ -216,6 +223,19 @@
 	return nil
 }
 
+func (r *Replica) applyWindow(key string, rec oleanderline.KeyedRecord) error {
+	id, err := record.WindowOf(key)
+	if err != nil {
+		return err
+	}
+	progress, err := record.Decode[maintenance.Progress](rec)
+	if err != nil {
+		return err
+	}
+	r.windows[id] = progress
+	return nil
+}
+
 func (r *Replica) applyLeader(rec oleanderline.KeyedRecord) error {
 	leader, err := record.Decode[record.Leader](rec)
 	if err != nil {
@@ -309,6 +329,13 @@
 	return r.pairs
 }
 
+// Windows returns the progress of maintenance windows.
+func (r *Replica) Windows() map[oleanderline.WindowID]maintenance.Progress {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return maps.Clone(r.windows)
+}
+
 // Next returns the offset to read from.
 func (r *Replica) Next() oleanderline.Offset {
 	r.mu.RLock()
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -44,6 +44,12 @@
 		s.planner.Place(now, s.ports.Wall())
 	case advised:
 		s.planner.Advised(m.question, m.advice, m.err, m.asked)
+	case windowAsked:
+		s.windows.Add(m.window)
+	case fleetRead:
+		s.maintain(m.vms, now)
+	case maintained:
+		s.maintained(m, now)
 	case flushWant:
 		s.collect(m.reply)
 	case flushed:
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
@@ -32,6 +33,14 @@
 		err      error
 		asked    time.Time
 	}
+	windowAsked struct {
+		window oleanderline.MaintenanceWindow
+	}
+	fleetRead  struct{ vms []oleanderline.FleetVM }
+	maintained struct {
+		order maintenance.Order
+		err   error
+	}
 	flushWant struct{ reply chan<- flush }
 	flushed   struct {
 		mark    plan.Mark
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -12,28 +12,33 @@
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/duty"
 	"github.com/oleanderline/oleanderline/pkg/link"
+	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
 
 // Session is one term of a leader.
 type Session struct {
-	common   *common.Common
-	settings Settings
-	ports    Ports
-	replica  *replica.Replica
-	ctx      context.Context
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
-	planner  *plan.Planner // used only by the duty
-	duty     *duty.Duty
-	links    map[oleanderline.WorkerID]*linked // used only by the duty
-	writer   *writer
-	metrics  *termMetrics
-	learned  time.Time    // when what was learned was stored last
-	forgot   time.Time    // when finished jobs were dropped last
-	renewed  atomic.Int64 // when the newest append that was answered had been sent
-	ended    atomic.Bool
+	common    *common.Common
+	settings  Settings
+	ports     Ports
+	replica   *replica.Replica
+	ctx       context.Context
+	cancel    context.CancelFunc
+	duties    sync.WaitGroup
+	planner   *plan.Planner // used only by the duty
+	duty      *duty.Duty
+	links     map[oleanderline.WorkerID]*linked // used only by the duty
+	windows   *maintenance.Coordinator          // used only by the duty
+	began     time.Time
+	maintains atomic.Bool      // a maintenance window is open
+	states    chan windowState // of maintenance windows, to be stored
+	writer    *writer
+	metrics   *termMetrics
+	learned   time.Time    // when what was learned was stored last
+	forgot    time.Time    // when finished jobs were dropped last
+	renewed   atomic.Int64 // when the newest append that was answered had been sent
+	ended     atomic.Bool
 	// supported is when most workers were last known to accept the calls of this term.
 	supported atomic.Int64
 }
@@ -52,6 +57,9 @@
 		common: c, settings: settings, ports: ports, replica: jobs, ctx: ctx, cancel: cancel,
 		planner: plan.New(settings.Plan, settings.Leader.Claims, c.Clock.Now()),
 		links:   map[oleanderline.WorkerID]*linked{},
+		windows: maintenance.New(settings.Maintenance.Takes),
+		began:   c.Clock.Now(),
+		states:  make(chan windowState, windowStates),
 	}
 	s.renewed.Store(began.UnixNano())
 	s.writer = newWriter(s)
@@ -65,9 +73,16 @@
 	for _, worker := range inherited {
 		s.planner.InheritWorker(worker)
 	}
+	for id, progress := range jobs.Windows() {
+		s.windows.Restore(id, progress)
+	}
 	s.duty = duty.New(c.Actors(), mailbox, s.handle)
 	s.duties.Go(s.followDirectory)
 	s.duties.Go(s.tick)
+	if ports.Fleet != nil {
+		s.duties.Go(s.followFleet)
+		s.duties.Go(s.tellOperators)
+	}
 	s.duties.Go(s.writer.run)
 	c.Event(common.EventTermBegins).WithField("term", settings.Leader.Term).WithField("claims", settings.Leader.Claims).
 		WithField("workers", len(inherited)).Info("leadership begins")
@@ -130,6 +145,12 @@
 // SetConfig takes over a version of the configuration.
 func (s *Session) SetConfig(config *oleanderline.CellConfig) { s.post(configChanged{config}) }
 
+// AddWindow takes over a maintenance window that operators ask for.
+func (s *Session) AddWindow(window oleanderline.MaintenanceWindow) {
+	s.maintains.Store(true)
+	s.post(windowAsked{window})
+}
+
 func (s *Session) tick() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -19,6 +19,16 @@
 	// Confirmed is how long after an append no other process can have claimed.
 	Confirmed time.Duration
 	KeepJob   time.Duration // how long a finished job stays known
+	// VM names this process to the platform's service for VMs.
+	VM          oleanderline.VMID
+	Maintenance Maintenance
+}
+
+// Maintenance is the timing of maintenance windows.
+type Maintenance struct {
+	Takes time.Duration // of one VM
+	// Quiet is how long after the start of a term no VM is taken down, because an earlier leader may have done so just now.
+	Quiet time.Duration
 }
 
 // Ports are what a session speaks to.
@@ -30,6 +40,11 @@
 	Dial    func(id oleanderline.WorkerID, address string) oleanderline.Runner
 	// Adviser is nil if there is none.
 	Adviser oleanderline.Adviser
+	// Fleet is nil if there is none.
+	Fleet oleanderline.Fleet
+	// Status is the stream that tells the operators about maintenance windows, in the form that EncodeWindow gives them.
+	Status       oleanderline.Stream
+	EncodeWindow func(id oleanderline.WindowID, complete bool) (oleanderline.KeyedRecord, error)
 	// Wall returns the time of day.
 	Wall func() time.Time
 }
@@ -50,4 +65,7 @@
 	// supportAge covers the time between two looks at which workers have answered.
 	supportAge = 100 * time.Millisecond
 	postPause  = 2 * time.Millisecond
+	// fleetInterval spaces the looks at VMs while a maintenance window is open.
+	fleetInterval = 250 * time.Millisecond
+	windowStates  = 64 // states of windows that wait to be stored
 )
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -18,13 +17,12 @@
 	session  *Session
 	wanted   chan struct{}
 	resigns  chan chan struct{}
-	sequence int64
+	appender appender
 	beat     time.Time // when the leader's own record was stored last
-	down     bool
 }
 
 func newWriter(s *Session) *writer {
-	return &writer{session: s, wanted: make(chan struct{}, 1), resigns: make(chan chan struct{}), sequence: 1}
+	return &writer{session: s, wanted: make(chan struct{}, 1), resigns: make(chan chan struct{}), appender: newAppender(s, record.Stream)}
 }
 
 // wake asks for a flush.
@@ -92,7 +90,7 @@
 		}
 		f.records = append(f.records, rec)
 	}
-	if len(f.records) > 0 && !w.store(f.records) {
+	if len(f.records) > 0 && !w.appender.store(f.records, s.renewed.Store) {
 		return
 	}
 	if beat {
@@ -103,51 +101,4 @@
 	}
 }
 
-// store appends records until they are stored or the term has ended. The same append is repeated under the same sequence,
-// so that one whose answer was lost is not stored twice.
-func (w *writer) store(records []oleanderline.KeyedRecord) bool {
-	s := w.session
-	for s.ctx.Err() == nil {
-		sent := s.common.Clock.Now()
-		condition := oleanderline.AppendCondition{Writer: WriterID, Term: s.settings.Leader.Term, Sequence: w.sequence}
-		_, err := s.ports.Log.Append(s.ctx, record.Stream, records, condition)
-		s.metrics.flushTime.Update(s.common.Clock.Now().Sub(sent).Seconds())
-		var sequence *oleanderline.SequenceError
-		switch {
-		case err == nil:
-			w.stored(sent)
-			return true
-		case errors.Is(err, oleanderline.ErrFenced):
-			s.end("the log has seen a newer term")
-			return false
-		case errors.As(err, &sequence) && sequence.Expected != w.sequence:
-			s.common.Event(common.EventLogOutOfSequence).WithField("sent", w.sequence).WithField("expected", sequence.Expected).
-				Warn("append out of sequence")
-			w.sequence = sequence.Expected
-			continue
-		}
-		w.failed(err)
-		s.sleep(flushRetry)
-	}
-	return false
-}
-
-func (w *writer) stored(sent time.Time) {
-	w.sequence++
-	w.session.metrics.flushes.Inc()
-	w.session.renewed.Store(sent.UnixNano())
-	if w.down {
-		w.down = false
-		w.session.common.Event(common.EventLogRegained).Info("the log answers again")
-	}
-}
-
-func (w *writer) failed(err error) {
-	w.session.metrics.flushLost.Inc()
-	if !w.down && w.session.ctx.Err() == nil {
-		w.down = true
-		w.session.common.Event(common.EventLogLost).WithError(err).Warn("the log does not store")
-	}
-}
-
 func (s *Session) sleep(d time.Duration) { common.Sleep(s.ctx, s.common.Clock, d) }
