--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -103,7 +103,7 @@
 		{p.settings.ReadyCheck, http.HandlerFunc(front.ServeReady)},
 		{net.JoinHostPort(p.settings.IP, strconv.Itoa(p.args.Metrics)), http.HandlerFunc(p.metrics)},
 	} {
-		if err := p.serve(s.address, s.handler, failed); err != nil {
+		if err := p.serve(stop, s.address, s.handler, failed); err != nil {
 			return err
 		}
 	}
@@ -121,10 +121,10 @@
 	return nil
 }
 
-func (p *program) serve(address string, handler http.Handler, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+func (p *program) serve(ctx context.Context, address string, handler http.Handler, failed chan<- error) error {
+	listener, err := common.Listen(ctx, p.common.Clock, address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return err
 	}
 	server := &http.Server{Handler: p.closing(handler), ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit}
 	p.servers = append(p.servers, server)
--- a/pkg/common/listen.go
+++ b/pkg/common/listen.go
@@ -1,11 +1,39 @@
 package common
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+const (
+	// listenPatience is how long a process waits for a port that is taken: a connection that had it by chance while the process
+	// was down ends, or the earlier process goes.
+	listenPatience = 10 * time.Second
+	listenRetry    = 100 * time.Millisecond
 )
 
+// Listen listens on a TCP address, and waits for a port that is taken.
+func Listen(ctx context.Context, clock oleanderline.Clock, address string) (net.Listener, error) {
+	began := clock.Now()
+	for {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || ctx.Err() != nil || clock.Now().Sub(began) > listenPatience {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		Sleep(ctx, clock, listenRetry)
+	}
+}
+
 // CheckAddress reports an error that names the flag and the value unless value is an IP number and a port.
 // An empty host is refused, because a daemon must not listen on every interface by accident.
 func CheckAddress(flag, value string) error {
