--- /dev/null
+++ b/pkg/ctl/cell_test.go
@@ -0,0 +1,59 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// node serves a metrics page.
+func node(t *testing.T, page string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, page) }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a report that counts only the present leader, or that hides a node which does not answer.
+func TestCellAddsUpAllNodes(t *testing.T) {
+	first := node(t, `oleander_cell_leads 1
+oleander_cell_jobs_total{queue="a",result="intime"} 6
+oleander_cell_jobs_total{queue="a",result="missed"} 1
+oleander_cell_lasting_seconds_total{queue="b",result="asked"} 100
+oleander_cell_lasting_seconds_total{queue="b",result="served"} 90
+`)
+	second := node(t, `oleander_cell_leads 0
+oleander_cell_jobs_total{queue="a",result="intime"} 3
+`)
+	var out, errs bytes.Buffer
+	s := Settings{Timeout: time.Second, Cell: &CellCommand{Nodes: AddressList{first, second, "127.0.0.1:1"}, Target: 0.95}}
+	require.NoError(t, s.Validate())
+	code := New(s, WithStreams(nil, &out, &errs)).Run(context.Background())
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errs.String(), "127.0.0.1:1")
+	require.Contains(t, out.String(), "a: 10 jobs, 90.0% in time, 0 late, 1 missed, burn rate 2.00")
+	require.Contains(t, out.String(), "b: 100 s of lasting tasks, 90.0% at work within target, burn rate 2.00")
+	require.Equal(t, 1, strings.Count(out.String(), "true"))
+}
+
+// Guards against arguments that are found wrong only by a result without meaning.
+func TestCellChecksItsArguments(t *testing.T) {
+	type scenario struct {
+		command CellCommand
+		want    string
+	}
+	for _, s := range []scenario{
+		{CellCommand{Target: 0.9}, "--nodes: is empty"},
+		{CellCommand{Nodes: AddressList{"localhost:1"}, Target: 0.9}, "not an IP number"},
+		{CellCommand{Nodes: AddressList{"127.0.0.1:1"}, Target: 1}, "--target=1"},
+	} {
+		settings := Settings{Timeout: time.Second, Cell: &s.command}
+		require.ErrorContains(t, settings.Validate(), s.want)
+	}
+}
--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -20,6 +20,7 @@
 	Publish *PublishCommand `arg:"subcommand:publish" help:"put a file of rules in force"`
 	Status  *StatusCommand  `arg:"subcommand:status" help:"show the own VMs, their shards and workers, the rules and the log service"`
 	Why     *WhyCommand     `arg:"subcommand:why" help:"explain the state of a task"`
+	Cell    *CellCommand    `arg:"subcommand:cell" help:"show the nodes of a cell and the use of its error budgets"`
 	Burn    *BurnCommand    `arg:"subcommand:burn" help:"show the use of the error budgets of the slo rules"`
 
 	Key        string        `arg:"--key,env:OLEANDER_KEY" help:"shared key of the operator listeners" placeholder:"KEY"`
@@ -79,6 +80,12 @@
 	Task oleanderline.TaskID `arg:"positional,required" help:"task, in the form JOB/INDEX"`
 }
 
+// CellCommand are the arguments of cell.
+type CellCommand struct {
+	Nodes  AddressList `arg:"--nodes,env:OLEANDER_NODES" help:"metrics listeners of the nodes, separated by commas" placeholder:"IP:PORT,..."`
+	Target float64     `arg:"--target" help:"share of jobs in time, and of the time of lasting tasks, that is promised" default:"0.95"`
+}
+
 // BurnCommand are the arguments of burn.
 type BurnCommand struct {
 	JSON bool   `arg:"--json" help:"print JSON instead of text"`
@@ -122,12 +129,29 @@
 	if s.Burn != nil && s.Burn.JSON && s.Burn.HTML != "" {
 		errs = append(errs, errors.New("--html: is given beside --json; want one of them"))
 	}
+	if s.Cell != nil {
+		errs = append(errs, s.Cell.validate())
+	}
 	if s.Publish != nil {
 		errs = append(errs, s.validatePublish())
 	}
 	return errors.Join(errs...)
 }
 
+func (c *CellCommand) validate() error {
+	var errs []error
+	if len(c.Nodes) == 0 {
+		errs = append(errs, errors.New("--nodes: is empty; want IP:PORT,... of the metrics listeners (or OLEANDER_NODES)"))
+	}
+	for _, address := range c.Nodes {
+		errs = append(errs, common.CheckAddress("--nodes", address))
+	}
+	if c.Target <= 0 || c.Target >= 1 {
+		errs = append(errs, fmt.Errorf("--target=%v: want a share above 0 and below 1", c.Target))
+	}
+	return errors.Join(errs...)
+}
+
 func (s *Settings) validateTimeout() error {
 	if s.Timeout <= 0 || s.Timeout > time.Hour {
 		return fmt.Errorf("--timeout=%q: want a time above 0 and up to 1h", s.Timeout)
--- a/pkg/ctl/tool.go
+++ b/pkg/ctl/tool.go
@@ -77,6 +77,8 @@
 		return t.status(ctx)
 	case s.Why != nil:
 		return t.why(ctx, s.Why)
+	case s.Cell != nil:
+		return t.cell(ctx, s.Cell)
 	case s.Burn != nil:
 		return t.burn(ctx, s.Burn)
 	default:
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -9,6 +9,8 @@
 const (
 	// checkInterval spaces the looks at all running tasks.
 	checkInterval = 250 * time.Millisecond
+	// maxLook bounds the time that one look counts for: before the first one, and while the process was paused, nothing is known.
+	maxLook = time.Second
 	// standstill is how long a run may show no progress at full pace before it is taken as stuck: a task seven times as long
 	// as others of its kind still moves by a percent within it.
 	standstill = 3 * time.Second
@@ -30,6 +32,7 @@
 	since := now.Sub(p.checked)
 	p.checked = now
 	p.measureHeadroom(since)
+	p.countLasting(min(since, maxLook))
 	for _, w := range p.workers {
 		if !w.reported || w.silent {
 			continue
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -105,6 +105,7 @@
 // finish gives the job its final state and stops what still runs of it.
 func (p *Planner) finish(j *job, state oleanderline.JobState) {
 	j.progress.State = state
+	p.countJob(j)
 	p.dirty[j] = struct{}{}
 	p.notes = append(p.notes, Note{Kind: NoteJob, Run: oleanderline.RunKey{Task: oleanderline.TaskKey{Job: j.spec.ID}}, Reason: state.String()})
 	for _, g := range j.groups {
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -41,6 +41,7 @@
 	dirty     map[*job]struct{}                // with progress that is not recorded
 	awaiting  map[oleanderline.RunKey]sighting // runs of jobs that are not known yet
 	pairs     *pairs.Learner
+	levels    map[oleanderline.QueueID]*Level
 	headroom  map[oleanderline.PoolID]*headroom
 	checked   time.Time                 // when all running tasks were looked at last
 	tried     map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
@@ -70,6 +71,7 @@
 		dirty:    map[*job]struct{}{},
 		awaiting: map[oleanderline.RunKey]sighting{},
 		pairs:    pairs.New(),
+		levels:   map[oleanderline.QueueID]*Level{},
 		headroom: map[oleanderline.PoolID]*headroom{},
 		tried:    map[pairs.Image]time.Time{},
 	}
--- /dev/null
+++ b/pkg/scrape/scrape.go
@@ -0,0 +1,67 @@
+// Package scrape reads the metrics page of a process.
+package scrape
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// Page holds the values of a metrics page by name, with labels.
+type Page map[string]float64
+
+var series = regexp.MustCompile(`^([a-z_]+)\{queue="([^"]*)",result="([^"]*)"\}$`)
+
+// Fetch reads the metrics page at an address.
+func Fetch(ctx context.Context, address string) (Page, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }() // it was read, or the error says why not
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("metrics of %s: status %d", address, response.StatusCode)
+	}
+	page := Page{}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		name, text, found := strings.Cut(scanner.Text(), " ")
+		if !found || strings.HasPrefix(name, "#") {
+			continue
+		}
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return nil, fmt.Errorf("metrics of %s: %s: %w", address, name, err)
+		}
+		page[name] = value
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", address, err)
+	}
+	return page, nil
+}
+
+// Results returns the values of a metric with the labels queue and result, by these.
+func (p Page) Results(metric string) map[string]map[string]float64 {
+	results := map[string]map[string]float64{}
+	for name, value := range p {
+		match := series.FindStringSubmatch(name)
+		if match == nil || match[1] != metric {
+			continue
+		}
+		queue, result := match[2], match[3]
+		if results[queue] == nil {
+			results[queue] = map[string]float64{}
+		}
+		results[queue][result] += value
+	}
+	return results
+}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -84,6 +84,7 @@
 	for _, waited := range s.planner.FirstStarts() {
 		s.metrics.startTime.Update(waited.Seconds())
 	}
+	s.metrics.countLevels(s.planner.Levels())
 	for _, note := range s.planner.Notes() {
 		s.log(note)
 	}
--- a/pkg/term/metrics.go
+++ b/pkg/term/metrics.go
@@ -9,6 +9,7 @@
 
 // termMetrics count what a leader does, over all terms of the process.
 type termMetrics struct {
+	set       *metrics.Set
 	terms     *metrics.Counter
 	starts    *metrics.Counter
 	stops     *metrics.Counter
@@ -30,6 +31,7 @@
 
 func newTermMetrics(set *metrics.Set) *termMetrics {
 	return &termMetrics{
+		set:       set,
 		terms:     set.GetOrCreateCounter("oleander_cell_terms_total"),             // times at which this process became the leader
 		starts:    set.GetOrCreateCounter("oleander_cell_starts_total"),            // starts that a worker has confirmed
 		stops:     set.GetOrCreateCounter("oleander_cell_stops_total"),             // stops that a worker has confirmed
