--- a/pkg/plan/headroom.go
+++ b/pkg/plan/headroom.go
@@ -15,8 +15,6 @@
 	headroomFactor = 1.25
 	// headroomLimit is the share of a pool's processors that is kept for batch tasks at most.
 	headroomLimit = 0.2
-	// firstTasksShare is the share of the room for batch tasks that the first half of a job's lasting tasks has to leave.
-	firstTasksShare = 0.3
 )
 
 // headroom is the room that lasting tasks leave to the batch tasks of a pool. It answers a load in which ever more lasting
@@ -35,14 +33,10 @@
 	h.peak = max(h.peak, float64(running+waiting))
 }
 
-// admits reports whether a task leaves a share of the room that batch tasks need, and takes its room.
-func (h *headroom) admits(need oleanderline.Millicores, share float64) bool {
-	kept := share * (min(headroomFactor*h.peak, headroomLimit*float64(h.capacity)) - float64(h.running))
-	if float64(h.free-need) < kept {
-		return false
-	}
-	h.free -= need
-	return true
+// leaves reports whether a task leaves the room that batch tasks need.
+func (h *headroom) leaves(need oleanderline.Millicores) bool {
+	kept := min(headroomFactor*h.peak, headroomLimit*float64(h.capacity)) - float64(h.running)
+	return float64(h.free-need) >= kept
 }
 
 // measureHeadroom measures the room of every pool.
@@ -77,17 +71,19 @@
 	}
 }
 
-// leavesHeadroom reports whether a task may take its room as far as batch tasks of its pool are concerned. A lasting task
-// that has run before is never held back, and the first ones of a job less than the others: a job with a few of its tasks
-// at work serves, one with none does not.
+// leavesHeadroom takes the room of a lasting task, or reports false if batch tasks of its pool need the room. A lasting task
+// that has run before is never held back, nor is the first half of a job's tasks: a job with a few of its tasks at work serves,
+// one with none does not.
 func (p *Planner) leavesHeadroom(t *task) bool {
 	h := p.headroom[t.group.job.queue.Pool]
-	if h == nil || !t.group.step.Lasting || t.run > 0 || t.group.job.startedBefore {
+	if h == nil || !t.group.step.Lasting {
 		return true
 	}
-	share := 1.0
-	if 2*t.index < t.group.step.Count {
-		share = firstTasksShare
+	need := t.group.step.Size.CPU
+	first := 2*t.index < t.group.step.Count
+	if !first && t.run == 0 && !t.group.job.startedBefore && !h.leaves(need) {
+		return false
 	}
-	return h.admits(t.group.step.Size.CPU, share)
+	h.free -= need
+	return true
 }
