--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -79,13 +79,15 @@
 		Maintenance: term.Maintenance{Takes: settings.Maintenance, Quiet: settings.HolderLease},
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
-		Log: store, Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
-		Workers: platform.StreamWorkers, DecodeWorker: platform.DecodeWorker,
-		Dial: func(id oleanderline.WorkerID, address string) oleanderline.Runner {
-			return platform.NewMinion(id, address)
+		Ports: term.Ports{
+			Log: store, Workers: platform.StreamWorkers, DecodeWorker: platform.DecodeWorker,
+			Dial: func(id oleanderline.WorkerID, address string) oleanderline.Runner {
+				return platform.NewMinion(id, address)
+			},
+			Adviser: adviser, Fleet: fleet, Status: platform.StreamStatus, EncodeWindow: platform.EncodeWindowState, Wall: time.Now,
 		},
-		Adviser: adviser, Fleet: fleet, IsWindow: platform.IsWindow, DecodeWindow: platform.DecodeWindow,
-		Status: platform.StreamStatus, EncodeWindow: platform.EncodeWindowState, Wall: time.Now,
+		Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		IsWindow: platform.IsWindow, DecodeWindow: platform.DecodeWindow,
 	})
 	return &program{common: c, args: args, settings: settings, path: path, node: n}
 }
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -60,11 +60,7 @@
 		KeepJob:   n.settings.KeepJob,
 		VM:        n.settings.VM, Maintenance: n.settings.Maintenance,
 	}
-	ports := term.Ports{
-		Log: n.ports.Log, Workers: n.ports.Workers, Decode: n.ports.DecodeWorker, Dial: n.ports.Dial, Adviser: n.ports.Adviser,
-		Fleet: n.ports.Fleet, Status: n.ports.Status, EncodeWindow: n.ports.EncodeWindow, Wall: n.ports.Wall,
-	}
-	s := term.Start(n.common, settings, ports, n.replica, n.config.Load(), began)
+	s := term.Start(n.common, settings, n.ports.Ports, n.replica, n.config.Load(), began)
 	n.session.Store(s)
 	s.SetConfig(n.config.Load()) // a version may have come before the follower of the configuration saw the session
 	n.windows.each(s.AddWindow)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -17,24 +17,17 @@
 	Maintenance term.Maintenance
 }
 
-// Ports are what a node speaks to.
+// Ports are what a node speaks to: what a leader needs, and the stream of the operators.
 type Ports struct {
-	Log          oleanderline.KeyedLog
+	term.Ports
+
 	Config       oleanderline.Stream // of the operators' configuration
 	ConfigKey    string
 	DecodeConfig func(value []byte) (*oleanderline.CellConfig, error)
-	Workers      oleanderline.Stream // directory of workers
-	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
-	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
-	Adviser      oleanderline.Adviser // nil if there is none
-	// Fleet, if there is one, carries out the maintenance windows in the stream of the configuration, as told by IsWindow
-	// and DecodeWindow. Their states go to Status.
-	Fleet        oleanderline.Fleet
+	// IsWindow and DecodeWindow tell the maintenance windows in the stream of the configuration. They are used if there is a
+	// Fleet.
 	IsWindow     func(key string) bool
 	DecodeWindow func(oleanderline.KeyedRecord) (oleanderline.MaintenanceWindow, error)
-	Status       oleanderline.Stream
-	EncodeWindow func(id oleanderline.WindowID, complete bool) (oleanderline.KeyedRecord, error)
-	Wall         func() time.Time
 }
 
 // Timing of a node.
--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -130,14 +130,15 @@
 	m.node = New(w.commons[index], Settings{
 		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Cores: 1, MaxLease: maxHold, KeepJob: time.Hour,
 	}, Ports{
-		Log: &cellfake.Log{Store: w.store, Path: m.store}, Config: streamOp, ConfigKey: "config",
-		DecodeConfig: func([]byte) (*oleanderline.CellConfig, error) { return worldConfig, nil },
-		Workers:      streamDir,
-		DecodeWorker: decodeWorldWorker,
-		Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
-			return &cellfake.Runner{Worker: byID[id], Path: m.paths[id]}
+		Ports: term.Ports{
+			Log: &cellfake.Log{Store: w.store, Path: m.store}, Workers: streamDir, DecodeWorker: decodeWorldWorker,
+			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
+				return &cellfake.Runner{Worker: byID[id], Path: m.paths[id]}
+			},
+			Wall: time.Now,
 		},
-		Wall: time.Now,
+		Config: streamOp, ConfigKey: "config",
+		DecodeConfig: func([]byte) (*oleanderline.CellConfig, error) { return worldConfig, nil },
 	})
 	if w.fleet != nil {
 		m.node.settings.Maintenance = term.Maintenance{Takes: 2 * time.Second, Quiet: 3 * time.Second}
--- /dev/null
+++ b/pkg/replica/apply.go
@@ -0,0 +1,147 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/maintenance"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+func (r *Replica) applyRecord(rec oleanderline.KeyedRecord, now time.Time) (Change, error) {
+	kind, id := record.Split(rec.Key)
+	job := oleanderline.JobID(id)
+	var err error
+	switch kind {
+	case record.KindJob:
+		err = r.applyJob(job, rec)
+	case record.KindCancel:
+		if len(rec.Value) > 0 {
+			r.applyCancel(r.entry(job), rec, now)
+		}
+	case record.KindProgress:
+		err = r.applyProgress(job, rec, now)
+	case record.KindWorker:
+		err = r.applyWorker(oleanderline.WorkerID(id), rec)
+	case record.KindNode:
+		err = r.applyNode(oleanderline.VMID(id), rec)
+	case record.KindWindow:
+		err = r.applyWindow(id, rec)
+	case record.KindLeader:
+		err = r.applyLeader(rec)
+	case record.KindPairs:
+		r.pairs, err = record.Decode[[]pairs.Evidence](rec)
+	}
+	return Change{Kind: kind, Job: job, Leader: r.leader}, err
+}
+
+func (r *Replica) entry(id oleanderline.JobID) *Entry {
+	entry := r.jobs[id]
+	if entry == nil {
+		entry = &Entry{}
+		r.jobs[id] = entry
+	}
+	return entry
+}
+
+// applyCancel keeps the first cancellation.
+func (r *Replica) applyCancel(entry *Entry, rec oleanderline.KeyedRecord, now time.Time) {
+	if !entry.Cancelled {
+		entry.Cancelled, entry.cancelledAt = true, rec.Offset
+	}
+	r.finish(entry, now)
+}
+
+func (r *Replica) finish(entry *Entry, now time.Time) {
+	if entry.FinishedAt.IsZero() && entry.State().Final() {
+		entry.FinishedAt = now
+	}
+}
+
+// applyJob keeps the first submission of an id. The same one may be stored again by another process.
+func (r *Replica) applyJob(id oleanderline.JobID, rec oleanderline.KeyedRecord) error {
+	if len(rec.Value) == 0 {
+		delete(r.jobs, id)
+		return nil
+	}
+	if entry := r.jobs[id]; entry != nil && entry.Job.ID != "" {
+		return nil
+	}
+	job, err := record.Decode[oleanderline.Job](rec)
+	if err != nil {
+		return err
+	}
+	job.ID = id
+	r.entry(id).Job = job
+	return nil
+}
+
+func (r *Replica) applyProgress(id oleanderline.JobID, rec oleanderline.KeyedRecord, now time.Time) error {
+	if len(rec.Value) == 0 {
+		delete(r.jobs, id)
+		return nil
+	}
+	progress, err := record.Decode[record.Progress](rec)
+	if err != nil {
+		return err
+	}
+	entry := r.entry(id)
+	if progress.State.Final() && !entry.Progress.State.Final() {
+		entry.finalAt = rec.Offset
+	}
+	entry.Progress = progress
+	r.finish(entry, now)
+	return nil
+}
+
+func (r *Replica) applyWorker(id oleanderline.WorkerID, rec oleanderline.KeyedRecord) error {
+	if len(rec.Value) == 0 {
+		delete(r.workers, id)
+		return nil
+	}
+	worker, err := record.Decode[record.Worker](rec)
+	if err != nil {
+		return err
+	}
+	worker.ID = id
+	r.workers[id] = worker
+	return nil
+}
+
+func (r *Replica) applyNode(vm oleanderline.VMID, rec oleanderline.KeyedRecord) error {
+	if len(rec.Value) == 0 {
+		delete(r.nodes, vm)
+		return nil
+	}
+	node, err := record.Decode[record.Node](rec)
+	if err != nil {
+		return err
+	}
+	r.nodes[vm] = node
+	return nil
+}
+
+func (r *Replica) applyWindow(key string, rec oleanderline.KeyedRecord) error {
+	id, err := record.WindowOf(key)
+	if err != nil {
+		return err
+	}
+	progress, err := record.Decode[maintenance.Progress](rec)
+	if err != nil {
+		return err
+	}
+	r.windows[id] = progress
+	return nil
+}
+
+func (r *Replica) applyLeader(rec oleanderline.KeyedRecord) error {
+	leader, err := record.Decode[record.Leader](rec)
+	if err != nil {
+		return err
+	}
+	if leader.Term >= r.leader.Term {
+		r.leader = leader
+	}
+	return nil
+}
--- a/pkg/term/directory.go
+++ b/pkg/term/directory.go
@@ -41,7 +41,7 @@
 		delete(entries, id)
 		return known
 	}
-	entry, err := s.ports.Decode(rec)
+	entry, err := s.ports.DecodeWorker(rec)
 	if err != nil {
 		s.common.Event(common.EventWorkerMalformed).WithError(err).Warn("entry of the directory skipped")
 		delete(entries, id)
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -34,10 +34,10 @@
 // Ports are what a session speaks to.
 type Ports struct {
 	Log oleanderline.KeyedLog
-	// Workers is the stream of the directory, decoded by Decode.
-	Workers oleanderline.Stream
-	Decode  func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
-	Dial    func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	// Workers is the stream of the directory, decoded by DecodeWorker.
+	Workers      oleanderline.Stream
+	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
+	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
 	// Adviser is nil if there is none.
 	Adviser oleanderline.Adviser
 	// Fleet is nil if there is none.
