--- a/pkg/sched/link.go
+++ b/pkg/sched/link.go
@@ -14,8 +14,9 @@
 	}
 	switch m := message.(type) {
 	case shard.SendOffer:
+		args := OfferArgs{Shard: m.To, From: m.From, Term: m.Term, Tasks: m.Tasks}
 		s.deliver(shard.LinkDone{ID: m.ID, Accepted: s.linkAccepted(ownerCall{
-			shard: m.To, method: serviceName + ".Offer", args: OfferArgs{Shard: m.To, Tasks: m.Tasks}, local: offerTo(m.Tasks),
+			shard: m.To, method: serviceName + ".Offer", args: args, local: offerTo(args),
 		})})
 	case shard.SendReport:
 		s.deliver(shard.LinkDone{ID: m.ID, Accepted: s.linkAccepted(ownerCall{
@@ -31,9 +32,11 @@
 	return err == nil && answer.Verdict == shard.Accepted
 }
 
-func offerTo(tasks []shard.MovedTask) localCall {
+func offerTo(args OfferArgs) localCall {
 	return func(ctx context.Context, s *shardDuty) (shard.Answer, error) {
-		return s.ask(ctx, func(token shard.Token) shard.Event { return shard.Offer{Token: token, Tasks: tasks} })
+		return s.ask(ctx, func(token shard.Token) shard.Event {
+			return shard.Offer{Token: token, From: args.From, Term: args.Term, Tasks: args.Tasks}
+		})
 	}
 }
 
@@ -43,15 +46,17 @@
 	}
 }
 
-// collectRooms asks the shards that this process owns for their room.
-func (d *Daemon) collectRooms() map[oleanderline.ShardID]shard.Room {
+// collectRooms asks the shards that this process owns for their room, and all for the newest term that they have read.
+func (d *Daemon) collectRooms() (map[oleanderline.ShardID]shard.Room, map[oleanderline.ShardID]oleanderline.Term) {
 	rooms := map[oleanderline.ShardID]shard.Room{}
+	terms := map[oleanderline.ShardID]oleanderline.Term{}
 	for _, s := range d.shards {
 		s.inspectBriefly(func(core *shard.Core) {
+			terms[s.id] = core.NewestTerm()
 			if room, ok := core.Room(); ok {
 				rooms[s.id] = room
 			}
 		})
 	}
-	return rooms
+	return rooms, terms
 }
--- a/pkg/sched/peer_service.go
+++ b/pkg/sched/peer_service.go
@@ -45,6 +45,8 @@
 // OfferArgs brings tasks that move to a shard.
 type OfferArgs struct {
 	Shard oleanderline.ShardID
+	From  oleanderline.ShardID
+	Term  oleanderline.Term // of the owner of From
 	Tasks []shard.MovedTask
 }
 
@@ -62,7 +64,7 @@
 
 // Offer records tasks that move here, if this process owns the shard.
 func (p *peerService) Offer(args OfferArgs, reply *shard.Answer) error {
-	return p.askShard(args.Shard, reply, offerTo(args.Tasks))
+	return p.askShard(args.Shard, reply, offerTo(args))
 }
 
 // Report records the ends of tasks that moved away, if this process owns the shard.
--- a/pkg/sched/roster.go
+++ b/pkg/sched/roster.go
@@ -47,7 +47,7 @@
 // heartbeat sends a heartbeat to every own VM of the region whose turn it is not, and passes the members to the shards.
 func (r *roster) heartbeat() {
 	d := r.daemon
-	rooms := d.collectRooms()
+	rooms, terms := d.collectRooms()
 	r.mu.Lock()
 	r.rooms[r.self.ID] = rooms
 	r.mu.Unlock()
@@ -68,7 +68,7 @@
 	all := r.allRooms()
 	for i, s := range d.shards {
 		s.deliver(shard.Members{Ranked: r.ranked(oleanderline.ShardID(i))})
-		s.deliver(shard.Rooms{ByShard: all})
+		s.deliver(shard.Rooms{ByShard: all, Terms: terms})
 	}
 }
 
--- a/pkg/shard/action.go
+++ b/pkg/shard/action.go
@@ -97,6 +97,8 @@
 type SendOffer struct {
 	ID    uint64
 	To    oleanderline.ShardID
+	From  oleanderline.ShardID
+	Term  oleanderline.Term
 	Tasks []MovedTask
 }
 
--- a/pkg/shard/core.go
+++ b/pkg/shard/core.go
@@ -113,6 +113,7 @@
 		c.leaving = true
 	case Rooms:
 		c.rooms = maps.Clone(e.ByShard)
+		c.noteTerms(e.Terms)
 	case Offer:
 		c.offered(e)
 	case Report:
@@ -182,7 +183,7 @@
 	c.health = health.New(c.cfg.Health)
 	c.health.SetSize(c.workers.listed())
 	c.queue = c.newQueue()
-	c.links = links{rooms: c.rooms, linkID: c.linkID}
+	c.links = links{rooms: c.rooms, terms: c.terms, linkID: c.linkID}
 	c.workers.dropTasks()
 	c.stream = stream{next: from, readTime: c.readTime, reading: c.reading}
 }
--- a/pkg/shard/event.go
+++ b/pkg/shard/event.go
@@ -96,9 +96,10 @@
 // Leave asks the owner to hand the shard over, because its process stops.
 type Leave struct{}
 
-// Rooms tells how much room the other shards of the region have.
+// Rooms tells how much room the other shards of the region have, and the newest term of each that this process has read.
 type Rooms struct {
 	ByShard map[oleanderline.ShardID]Room
+	Terms   map[oleanderline.ShardID]oleanderline.Term
 }
 
 // Room is what the owner of a shard tells the others.
@@ -111,6 +112,8 @@
 // Offer asks to take tasks of another shard. It is answered by Accepted when all are recorded, and otherwise repeated.
 type Offer struct {
 	Token Token
+	From  oleanderline.ShardID
+	Term  oleanderline.Term // of the owner that offers
 	Tasks []MovedTask
 }
 
--- a/pkg/shard/guest.go
+++ b/pkg/shard/guest.go
@@ -42,6 +42,11 @@
 		c.answer(e.Token, NotOwner, "another process owns the shard")
 		return
 	}
+	if e.Term < c.terms[e.From] {
+		// It may have been on its way for long, and its tasks may have ended here and be forgotten.
+		c.answer(e.Token, NotRun, "a newer owner has claimed the home shard")
+		return
+	}
 	all := true
 	for _, moved := range e.Tasks {
 		all = c.take(moved) && all
@@ -49,6 +54,16 @@
 	c.answerLink(e.Token, all)
 }
 
+// noteTerms keeps the newest term of each shard.
+func (c *Core) noteTerms(terms map[oleanderline.ShardID]oleanderline.Term) {
+	if c.terms == nil {
+		c.terms = map[oleanderline.ShardID]oleanderline.Term{}
+	}
+	for id, term := range terms {
+		c.terms[id] = max(c.terms[id], term)
+	}
+}
+
 // take reports whether the task is recorded here, and with its cancellation if it is cancelled.
 func (c *Core) take(moved MovedTask) bool {
 	j := c.jobs[moved.Job.ID]
--- a/pkg/shard/move.go
+++ b/pkg/shard/move.go
@@ -23,6 +23,8 @@
 // until the other shard has an accept record, and a report that is repeated until the end is recorded here.
 type links struct {
 	rooms map[oleanderline.ShardID]Room
+	// terms holds the newest term of each shard that is known. Offers of earlier owners are refused.
+	terms map[oleanderline.ShardID]oleanderline.Term
 	away  []*task // moved, in order
 	// messages are put together, or on their way.
 	messages map[linkKey]*link
@@ -186,7 +188,7 @@
 		c.emit(SendReport{ID: l.id, To: key.shard, Ends: l.ends})
 		return
 	}
-	message := SendOffer{ID: l.id, To: key.shard}
+	message := SendOffer{ID: l.id, To: key.shard, From: c.cfg.Shard, Term: c.term}
 	for _, t := range l.tasks {
 		kept := t.kept()
 		kept.Moved, kept.To = false, 0
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -249,12 +249,15 @@
 			t.owned = owned{}
 		}
 	}
-	c.links = links{rooms: c.rooms, linkID: c.linkID}
+	c.links = links{rooms: c.rooms, terms: c.terms, linkID: c.linkID}
 	c.workers.resetOwned(c.cfg.Without.Inventory)
 }
 
 // Owning reports whether this process owns the shard, as far as it knows.
 func (c *Core) Owning() bool { return c.owning }
 
+// NewestTerm returns the newest term of the shard that this process has read.
+func (c *Core) NewestTerm() oleanderline.Term { return c.order.Term() }
+
 // Owner returns the owner of the shard and its peer address, as far as this process knows.
 func (c *Core) Owner() (oleanderline.VMID, string) { return c.order.Owner() }
--- a/pkg/shard/schedule_test.go
+++ b/pkg/shard/schedule_test.go
@@ -276,6 +276,19 @@
 	require.Positive(t, messages.Load(), "no task moved between shards")
 }
 
+// Guards against the return of faults that seeds beyond those of TestSchedules have found.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	type scenario struct {
+		seed  uint64
+		cause string
+	}
+	for _, s := range []scenario{
+		{2849, "an offer that its sender had decided before a pause of two minutes, taken after the task had ended and was forgotten"},
+	} {
+		require.Empty(t, run(s.seed, shard.Without{}, false), "seed %d: %s", s.seed, s.cause)
+	}
+}
+
 // TestReplay writes down the schedule with the seed in OLEANDER_SEED, to find the cause of a fault.
 func TestReplay(t *testing.T) {
 	seed, err := strconv.ParseUint(os.Getenv("OLEANDER_SEED"), 10, 64)
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -335,13 +335,22 @@
 		}
 		w.feed(p, id, members)
 		w.feed(p, id, shard.Drains{Workers: w.drains})
-		w.feed(p, id, shard.Rooms{ByShard: rooms})
+		w.feed(p, id, shard.Rooms{ByShard: rooms, Terms: p.terms()})
 		if err == nil {
 			w.feed(p, id, shard.VMs{Workers: workersOf(rows, id), Asked: now, Largest: []oleanderline.Size{workerSize}})
 		}
 	}
 }
 
+// terms returns the newest terms that the process has read.
+func (p *process) terms() map[oleanderline.ShardID]oleanderline.Term {
+	terms := map[oleanderline.ShardID]oleanderline.Term{}
+	for id, core := range p.cores {
+		terms[oleanderline.ShardID(id)] = core.NewestTerm()
+	}
+	return terms
+}
+
 // rooms collects what the owners tell.
 func (w *world) rooms() map[oleanderline.ShardID]shard.Room {
 	rooms := map[oleanderline.ShardID]shard.Room{}
@@ -407,7 +416,9 @@
 	case shard.Call:
 		w.call(p, id, a)
 	case shard.SendOffer:
-		w.link(p, id, int(a.To), a.ID, func(token shard.Token) shard.Event { return shard.Offer{Token: token, Tasks: a.Tasks} })
+		w.link(p, id, int(a.To), a.ID, func(token shard.Token) shard.Event {
+			return shard.Offer{Token: token, From: a.From, Term: a.Term, Tasks: a.Tasks}
+		})
 	case shard.SendReport:
 		w.link(p, id, int(a.To), a.ID, func(token shard.Token) shard.Event { return shard.Report{Token: token, Ends: a.Ends} })
 	case shard.Answer:
