--- a/pkg/lead/watch.go
+++ b/pkg/lead/watch.go
@@ -9,6 +9,7 @@
 	heard    time.Time // when a record of the leader was read last
 	readable time.Time // since when every read has succeeded; zero while reads fail
 	resigned bool
+	gone     bool // it is certain that the leader does not live any more
 }
 
 // NewWatch returns a watch that takes a leader as lost after timeout without a record of it.
@@ -27,7 +28,12 @@
 // Heard tells that a record of the leader was read.
 func (w *Watch) Heard(resigned bool, now time.Time) {
 	w.heard = now
-	w.resigned = resigned
+	w.resigned, w.gone = resigned, false
+}
+
+// Gone tells that the leader whose record was read does not live any more.
+func (w *Watch) Gone(now time.Time) {
+	w.heard, w.gone = now, true
 }
 
 // Claim reports whether this process should claim leadership after waiting for its own delay, which differs between
@@ -48,7 +54,7 @@
 	if w.readable.After(since) {
 		since = w.readable
 	}
-	if w.resigned && w.readable.Before(w.heard) {
+	if w.gone || (w.resigned && w.readable.Before(w.heard)) {
 		return since.Add(delay), true
 	}
 	return since.Add(w.timeout + delay), true
--- a/pkg/lead/watch_test.go
+++ b/pkg/lead/watch_test.go
@@ -43,6 +43,15 @@
 			w.Read(true, start)
 			w.Heard(true, start.Add(time.Second))
 		}, time.Second + delay, true},
+		{"gone for certain", func(w *Watch) {
+			w.Read(true, start)
+			w.Gone(start)
+		}, delay, true},
+		{"another one after one that is gone", func(w *Watch) {
+			w.Read(true, start)
+			w.Gone(start)
+			w.Heard(false, start.Add(delay/2))
+		}, timeout, false},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			w := NewWatch(timeout)
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -35,6 +35,7 @@
 	n.common.Event(common.EventClaimed).WithField("term", old.Term).WithField("leader", old.VM).Info("leader is lost, claiming")
 	leader, err := n.storeClaim()
 	if err == nil {
+		n.ownTerm = leader.Term
 		err = n.fence(leader)
 	}
 	if err == nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -37,6 +37,7 @@
 	session atomic.Pointer[term.Session]
 	// claimsSeen is the number of the newest claim by another process that has not been heard yet.
 	claimsSeen int
+	ownTerm    oleanderline.Term // of the newest claim of this process
 	logReads   reachability
 	metrics    *nodeMetrics
 }
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -116,7 +116,7 @@
 	for _, change := range changes {
 		switch change.Kind {
 		case record.KindLeader:
-			n.watch.Heard(change.Leader.Resigned, n.common.Clock.Now())
+			n.hear(change.Leader)
 		case record.KindJob:
 			if entry, ok := n.replica.Job(change.Job); ok && s != nil {
 				s.AddJob(entry)
@@ -131,6 +131,16 @@
 	}
 }
 
+// hear takes in a record of the leader. If an earlier process of this VM led, that leader has gone with it.
+func (n *Node) hear(leader record.Leader) {
+	now := n.common.Clock.Now()
+	if leader.VM == n.settings.VM && leader.Term != n.ownTerm && n.session.Load() == nil {
+		n.watch.Gone(now)
+		return
+	}
+	n.watch.Heard(leader.Resigned, now)
+}
+
 // yieldToStronger hands leadership over when a VM with a larger processor share has started.
 func (n *Node) yieldToStronger(s *term.Session) {
 	if s == nil || s.Ended() || n.settings.Cores >= weakShare*n.replica.MostCores() {
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -46,9 +46,8 @@
 	aloneFor = 10 * time.Second
 	// runLimit is how long a run lasts after its last order at most: the clock of a worker may be 2% slow.
 	runLimit = lease + lease/20 + 200*time.Millisecond
-	// horizon is how long after a claim a run of an earlier leader may last: that leader had not been heard for
-	// leaderTimeout.
-	horizon = aloneFor - leaderTimeout + runLimit
+	// horizon is how long after a claim a run of an earlier leader may last. That leader may have been heard just before.
+	horizon = aloneFor + runLimit
 	// majorityAge covers a hold that waits, its answer and a slow process.
 	majorityAge = 1500 * time.Millisecond
 	holdWait    = 600 * time.Millisecond
