--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -13,7 +13,7 @@
 	paceStep = 50
 	// paceOver and paceUnder are shares of the target of a tail latency above which suspect fillers stand still and below
 	// which they speed up again.
-	paceOver  = 1.0
+	paceOver  = 0.85
 	paceUnder = 0.7
 	// paceLag is the time after a change for which reports still cover what was before it.
 	paceLag = 700 * time.Millisecond
