--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -19,8 +19,8 @@
 type Observer interface {
 	// Work returns what a run does.
 	Work(key oleanderline.RunKey, payload string) Work
-	// Started tells that a run began.
-	Started(worker oleanderline.WorkerID, key oleanderline.RunKey, term oleanderline.Term)
+	// Started tells that a run began on an order that was sent at ordered.
+	Started(worker oleanderline.WorkerID, key oleanderline.RunKey, term oleanderline.Term, ordered time.Time)
 	// Ended tells that a run ended.
 	Ended(worker oleanderline.WorkerID, key oleanderline.RunKey, how oleanderline.EndKind)
 	// Acked tells that an end was acknowledged, and whether the worker's deadline had passed since the end.
@@ -193,8 +193,13 @@
 	w.deadline = max(w.deadline, min(deadline, limit))
 }
 
-// Start carries out an order.
+// Start carries out an order at once.
 func (w *Worker) Start(order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	return w.start(order, time.Now())
+}
+
+// start carries out an order that was sent at ordered.
+func (w *Worker) start(order oleanderline.StartRun, ordered time.Time) (oleanderline.WorkerTime, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.accept(order.Term); err != nil {
@@ -217,7 +222,7 @@
 	}
 	w.used = w.used.Add(work.Size)
 	w.runs[order.Key] = &run{work: work, began: time.Now()}
-	w.observer.Started(w.id, order.Key, order.Term)
+	w.observer.Started(w.id, order.Key, order.Term, ordered)
 	return w.clock(), nil
 }
 
@@ -312,7 +317,8 @@
 
 // Start implements oleanderline.Runner.
 func (r *Runner) Start(ctx context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
-	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.Start(order) })
+	ordered := time.Now()
+	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.start(order, ordered) })
 }
 
 // order makes a call that may be carried out late. It waits at the worker, so it is lost if the worker crashes meanwhile.
