--- a/pkg/plan/apart.go
+++ b/pkg/plan/apart.go
@@ -11,7 +11,7 @@
 	// it disturbs, at the pace that these allow.
 	apartFor = 30 * time.Second
 	// trialInterval spaces the trials of a pair that is suspected but not certain to be harmful.
-	trialInterval = 2 * time.Second
+	trialInterval = 1 * time.Second
 	certain       = 0.95
 	// clean is the suspicion up to which another filler does not blur a trial.
 	clean = 0.1
