--- a/pkg/maintenance/coordinator.go
+++ b/pkg/maintenance/coordinator.go
@@ -51,11 +51,18 @@
 const (
 	waiting phase = iota
 	vacating
-	ordered  // it is not known whether the order was carried out
-	accepted // down, or back already
+	intended  // the order is given once it is stored that it may be
+	inherited // an earlier leader may have given an order, which may be carried out late
+	ordered   // it is not known whether the order was carried out
+	accepted  // down, or back already
 	finished
 )
 
+// mayBeDown reports whether a VM in the phase counts as down.
+func (p phase) mayBeDown() bool {
+	return p == intended || p == inherited || p == ordered || p == accepted
+}
+
 type vm struct {
 	phase  phase
 	since  time.Time
@@ -78,7 +85,9 @@
 
 // Progress is what is stored of a window.
 type Progress struct {
-	Done     []oleanderline.VMID `json:"done,omitempty"`
+	Done []oleanderline.VMID `json:"done,omitempty"`
+	// Ordered are the VMs that a leader may have ordered down without an answer. A later leader counts them as down.
+	Ordered  []oleanderline.VMID `json:"sent,omitempty"`
 	Complete bool                `json:"complete,omitempty"`
 }
 
@@ -105,6 +114,11 @@
 	for _, id := range asked.VMs {
 		w.vms[id] = &vm{}
 	}
+	for _, id := range past.Ordered {
+		if v := w.vms[id]; v != nil {
+			v.phase = inherited
+		}
+	}
 	for _, id := range past.Done {
 		if v := w.vms[id]; v != nil {
 			v.phase = finished
@@ -131,8 +145,11 @@
 		w := c.windows[id]
 		progress := Progress{Complete: w.complete}
 		for _, name := range w.VMs {
-			if v := w.vms[name]; v.phase == accepted || v.phase == finished {
+			switch w.vms[name].phase {
+			case accepted, finished:
 				progress.Done = append(progress.Done, name)
+			case intended, inherited, ordered:
+				progress.Ordered = append(progress.Ordered, name)
 			}
 		}
 		changes[id] = progress
@@ -141,6 +158,22 @@
 	return changes
 }
 
+// Stored tells that the progress of a window is stored, and returns the orders that may be given now.
+func (c *Coordinator) Stored(id oleanderline.WindowID, progress Progress, now time.Time) []Order {
+	w := c.windows[id]
+	if w == nil {
+		return nil
+	}
+	var orders []Order
+	for _, name := range progress.Ordered {
+		if v := w.vms[name]; v != nil && v.phase == intended {
+			v.phase, v.since = ordered, now
+			orders = append(orders, Order{Window: id, VM: name})
+		}
+	}
+	return orders
+}
+
 // Decide returns what to do next, given what the platform says about all VMs.
 func (c *Coordinator) Decide(list []oleanderline.FleetVM, cell Cell, now time.Time) Decision {
 	known := map[oleanderline.VMID]oleanderline.FleetVM{}
@@ -179,9 +212,23 @@
 		case vacating:
 			d.Vacate = append(d.Vacate, v.worker)
 			if down < w.AtOnce && c.mayGoDown(w, v, cell, now) {
+				v.phase = intended
+				c.dirty[w.ID] = true
+				down++
+			}
+		case intended:
+			d.Vacate = append(d.Vacate, v.worker)
+		case inherited:
+			if listed.State != oleanderline.FleetUp {
+				break
+			}
+			if v.worker != listed.Worker {
+				v.worker, v.since = listed.Worker, now
+			}
+			d.Vacate = append(d.Vacate, v.worker)
+			if c.mayGoDown(w, v, cell, now) {
 				v.phase, v.since = ordered, now
 				d.Orders = append(d.Orders, Order{Window: w.ID, VM: id})
-				down++
 			}
 		case ordered:
 			d.Vacate = append(d.Vacate, v.worker)
@@ -207,7 +254,7 @@
 			v.phase = finished
 		}
 		switch {
-		case v.phase == ordered || v.phase == accepted || (exists && listed.State == oleanderline.FleetMaintenance):
+		case v.phase.mayBeDown() || (exists && listed.State == oleanderline.FleetMaintenance):
 			down++
 		case v.phase == vacating:
 			emptied++
@@ -250,6 +297,7 @@
 		c.dirty[w.ID] = true
 	case NotDone:
 		v.phase = waiting
+		c.dirty[w.ID] = true
 	case Unknown: // it is repeated
 	}
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -146,7 +146,9 @@
 	return (w.entry.Capacity.CPU-busy)*oleanderline.Millicores(w.pace.percent)/paceFull - w.filling
 }
 
-// Weights of what makes a worker better for a task, beside its share of free processors.
+// Weights of what makes a worker better for a task, beside its share of free processors. Lasting tasks are packed: workers
+// without any disturb nobody, and have room for large tasks. At least half of a step runs elsewhere (scoreReplicas), so that
+// its tails can be compared and one worker's loss ends half of it at most.
 const (
 	scoreRack     = 2.0
 	scoreHarm     = 1.0
--- a/pkg/term/collect.go
+++ b/pkg/term/collect.go
@@ -20,8 +20,9 @@
 		s.common.Event(common.EventRecordMalformed).WithError(err).Error("worker cannot be encoded")
 	}
 	s.connect()
-	records = append(append(append(append(records, workers...), s.pairs()...), s.forget()...), s.windowRecords()...)
-	reply <- flush{records: records, done: flushed{mark: mark, workers: ids}}
+	windows := s.windows.Changes()
+	records = append(append(append(append(records, workers...), s.pairs()...), s.forget()...), s.windowRecords(windows)...)
+	reply <- flush{records: records, done: flushed{mark: mark, workers: ids, windows: windows}}
 }
 
 // ask puts a question to the adviser.
--- a/pkg/term/fleet.go
+++ b/pkg/term/fleet.go
@@ -44,10 +44,14 @@
 	}
 	decision := s.windows.Decide(vms, s.planner, now)
 	s.planner.Vacate(decision.Vacate, now)
-	for _, order := range decision.Orders {
+	s.takeDownAll(decision.Orders)
+	s.maintains.Store(s.windows.Open())
+}
+
+func (s *Session) takeDownAll(orders []maintenance.Order) {
+	for _, order := range orders {
 		s.duties.Go(func() { s.takeDown(order) })
 	}
-	s.maintains.Store(s.windows.Open())
 }
 
 // takeDown orders the maintenance of one VM.
@@ -85,10 +89,10 @@
 	s.windows.Answered(m.order, result, now)
 }
 
-// windowRecords returns the records of the windows that have changed. Operators are told what follows from them.
-func (s *Session) windowRecords() []oleanderline.KeyedRecord {
+// windowRecords returns the records of windows that have changed. Operators are told what follows from them.
+func (s *Session) windowRecords(changes map[oleanderline.WindowID]maintenance.Progress) []oleanderline.KeyedRecord {
 	var records []oleanderline.KeyedRecord
-	for id, progress := range s.windows.Changes() {
+	for id, progress := range changes {
 		rec, err := record.ForWindow(id, progress)
 		if err != nil {
 			s.common.Event(common.EventRecordMalformed).WithError(err).Error("window cannot be encoded")
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -152,6 +152,9 @@
 	for _, id := range m.workers {
 		s.planner.WorkerRecorded(id)
 	}
+	for id, progress := range m.windows {
+		s.takeDownAll(s.windows.Stored(id, progress, s.common.Clock.Now()))
+	}
 	for id, acked := range s.planner.Flushed(m.mark) {
 		if l := s.links[id]; l != nil {
 			l.Ack(acked)
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -45,6 +45,7 @@
 	flushed   struct {
 		mark    plan.Mark
 		workers []oleanderline.WorkerID
+		windows map[oleanderline.WindowID]maintenance.Progress
 	}
 )
 
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -96,7 +96,7 @@
 	if beat {
 		w.beat = now
 	}
-	if len(f.done.mark) > 0 || len(f.done.workers) > 0 {
+	if len(f.done.mark) > 0 || len(f.done.workers) > 0 || len(f.done.windows) > 0 {
 		s.post(f.done)
 	}
 }
