--- a/pkg/plan/level.go
+++ b/pkg/plan/level.go
@@ -73,9 +73,5 @@
 
 // serves reports whether a lasting task is at work within its target, as far as is known.
 func (t *task) serves() bool {
-	if t.state != taskRunning || t.percent < atWork || t.worker.silent {
-		return false
-	}
-	target := t.group.step.TailTarget
-	return target == 0 || int64(t.gauge) <= target.Milliseconds()
+	return t.atWork() && !t.worker.silent && t.ratio() <= 1
 }
--- a/pkg/plan/pace.go
+++ b/pkg/plan/pace.go
@@ -26,7 +26,7 @@
 	paceRepeat = 2 * time.Second
 	// noticeableShare is the share of a worker's processors from which the work of fillers shows in the tails beside them.
 	noticeableShare = 0.05
-	// doubtFor is how long a target is missed beside fillers that are not suspicious before they are slowed down too.
+	// doubtFor is how long a tail is too high beside fillers that are not suspicious before they are slowed down too.
 	doubtFor = 1500 * time.Millisecond
 	// suspectShare is the share of the highest suspicion on a worker from which a filler is slowed down.
 	suspectShare = 0.4
@@ -105,34 +105,48 @@
 	return fillers
 }
 
-// observeTails learns from the tails of the lasting tasks, and returns the highest ratio of a tail to its target.
+// observeTails returns the highest ratio of a tail to its target, and now and then learns from the tails.
 func (p *Planner) observeTails(w *worker, fillers []*task, now time.Time) float64 {
-	tails := map[pairs.Image]*imageTails{}
 	worst := 0.0
 	for t := range w.tasks {
-		target := t.group.step.TailTarget
-		if target == 0 || t.state != taskRunning {
+		worst = max(worst, t.ratio())
+	}
+	if now.Sub(w.looked) < lookInterval || now.Sub(w.pace.changed) < paceLag || now.Sub(w.moved) < paceLag {
+		return worst
+	}
+	w.looked = now
+	p.learn(w, fillers, now)
+	return worst
+}
+
+// learn passes the tails of the lasting tasks on, as evidence about the fillers beside them.
+func (p *Planner) learn(w *worker, fillers []*task, now time.Time) {
+	tails := map[pairs.Image]*imageTails{}
+	for t := range w.tasks {
+		if t.group.step.TailTarget == 0 || t.state != taskRunning {
 			continue
 		}
-		ratio := float64(t.gauge) / float64(target.Milliseconds())
-		worst = max(worst, ratio)
 		image := imageOf(t)
 		if tails[image] == nil {
 			tails[image] = &imageTails{}
 		}
-		tails[image].add(ratio, t.excess(now))
+		tails[image].add(t.ratio(), t.excess(now))
 	}
-	if now.Sub(w.looked) < lookInterval || now.Sub(w.pace.changed) < paceLag || now.Sub(w.moved) < paceLag {
-		return worst
-	}
-	w.looked = now
 	steady, recent := w.working(fillers, now)
 	for image, seen := range tails {
 		p.pairs.Observe(pairs.Look{
 			Serving: image, Ratio: seen.ratio, Excess: seen.excess(), Steady: steady, Recent: recent,
 		})
 	}
-	return worst
+}
+
+// ratio returns the reported tail of a lasting task as a share of its target, or 0 if it has none or does not run.
+func (t *task) ratio() float64 {
+	target := t.group.step.TailTarget
+	if target == 0 || t.state != taskRunning {
+		return 0
+	}
+	return float64(t.gauge) / float64(target.Milliseconds())
 }
 
 // working returns the images of the fillers that work at full pace, by whether a report covers only their work. Those that
--- a/pkg/plan/replicas.go
+++ b/pkg/plan/replicas.go
@@ -35,13 +35,13 @@
 // carry the same load; 0 if there is nothing to compare. It compares with the lower ones, because the others may be
 // disturbed as well.
 func (t *task) excess(now time.Time) float64 {
-	if !t.atWork(now) {
+	if !t.settled(now) {
 		return 0
 	}
 	var tails []int
 	for i := range t.group.tasks {
 		other := &t.group.tasks[i]
-		if other.worker != nil && other.worker != t.worker && other.atWork(now) && now.Sub(other.worker.heard) < replicaAge {
+		if other.worker != nil && other.worker != t.worker && other.settled(now) && now.Sub(other.worker.heard) < replicaAge {
 			tails = append(tails, other.gauge)
 		}
 	}
@@ -52,7 +52,10 @@
 	return float64(t.gauge) / float64(tails[len(tails)/4])
 }
 
-// atWork reports whether a lasting task has served for long enough that its tail tells about nothing else.
-func (t *task) atWork(now time.Time) bool {
-	return t.state == taskRunning && t.percent >= atWork && now.Sub(t.moved) > paceLag && t.gauge > 0
+// settled reports whether a lasting task has served for long enough that its tail tells about nothing else.
+func (t *task) settled(now time.Time) bool {
+	return t.atWork() && now.Sub(t.moved) > paceLag && t.gauge > 0
 }
+
+// atWork reports whether a lasting task runs and serves.
+func (t *task) atWork() bool { return t.state == taskRunning && t.percent >= atWork }
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -43,7 +43,7 @@
 
 	pace   paceControl
 	ratio  float64                   // the highest ratio of a tail to its target in the newest report
-	over   time.Time                 // since when the ratio is above the target
+	over   time.Time                 // since when the ratio is too high (paceOver)
 	looked time.Time                 // when tails counted as evidence last
 	moved  time.Time                 // when a filler was moved away last
 	left   map[pairs.Image]time.Time // when fillers of an image left last
