--- a/pkg/plan/vacate.go
+++ b/pkg/plan/vacate.go
@@ -73,7 +73,7 @@
 	away := 0
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if t.worker != w && !t.atWork() {
+		if t.worker == nil || (t.worker != w && !t.atWork()) {
 			away++
 		}
 	}
--- a/pkg/plan/vacate_test.go
+++ b/pkg/plan/vacate_test.go
@@ -69,3 +69,21 @@
 	c.planner.Place(c.now, c.now)
 	require.Len(t, c.planner.Orders(), 1)
 }
+
+// Guards against a task that is stopped for maintenance while another one of its step waits for a worker: it is away as well.
+func TestWaitingTasksCountAsAway(t *testing.T) {
+	one := 1
+	c := newCell(t, 3)
+	c.add("a", oleanderline.Step{Count: 3, Size: testSizes, Lasting: true, MayMiss: &one, Spread: 1})
+	c.place()
+	for id := range c.workers {
+		c.gauges(id, 1)
+	}
+	c.reportAll()
+	kept := c.planner.task(taskOf("a", 0, 0))
+	require.True(t, kept.mayMiss())
+	c.endTask(taskOf("a", 0, 1), oleanderline.EndFailed)
+	c.reportAll()
+	require.Nil(t, c.planner.task(taskOf("a", 0, 1)).worker)
+	require.False(t, kept.mayMiss())
+}
