Let agents serve the workers that the leader cannot call itself

Cause: one leader opened two connections to every worker. On a VM of 0.069 cores and 2 Mbit/s it could not call 90 workers: calls timed out, workers were called silent, ends that they had listed were not read, and their tasks ran again.

Change: pkg/share says how many workers fit on a VM by processor, link and descriptors. The leader serves that many; other processes are invited as agents (pkg/agent), run the links of their workers and exchange batches with the leader (pkg/roster) over net/rpc (pkg/agentrpc). The permission to give orders runs from the sending of the pull that it answers and never outlasts the leader's own; times of reports are mapped to a time of the leader's clock that had surely come. The term is the fencing token as before. When an agent is lost or stops, its open orders count as uncertain and others serve its workers; a link knows when all has lapsed that was ordered over earlier links. A link that is closed now answers its open orders: a task could stay starting for ever after its worker had changed its address.

Ruled out: one connection for each worker and longer holds; the leader's processor would still need 3.3 cores.

--- a/cmd/oleander-node/program.go
+++ b/cmd/oleander-node/program.go
@@ -74,7 +74,7 @@
 		fleet = platform.NewFleet(settings.Fleet)
 	}
 	n := node.New(c, node.Settings{
-		VM: settings.VM, Cores: settings.Cores, MaxLease: settings.MaxHold,
+		VM: settings.VM, Limits: settings.Limits, MaxLease: settings.MaxHold,
 		KeepJob:     settings.KeepJobs,
 		Maintenance: term.Maintenance{Takes: settings.Maintenance, Quiet: settings.HolderLease},
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
--- /dev/null
+++ b/pkg/agent/reporter.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/link"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+)
+
+// reporter passes what one link learns to the leader.
+type reporter struct {
+	service *service
+	serves  int64
+}
+
+var _ link.Events = (*reporter)(nil)
+
+// Report implements link.Events.
+func (r *reporter) Report(id oleanderline.WorkerID, report oleanderline.WorkerReport, sent time.Time) {
+	r.add(Event{Kind: EventReport, Worker: id, Report: report, Sent: r.service.byLeader(sent)})
+}
+
+// Result implements link.Events.
+func (r *reporter) Result(result plan.Result) {
+	order := result.Order
+	order.Payload, order.Checkpoint = "", ""
+	r.add(Event{
+		Kind: EventResult, Worker: order.Worker, Order: order, Attempts: result.Attempts, Failure: FailureOf(result.Err),
+	})
+}
+
+// Silent implements link.Events.
+func (r *reporter) Silent(id oleanderline.WorkerID, err error) {
+	r.add(Event{Kind: EventSilent, Worker: id, Failure: FailureOf(err)})
+}
+
+// Lapsed implements link.Events.
+func (r *reporter) Lapsed(id oleanderline.WorkerID) { r.add(Event{Kind: EventLapsed, Worker: id}) }
+
+// Fenced implements link.Events.
+func (r *reporter) Fenced(id oleanderline.WorkerID) { r.add(Event{Kind: EventFenced, Worker: id}) }
+
+func (r *reporter) add(event Event) {
+	event.Serves = r.serves
+	r.service.outbox.add(event)
+}
--- /dev/null
+++ b/pkg/agentrpc/agentrpc.go
@@ -0,0 +1,98 @@
+// Package agentrpc carries the calls between a leader and its agents by net/rpc.
+package agentrpc
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/peer"
+)
+
+const (
+	serviceName = "Agents"
+	// callLimit bounds a call. A pull is answered after 0.2 s at the latest.
+	callLimit = time.Second
+)
+
+// Backend is what a process does for leaders and agents.
+type Backend interface {
+	Invite(invitation agent.Invitation) error
+	Pull(ctx context.Context, request agent.PullRequest) agent.PullReply
+	Push(request agent.PushRequest) agent.PushReply
+}
+
+// Service serves the calls of leaders and agents.
+type Service struct{ backend Backend }
+
+// InviteReply answers an invitation.
+type InviteReply struct{ Accepted bool }
+
+// Invite asks this process to serve workers for a leader.
+func (s *Service) Invite(invitation agent.Invitation, reply *InviteReply) error {
+	reply.Accepted = s.backend.Invite(invitation) == nil
+	return nil
+}
+
+// Pull answers an agent of this process.
+func (s *Service) Pull(request agent.PullRequest, reply *agent.PullReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	*reply = s.backend.Pull(ctx, request)
+	return nil
+}
+
+// Push takes in the events of an agent of this process.
+func (s *Service) Push(request agent.PushRequest, reply *agent.PushReply) error {
+	*reply = s.backend.Push(request)
+	return nil
+}
+
+// Register offers the backend to peers.
+func Register(server *peer.Server, backend Backend) error {
+	return server.Register(serviceName, &Service{backend: backend})
+}
+
+// Client calls leaders and agents by their addresses.
+type Client struct{ pool *peer.Pool }
+
+var _ agent.Leader = (*Client)(nil)
+
+// NewClient returns a client that calls over the connections of a pool.
+func NewClient(pool *peer.Pool) *Client { return &Client{pool: pool} }
+
+// Invite asks the process at address to serve workers.
+func (c *Client) Invite(ctx context.Context, address string, invitation agent.Invitation) error {
+	var reply InviteReply
+	if err := c.call(ctx, address, "Invite", invitation, &reply); err != nil {
+		return err
+	}
+	if !reply.Accepted {
+		return errors.New("the invitation was refused")
+	}
+	return nil
+}
+
+// Pull implements agent.Leader.
+func (c *Client) Pull(ctx context.Context, address string, request agent.PullRequest) (reply agent.PullReply, err error) {
+	err = c.call(ctx, address, "Pull", request, &reply)
+	return reply, err
+}
+
+// Push implements agent.Leader.
+func (c *Client) Push(ctx context.Context, address string, request agent.PushRequest) (reply agent.PushReply, err error) {
+	err = c.call(ctx, address, "Push", request, &reply)
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
+	conn := c.pool.Client(address)
+	if conn == nil {
+		return oleanderline.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return conn.Call(ctx, serviceName+"."+method, args, reply)
+}
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -30,5 +30,9 @@
 	EventMaintenance      Event = "E6037" // the leader takes the VM of a worker down for maintenance
 	EventFleetLost        Event = "E6038" // the list of VMs or the states of maintenance windows are behind; maintenance waits
 	EventWindowMalformed  Event = "E6039" // a maintenance window of the operators is malformed and skipped
+	EventAgentBegins      Event = "E6041" // this process serves workers for a leader
+	EventAgentEnds        Event = "E6042" // this process serves no workers for that leader any more
+	EventAgentLost        Event = "E6043" // an agent of this leader is lost or stops; others serve its workers
+	EventAgentRefused     Event = "E6044" // a process did not accept the invitation of this leader, or did not answer
 	EventLinesDropped     Event = "E6040" // log lines were left out because the bound a second was reached or the output is blocked
 )
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -37,6 +37,10 @@
 	Wait  time.Duration // how long a hold waits for an end
 	// Authority reports whether orders may be given now.
 	Authority func(now time.Time) bool
+	// LeaseEnd is when all has lapsed that was ordered before over another link; zero if there was none.
+	LeaseEnd time.Time
+	// Acked tells which ends are recorded already.
+	Acked plan.Acked
 }
 
 // Events takes what a link learns. The methods may block.
@@ -59,7 +63,9 @@
 	acks     chan struct{}
 
 	mu       sync.Mutex
-	known    bool // whether the worker's clock is known
+	closed   bool
+	ready    chan struct{} // closed when the worker's clock is known
+	known    bool          // whether the worker's clock is known
 	readAt   time.Time
 	reading  oleanderline.WorkerTime
 	leaseEnd time.Time // when everything on the worker has lapsed at the latest
@@ -78,25 +84,62 @@
 func New(id oleanderline.WorkerID, runner oleanderline.Runner, clock oleanderline.Clock, settings Settings, events Events) *Link {
 	return &Link{
 		id: id, runner: runner, clock: clock, settings: settings, events: events,
-		orders: make(chan queued, queueLength), acks: make(chan struct{}, 1),
+		orders: make(chan queued, queueLength), acks: make(chan struct{}, 1), ready: make(chan struct{}),
+		leaseEnd: settings.LeaseEnd,
 	}
 }
 
-// Run serves the worker until the context ends.
+// Run serves the worker until the context ends. Every order has a result by then.
 func (l *Link) Run(ctx context.Context) {
 	var duties sync.WaitGroup
 	duties.Go(func() { l.hold(ctx) })
 	duties.Go(func() { l.carryOut(ctx) })
 	duties.Wait()
+	l.close()
 	l.runner.Close()
 }
 
-// Order queues an order. If the queue is full, the order counts as not sent.
-func (l *Link) Order(order plan.Order) {
+// close gives up the orders whose turn has not come.
+func (l *Link) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	for {
+		select {
+		case next := <-l.orders:
+			l.events.Result(notSent(next.order))
+		default:
+			return
+		}
+	}
+}
+
+func notSent(order plan.Order) plan.Result {
+	return plan.Result{Order: order, Err: oleanderline.ErrUnavailable}
+}
+
+// Order queues an order that was decided now.
+func (l *Link) Order(order plan.Order) { l.OrderAt(order, l.clock.Now()) }
+
+// OrderAt queues an order that was decided at a time. If the queue is full or the link is closed, the order counts as not
+// sent.
+func (l *Link) OrderAt(order plan.Order, at time.Time) {
+	if !l.enqueue(queued{order: order, at: at}) {
+		go l.events.Result(notSent(order))
+	}
+}
+
+func (l *Link) enqueue(next queued) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
 	select {
-	case l.orders <- queued{order: order, at: l.clock.Now()}:
+	case l.orders <- next:
+		return true
 	default:
-		go l.events.Result(plan.Result{Order: order, Err: oleanderline.ErrUnavailable})
+		return false
 	}
 }
 
@@ -171,17 +214,26 @@
 // deadline returns a deadline on the worker's clock, and notes until when it may last. The caller holds the mutex.
 func (l *Link) deadline(now time.Time) oleanderline.WorkerTime {
 	span := now.Sub(l.readAt) + l.settings.Lease
-	end := l.readAt.Add(time.Duration(float64(span)/slowClock) + clockSlack)
-	if end.After(l.leaseEnd) {
-		l.leaseEnd = end
-	}
+	l.leaseEnd = later(l.leaseEnd, l.readAt.Add(LapseAfter(span)))
 	return l.reading.Add(span)
 }
 
+// LapseAfter returns the longest time that a worker may take until a lease ends that lasts span on its own clock.
+func LapseAfter(span time.Duration) time.Duration {
+	return time.Duration(float64(span)/slowClock) + clockSlack
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (l *Link) lapsed(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.known && now.After(l.leaseEnd)
+	return !l.leaseEnd.IsZero() && now.After(l.leaseEnd)
 }
 
 // learn takes in the worker's clock and the ends that it listed, in answer to a hold that acknowledged ends up to told. An
@@ -193,6 +245,9 @@
 	l.told = max(l.told, told)
 	if report.Life != l.life {
 		l.life, l.acked, l.seen, l.told = report.Life, 0, 0, 0
+		if before := l.settings.Acked; before.Life == report.Life {
+			l.acked = before.Number
+		}
 	}
 	for _, end := range report.Ended {
 		l.seen = max(l.seen, end.Number)
@@ -201,7 +256,13 @@
 }
 
 func (l *Link) readClock(clock oleanderline.WorkerTime) {
-	l.known, l.readAt, l.reading = true, l.clock.Now(), clock
+	now := l.clock.Now()
+	if !l.known {
+		// The worker has refused earlier terms since it answered, so what they have ordered lapses a lease later at the latest.
+		l.leaseEnd = later(l.leaseEnd, now.Add(LapseAfter(l.settings.Lease)))
+		close(l.ready)
+	}
+	l.known, l.readAt, l.reading = true, now, clock
 }
 
 // waitForAck gives the records of the newest ends a moment, so that the next hold acknowledges them.
@@ -227,17 +288,22 @@
 }
 
 func (l *Link) carryOut(ctx context.Context) {
+	select {
+	case <-l.ready: // an order needs a deadline on the worker's clock
+	case <-ctx.Done():
+		return
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case next := <-l.orders:
-			if result, fenced := l.try(ctx, next); fenced {
+			result, fenced := l.try(ctx, next)
+			if fenced {
 				l.events.Fenced(l.id)
 				return
-			} else if ctx.Err() == nil {
-				l.events.Result(result)
 			}
+			l.events.Result(result)
 		}
 	}
 }
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -148,3 +148,47 @@
 	}
 	return count
 }
+
+// Guards against runs of an earlier leader that are taken as over at once when their worker falls silent after its first
+// answer: they go on until the lease that the earlier leader gave has passed.
+func TestSilenceAfterFirstAnswerWaitsForTheLease(t *testing.T) {
+	const lease = 400 * time.Millisecond
+	runner, events := &fakeRunner{}, newRecorder()
+	startLink(t, runner, events, lease)
+	<-events.reports
+	answered := time.Now()
+	runner.silence()
+	<-events.lapsed
+	require.GreaterOrEqual(t, time.Since(answered), lease)
+}
+
+// Guards against tasks that stay on a worker which fell silent before it answered its new link: what earlier links have
+// ordered lapses at the time that they tell.
+func TestInheritedLeaseLapses(t *testing.T) {
+	runner, events := &fakeRunner{}, newRecorder()
+	runner.silence()
+	l := New("w", runner, common.NewSystemClock(), Settings{
+		Term: 1, Lease: time.Second, Authority: func(time.Time) bool { return true }, LeaseEnd: time.Now().Add(50 * time.Millisecond),
+	}, events)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	<-events.lapsed
+}
+
+// Guards against a task that stays starting for ever because the link to its worker was closed, for example after the worker
+// changed its address, before its order had a turn.
+func TestClosedLinkAnswersItsOrders(t *testing.T) {
+	runner, events := &fakeRunner{}, newRecorder()
+	runner.silence() // the clock of the worker stays unknown, so that no order has a turn
+	l := New("w", runner, common.NewSystemClock(), Settings{
+		Term: 1, Lease: time.Second, Authority: func(time.Time) bool { return true },
+	}, events)
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Order(plan.Order{Kind: plan.OrderStart, Worker: "w"})
+	cancel()
+	l.Run(ctx)
+	require.ErrorIs(t, (<-events.results).Err, oleanderline.ErrUnavailable)
+	l.Order(plan.Order{Kind: plan.OrderStop, Worker: "w"})
+	require.ErrorIs(t, (<-events.results).Err, oleanderline.ErrUnavailable)
+}
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -14,7 +14,7 @@
 
 // claimDelay adds to a delay that was drawn at random what keeps weak VMs from leading while stronger ones live.
 func (n *Node) claimDelay(drawn time.Duration) time.Duration {
-	if n.settings.Cores < weakShare*n.replica.MostCores() {
+	if n.settings.Limits.Cores < weakShare*n.replica.MostCores() {
 		return drawn + weakDelay
 	}
 	return drawn
@@ -60,13 +60,23 @@
 		Confirmed: leaderTimeout,
 		KeepJob:   n.settings.KeepJob,
 		VM:        n.settings.VM, Maintenance: n.settings.Maintenance,
+		Limits: n.settings.Limits, Address: n.settings.PeerAddress,
 	}
-	s := term.Start(n.common, settings, n.ports.Ports, n.replica, n.config.Load(), began)
+	s := term.Start(n.common, settings, n.leaderPorts(), n.replica, n.config.Load(), began)
 	n.session.Store(s)
 	s.SetConfig(n.config.Load()) // a version may have come before the follower of the configuration saw the session
 	n.windows.each(s.AddWindow)
 }
 
+// leaderPorts returns what a leader speaks to.
+func (n *Node) leaderPorts() term.Ports {
+	ports := n.ports.Ports
+	if n.settings.PeerAddress != "" {
+		ports.Invite = n.agents.Invite
+	}
+	return ports
+}
+
 // errClaimedMeanwhile means that another process has claimed, and has not been heard yet. It gets the same time as a leader.
 var errClaimedMeanwhile = errors.New("another process has claimed meanwhile")
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -8,8 +8,11 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/lead"
+	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/relay"
 	"github.com/oleanderline/oleanderline/pkg/replica"
@@ -24,7 +27,10 @@
 	replica  *replica.Replica
 	watch    *lead.Watch
 	intake   *intake
+	peers    *peer.Pool
 	relay    *relay.Client
+	agents   AgentPort
+	agent    *agent.Agent
 	config   atomic.Pointer[oleanderline.CellConfig]
 	windows  windows
 	stopping atomic.Bool
@@ -55,7 +61,13 @@
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("record skipped")
 	})
 	n.intake = newIntake(c, ports.Log)
-	n.relay = relay.NewClient(func() []string { return n.replica.Peers(settings.VM) })
+	n.peers = peer.NewPool()
+	n.relay = relay.NewClient(func() []string { return n.replica.Peers(settings.VM) }, n.peers)
+	n.agents = ports.Agents
+	if n.agents == nil {
+		n.agents = agentrpc.NewClient(n.peers)
+	}
+	n.agent = agent.New(c, settings.VM, agent.Dial(ports.Dial), n.agents)
 	n.metrics = newNodeMetrics(c.Metrics, n)
 	n.logReads = reachability{common: c, what: "records"}
 	return n
@@ -72,7 +84,7 @@
 
 // introduce stores what others need to know of this process.
 func (n *Node) introduce() {
-	rec, err := record.ForNode(n.settings.VM, record.Node{Cores: n.settings.Cores, Address: n.settings.PeerAddress})
+	rec, err := record.ForNode(n.settings.VM, record.Node{VM: n.settings.Limits, Address: n.settings.PeerAddress})
 	if err != nil {
 		n.common.Event(common.EventRecordMalformed).WithError(err).Error("process cannot be encoded")
 		return
@@ -88,6 +100,7 @@
 // Drain begins a planned stop: this process is not ready any more, and hands leadership over.
 func (n *Node) Drain(ctx context.Context) {
 	n.stopping.Store(true)
+	n.agent.Leave()
 	if s := n.session.Load(); s != nil {
 		s.Stop(ctx, true)
 	}
@@ -96,6 +109,7 @@
 // Stop ends all duties.
 func (n *Node) Stop() {
 	n.cancel()
+	n.agent.Stop()
 	n.duties.Wait()
 	if s := n.session.Load(); s != nil {
 		s.Stop(n.ctx, false)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -7,17 +7,22 @@
 	"net"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/relay"
 )
 
-var _ relay.Backend = (*Node)(nil)
+var (
+	_ relay.Backend    = (*Node)(nil)
+	_ agentrpc.Backend = (*Node)(nil)
+)
 
 // servePeers learns the key that all processes of the cell share, and serves and calls peers with it.
 func (n *Node) servePeers() {
-	if n.settings.PeerAddress == "" {
+	if n.settings.PeerAddress == "" || n.ports.Agents != nil {
 		return
 	}
 	key, err := n.sharedKey()
@@ -25,7 +30,7 @@
 		return // the process stops
 	}
 	server := peer.NewServer(n.common, key)
-	if err := relay.Register(server, n); err != nil {
+	if err := errors.Join(relay.Register(server, n), agentrpc.Register(server, n)); err != nil {
 		n.common.Event(common.EventPeersUnserved).WithError(err).Error("peers are not served")
 		return
 	}
@@ -34,13 +39,13 @@
 		n.common.Event(common.EventPeersUnserved).WithError(err).Error("peers are not served")
 		return
 	}
-	n.relay.SetKey(key)
+	n.peers.SetKey(key)
 	n.duties.Go(func() {
 		<-n.ctx.Done()
 		if err := server.Close(); err != nil {
 			n.common.Log.WithError(err).Warn("the listener for peers did not close")
 		}
-		n.relay.Close()
+		n.peers.Close()
 	})
 	if err := server.Serve(listener); err != nil {
 		n.common.Event(common.EventPeersUnserved).WithError(err).Error("peers are not served any more")
@@ -104,3 +109,27 @@
 	}
 	return entry.State(), nil
 }
+
+// Invite implements agentrpc.Backend. A leader older than the newest that this process has read is refused.
+func (n *Node) Invite(invitation agent.Invitation) error {
+	if n.stopping.Load() || invitation.Term < n.replica.Leader().Term {
+		return agent.ErrOldTerm
+	}
+	return n.agent.Invite(invitation)
+}
+
+// Pull implements agentrpc.Backend.
+func (n *Node) Pull(ctx context.Context, request agent.PullRequest) agent.PullReply {
+	if s := n.session.Load(); s != nil {
+		return s.Pull(ctx, request)
+	}
+	return agent.PullReply{}
+}
+
+// Push implements agentrpc.Backend.
+func (n *Node) Push(request agent.PushRequest) agent.PushReply {
+	if s := n.session.Load(); s != nil {
+		return s.Push(request)
+	}
+	return agent.PushReply{}
+}
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -143,7 +143,7 @@
 
 // yieldToStronger hands leadership over when a VM with a larger processor share has started.
 func (n *Node) yieldToStronger(s *term.Session) {
-	if s == nil || s.Ended() || n.settings.Cores >= weakShare*n.replica.MostCores() {
+	if s == nil || s.Ended() || n.settings.Limits.Cores >= weakShare*n.replica.MostCores() {
 		return
 	}
 	n.duties.Go(func() {
--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -75,7 +75,7 @@
 	node := w.random.IntN(worldNodes)
 	lasts := time.Second + time.Duration(w.random.IntN(8000))*time.Millisecond
 	fault := []cellfake.Fault{cellfake.FaultRefuse, cellfake.FaultSilent, cellfake.FaultLost, cellfake.FaultLate}[w.random.IntN(4)]
-	switch w.random.IntN(7) {
+	switch w.random.IntN(8) {
 	case 0:
 		w.killNode(node, lasts)
 	case 1:
@@ -92,6 +92,8 @@
 		w.killLeader(lasts)
 	case 6:
 		w.onWorkers(node, cellfake.FaultSilent, worldWorkers, lasts)
+	case 7:
+		w.onPeers(node, fault, lasts)
 	}
 }
 
@@ -127,6 +129,15 @@
 	time.AfterFunc(lasts, func() { m.store.Set(cellfake.FaultNone) })
 }
 
+func (w *world) onPeers(index int, fault cellfake.Fault, lasts time.Duration) {
+	m := w.member(index)
+	if m == nil {
+		return
+	}
+	m.peers.Set(fault)
+	time.AfterFunc(lasts, func() { m.peers.Set(cellfake.FaultNone) })
+}
+
 func (w *world) onWorkers(index int, fault cellfake.Fault, count int, lasts time.Duration) {
 	m := w.member(index)
 	if m == nil {
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -1,16 +1,19 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/share"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
 // Settings of a Node.
 type Settings struct {
 	VM          oleanderline.VMID
-	Cores       float64       // processor share of this VM
+	Limits      share.VM      // of this VM
 	PeerAddress string        // where to serve other processes of the cell; "" for nowhere
 	MaxLease    time.Duration // the longest that workers accept
 	KeepJob     time.Duration // how long a finished job stays known
@@ -24,12 +27,20 @@
 	Config       oleanderline.Stream // of the operators' configuration
 	ConfigKey    string
 	DecodeConfig func(value []byte) (*oleanderline.CellConfig, error)
+	// Agents reaches the leaders and agents of other processes; nil for net/rpc.
+	Agents AgentPort
 	// IsWindow and DecodeWindow tell the maintenance windows in the stream of the configuration. They are used if there is a
 	// Fleet.
 	IsWindow     func(key string) bool
 	DecodeWindow func(oleanderline.KeyedRecord) (oleanderline.MaintenanceWindow, error)
 }
 
+// AgentPort is how leaders and agents reach each other.
+type AgentPort interface {
+	agent.Leader
+	Invite(ctx context.Context, address string, invitation agent.Invitation) error
+}
+
 // Timing of a node.
 const (
 	// leaderTimeout is how long the leader's records may stay away before another process claims leadership.
--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -14,8 +15,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/share"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
@@ -68,9 +71,13 @@
 type member struct {
 	node  *Node
 	store *cellfake.Path
+	peers *cellfake.Path // to leaders and agents
 	paths map[oleanderline.WorkerID]*cellfake.Path
 }
 
+// limits of the VMs: without agents, or with one or two workers for each agent.
+var worldLimits = []share.VM{{Cores: 1}, {Cores: 0.0035}, {Cores: 0.0065}}
+
 func newCommons() []*common.Common {
 	commons := make([]*common.Common, worldNodes)
 	out := io.Discard
@@ -121,15 +128,17 @@
 func (w *world) unlist(id oleanderline.WorkerID) { w.put(streamDir, string(id), "") }
 
 func (w *world) start(index int) *member {
-	m := &member{store: w.path(), paths: map[oleanderline.WorkerID]*cellfake.Path{}}
+	m := &member{store: w.path(), peers: w.path(), paths: map[oleanderline.WorkerID]*cellfake.Path{}}
 	byID := map[oleanderline.WorkerID]*cellfake.Worker{}
 	for i, worker := range w.workers {
 		id := oleanderline.WorkerID(fmt.Sprintf("w%d", i))
 		m.paths[id], byID[id] = w.path(), worker
 	}
 	m.node = New(w.commons[index], Settings{
-		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Cores: 1, MaxLease: maxHold, KeepJob: time.Hour,
+		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Limits: worldLimits[w.seed%uint64(len(worldLimits))],
+		MaxLease: maxHold, KeepJob: time.Hour, PeerAddress: strconv.Itoa(index),
 	}, Ports{
+		Agents: &cellfake.Agents{Path: m.peers, Find: w.backend},
 		Ports: term.Ports{
 			Log: &cellfake.Log{Store: w.store, Path: m.store}, Workers: streamDir, DecodeWorker: decodeWorldWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
@@ -153,6 +162,16 @@
 	return m
 }
 
+// backend returns the process at an address, or nil while it is killed.
+func (w *world) backend(address string) agentrpc.Backend {
+	index, err := strconv.Atoi(address)
+	require.NoError(w.t, err)
+	if m := w.member(index); m != nil {
+		return m.node
+	}
+	return nil
+}
+
 func (w *world) path() *cellfake.Path {
 	w.paths++
 	return cellfake.NewPath(rand.New(rand.NewPCG(w.paths, w.seed)))
@@ -175,6 +194,7 @@
 		w.revive(i)
 		m := w.member(i)
 		m.store.Set(cellfake.FaultNone)
+		m.peers.Set(cellfake.FaultNone)
 		for _, path := range m.paths {
 			path.Set(cellfake.FaultNone)
 		}
@@ -203,6 +223,7 @@
 
 func (m *member) wait() {
 	m.store.Wait()
+	m.peers.Wait()
 	for _, path := range m.paths {
 		path.Wait()
 	}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -3,6 +3,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -191,18 +192,18 @@
 	return 2*reported > all
 }
 
-// Supported reports whether most workers have answered calls that were sent within the time of Majority. As long as they
-// do, no later leader can have reached most of them.
-func (p *Planner) Supported(now time.Time) bool {
-	recent, all := 0, 0
+// SupportedUntil returns until when most workers have lately answered calls, where an answer counts for the time of Majority
+// from the sending of its call. Until then no later leader can have reached most of them. It is zero while there are none.
+func (p *Planner) SupportedUntil() time.Time {
+	asked := make([]time.Time, 0, len(p.workers))
 	for _, w := range p.workers {
-		if !w.stored && !w.listed {
-			continue
-		}
-		all++
-		if now.Sub(w.asked) < p.settings.Majority {
-			recent++
+		if w.stored || w.listed {
+			asked = append(asked, w.asked)
 		}
 	}
-	return 2*recent > all
+	if len(asked) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	return asked[len(asked)/2].Add(p.settings.Majority)
 }
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// WorkerCount returns how many workers have to be called.
+func (p *Planner) WorkerCount() int { return len(p.workers) }
+
+// Acked returns which ends of a worker are recorded.
+func (p *Planner) Acked(id oleanderline.WorkerID) Acked {
+	if w := p.workers[id]; w != nil {
+		return Acked{Life: w.life, Number: w.acked}
+	}
+	return Acked{}
+}
+
 // Knows reports whether the planner has a worker.
 func (p *Planner) Knows(id oleanderline.WorkerID) bool { return p.workers[id] != nil }
 
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/share"
 )
 
 // Stream holds all records of a cell.
@@ -130,8 +131,8 @@
 
 // Node is a process of the cell, as it introduces itself when it starts.
 type Node struct {
-	Cores   float64 `json:"cores"`          // processor share of its VM
-	Address string  `json:"addr,omitempty"` // where it serves its peers
+	share.VM
+	Address string `json:"addr,omitempty"` // where it serves its peers
 }
 
 // ForNode returns the record of a process.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -94,22 +93,12 @@
 // Client calls peers.
 type Client struct {
 	peers func() []string // addresses
-
-	mu    sync.Mutex
-	key   string
-	conns map[string]*peer.Client
-}
-
-// NewClient returns a client that cannot call before SetKey.
-func NewClient(peers func() []string) *Client {
-	return &Client{peers: peers, conns: map[string]*peer.Client{}}
+	pool  *peer.Pool
 }
 
-// SetKey sets the key that all processes share.
-func (c *Client) SetKey(key string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.key = key
+// NewClient returns a client that calls over the connections of a pool.
+func NewClient(peers func() []string, pool *peer.Pool) *Client {
+	return &Client{peers: peers, pool: pool}
 }
 
 // Store stores a record through a peer. ErrUnavailable promises that no peer has stored it, or will.
@@ -150,7 +139,7 @@
 	addresses := c.peers()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(attempts, len(addresses))] {
-		conn := c.conn(address)
+		conn := c.pool.Client(address)
 		if conn == nil {
 			return err
 		}
@@ -166,27 +155,3 @@
 	defer cancel()
 	return conn.Call(ctx, serviceName+"."+method, args, reply)
 }
-
-// conn returns the connection to a peer, or nil before the key is known.
-func (c *Client) conn(address string) *peer.Client {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.key == "" {
-		return nil
-	}
-	conn := c.conns[address]
-	if conn == nil {
-		conn = peer.NewClient(address, c.key)
-		c.conns[address] = conn
-	}
-	return conn
-}
-
-// Close closes all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		conn.Close()
-	}
-}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -45,10 +45,10 @@
 
 func newTestClient(t *testing.T, addresses ...string) *Client {
 	t.Helper()
-	client := NewClient(func() []string { return append([]string(nil), addresses...) })
-	client.SetKey(testKey)
-	t.Cleanup(client.Close)
-	return client
+	pool := peer.NewPool()
+	pool.SetKey(testKey)
+	t.Cleanup(pool.Close)
+	return NewClient(func() []string { return append([]string(nil), addresses...) }, pool)
 }
 
 // Guards against a result that changes its meaning on the way: "not stored" must stay apart from "maybe stored".
@@ -86,8 +86,8 @@
 
 // Guards against calls without a key, and without any peer.
 func TestWithoutPeersNothingIsStored(t *testing.T) {
-	client := NewClient(func() []string { return nil })
+	client := NewClient(func() []string { return nil }, peer.NewPool())
 	require.ErrorIs(t, client.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUnavailable)
-	unkeyed := NewClient(func() []string { return []string{"127.0.0.1:1"} })
+	unkeyed := NewClient(func() []string { return []string{"127.0.0.1:1"} }, peer.NewPool())
 	require.ErrorIs(t, unkeyed.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUnavailable)
 }
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -72,6 +72,13 @@
 	return most
 }
 
+// Nodes returns the processes that have introduced themselves.
+func (r *Replica) Nodes() map[oleanderline.VMID]record.Node {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return maps.Clone(r.nodes)
+}
+
 // Peers returns the addresses of the processes other than self.
 func (r *Replica) Peers(self oleanderline.VMID) []string {
 	r.mu.RLock()
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -1,13 +1,11 @@
 package term
 
 import (
-	"context"
 	"errors"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
-	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
@@ -35,12 +33,15 @@
 		s.planner.Answered(m.result, now)
 	case fellSilent:
 		s.planner.Silent(m.id)
+	case invited:
+		s.crew.answered(m.vm, m.err, now)
 	case lapsed:
 		s.planner.Lapsed(m.id, now)
 	case ticked:
-		if s.planner.Supported(now) {
-			s.supported.Store(now.UnixNano())
+		if until := s.planner.SupportedUntil(); !until.IsZero() {
+			s.supported.Store(until.UnixNano())
 		}
+		s.crew.look(now)
 		s.planner.Place(now, s.ports.Wall())
 	case advised:
 		s.planner.Advised(m.question, m.advice, m.err, m.asked)
@@ -114,40 +115,6 @@
 	entry.Info(note.Reason)
 }
 
-// connect opens a link to every worker that has none, and closes those of workers that are gone.
-func (s *Session) connect() {
-	s.planner.Workers(func(id oleanderline.WorkerID, address string) {
-		l := s.links[id]
-		if l != nil && l.address == address {
-			return
-		}
-		if l != nil {
-			l.cancel()
-		}
-		s.links[id] = s.open(id, address)
-	})
-	for id, l := range s.links {
-		if !s.planner.Knows(id) {
-			l.cancel()
-			delete(s.links, id)
-		}
-	}
-}
-
-func (s *Session) open(id oleanderline.WorkerID, address string) *linked {
-	ctx, cancel := context.WithCancel(s.ctx)
-	settings := link.Settings{
-		Term: s.settings.Leader.Term, Lease: s.settings.Lease, Wait: s.settings.Hold, Authority: s.Authority,
-	}
-	l := &linked{
-		Link:    link.New(id, s.ports.Dial(id, address), s.common.Clock, settings, s),
-		address: address,
-		cancel:  cancel,
-	}
-	s.duties.Go(func() { l.Run(ctx) })
-	return l
-}
-
 func (s *Session) flushed(m flushed) {
 	for _, id := range m.workers {
 		s.planner.WorkerRecorded(id)
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -26,6 +26,10 @@
 		err error
 	}
 	lapsed  struct{ id oleanderline.WorkerID }
+	invited struct {
+		vm  oleanderline.VMID
+		err error
+	}
 	ticked  struct{}
 	advised struct {
 		question plan.Question
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -11,10 +11,10 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/duty"
-	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/replica"
+	"github.com/oleanderline/oleanderline/pkg/roster"
 )
 
 // Session is one term of a leader.
@@ -29,7 +29,9 @@
 	planner   *plan.Planner // used only by the duty
 	duty      *duty.Duty
 	links     map[oleanderline.WorkerID]*linked // used only by the duty
-	windows   *maintenance.Coordinator          // used only by the duty
+	roster    *roster.Roster
+	crew      *crew                    // used only by the duty
+	windows   *maintenance.Coordinator // used only by the duty
 	began     time.Time
 	maintains atomic.Bool      // a maintenance window is open
 	states    chan windowState // of maintenance windows, to be stored
@@ -39,16 +41,10 @@
 	forgot    time.Time    // when finished jobs were dropped last
 	renewed   atomic.Int64 // when the newest append that was answered had been sent
 	ended     atomic.Bool
-	// supported is when most workers were last known to accept the calls of this term.
+	// supported is until when most workers are known to accept the calls of this term.
 	supported atomic.Int64
 }
 
-type linked struct {
-	*link.Link
-	address string
-	cancel  context.CancelFunc
-}
-
 // Start begins a term. Earlier leaders have been fenced in the log, and the replica has been read up to the end that it had
 // then. began is when the claim was sent.
 func Start(c *common.Common, settings Settings, ports Ports, jobs *replica.Replica, config *oleanderline.CellConfig, began time.Time) *Session {
@@ -62,6 +58,10 @@
 		states:  make(chan windowState, windowStates),
 	}
 	s.renewed.Store(began.UnixNano())
+	s.roster = roster.New(c.Clock, roster.Settings{
+		Term: settings.Leader.Term, Lease: settings.Lease, AuthorityEnd: s.authorityEnd,
+	}, s)
+	s.crew = newCrew(s)
 	s.writer = newWriter(s)
 	s.metrics = newTermMetrics(c.Metrics)
 	s.metrics.terms.Inc()
@@ -92,17 +92,24 @@
 // Ended reports whether another leader has taken over.
 func (s *Session) Ended() bool { return s.ended.Load() }
 
-// Authority reports whether orders may be given at a time. A later leader relies on its bounds: it claims no sooner than
-// Confirmed after the newest record that it has read, and most workers then refuse the calls of this term.
-func (s *Session) Authority(now time.Time) bool {
+// Authority reports whether orders may be given at a time.
+func (s *Session) Authority(now time.Time) bool { return now.Before(s.authorityEnd(now)) }
+
+// authorityEnd returns until when orders may be given, as far as is known now. A later leader relies on its bounds: it claims
+// no sooner than Confirmed after the newest record that it has read, and most workers then refuse the calls of this term.
+func (s *Session) authorityEnd(now time.Time) time.Time {
 	if s.ended.Load() {
-		return false
+		return now
+	}
+	renewed, supported := time.Unix(0, s.renewed.Load()), time.Unix(0, s.supported.Load())
+	confirmed, alone := renewed.Add(s.settings.Confirmed), renewed.Add(s.settings.Alone)
+	if supported.After(alone) {
+		supported = alone
 	}
-	alone := now.Sub(time.Unix(0, s.renewed.Load()))
-	if alone < s.settings.Confirmed {
-		return true
+	if supported.After(confirmed) {
+		return supported
 	}
-	return alone < s.settings.Alone && now.Sub(time.Unix(0, s.supported.Load())) < supportAge
+	return confirmed
 }
 
 // Stop ends the term. If resign is set, it stores that the leader has gone, so that another can take over at once.
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -1,11 +1,14 @@
 package term
 
 import (
+	"context"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/share"
 )
 
 // Settings of a Session.
@@ -19,8 +22,11 @@
 	// Confirmed is how long after an append no other process can have claimed.
 	Confirmed time.Duration
 	KeepJob   time.Duration // how long a finished job stays known
-	// VM names this process to the platform's service for VMs.
-	VM          oleanderline.VMID
+	// VM names this process, also to the platform's service for VMs.
+	VM oleanderline.VMID
+	// Limits bound how many workers this process serves itself, and Address is where agents reach it.
+	Limits      share.VM
+	Address     string
 	Maintenance Maintenance
 }
 
@@ -38,6 +44,8 @@
 	Workers      oleanderline.Stream
 	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	// Invite asks the process at an address to serve workers for this leader.
+	Invite func(ctx context.Context, address string, invitation agent.Invitation) error
 	// Adviser is nil if there is none.
 	Adviser oleanderline.Adviser
 	// Fleet is nil if there is none.
@@ -62,9 +70,7 @@
 	forgetMost        = 50                     // jobs dropped at a time
 	forgetInterval    = 5 * time.Second
 	mailbox           = 8192 // messages
-	// supportAge covers the time between two looks at which workers have answered.
-	supportAge = 100 * time.Millisecond
-	postPause  = 2 * time.Millisecond
+	postPause         = 2 * time.Millisecond
 	// fleetInterval spaces the looks at VMs while a maintenance window is open.
 	fleetInterval = 250 * time.Millisecond
 	windowStates  = 64 // states of windows that wait to be stored
