Number invitations of agents; name unknown values instead of ending

An agent that had been taken as lost was invited again while it still served under the first invitation, so it took the new items, numbered from 1, for old ones. Its workers were never served and it never counted as lost. Also found while reading the messages for values of other versions: an unknown end, refusal or outcome from a peer indexed an array out of range and ended the process (tests failed with that panic before).

Change: an invitation has a number that pulls and pushes repeat; a newer one of the same term replaces the service.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 
 	"github.com/oleanderline/oleanderline"
@@ -21,14 +20,13 @@
 // Dial returns the client of a worker.
 type Dial func(id oleanderline.WorkerID, address string) oleanderline.Runner
 
-// ErrOldTerm refuses the invitation of a leader after that of a newer one.
-var ErrOldTerm = errors.New("a newer leader is known")
+// ErrOldInvitation refuses an invitation after a newer one, of the same leader or of a later one.
+var ErrOldInvitation = errors.New("a newer invitation is known")
 
 // Agent serves one leader at a time: the newest that has invited it.
 type Agent struct {
 	common *common.Common
 	vm     oleanderline.VMID
-	life   Life
 	dial   Dial
 	leader Leader
 
@@ -40,10 +38,11 @@
 
 // New returns an agent that serves nobody before an invitation.
 func New(c *common.Common, vm oleanderline.VMID, dial Dial, leader Leader) *Agent {
-	return &Agent{common: c, vm: vm, life: Life(rand.Uint64()), dial: dial, leader: leader}
+	return &Agent{common: c, vm: vm, dial: dial, leader: leader}
 }
 
-// Invite begins to serve a leader. A repeated invitation has no effect.
+// Invite begins to serve a leader anew, also one that is served already: it has given up on the earlier invitation. A repeated
+// invitation has no effect.
 func (a *Agent) Invite(invitation Invitation) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -51,11 +50,11 @@
 		return oleanderline.ErrUnavailable
 	}
 	if a.service != nil {
-		switch term := a.service.invitation.Term; {
-		case invitation.Term < term:
-			return ErrOldTerm
-		case invitation.Term == term && a.service.ctx.Err() == nil:
+		switch a.service.invitation.compare(invitation) {
+		case 0:
 			return nil
+		case 1:
+			return ErrOldInvitation
 		}
 		a.service.cancel()
 	}
--- a/pkg/agent/messages.go
+++ b/pkg/agent/messages.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -9,29 +10,32 @@
 	"github.com/oleanderline/oleanderline/pkg/plan"
 )
 
-// Life tells apart the lives of a process that keeps its name.
-type Life uint64
-
 // Invitation asks a process to serve workers for a leader.
 type Invitation struct {
 	Term    oleanderline.Term
+	Number  int64         // rises with each invitation of a term
 	Address string        // of the leader
 	Lease   time.Duration // from now to the deadline that an order gives
 	Hold    time.Duration // how long a hold waits for an end
 }
 
+// compare orders invitations by term and number.
+func (i Invitation) compare(other Invitation) int {
+	return cmp.Or(cmp.Compare(i.Term, other.Term), cmp.Compare(i.Number, other.Number))
+}
+
 // PullRequest asks the leader what to do.
 type PullRequest struct {
-	Agent   oleanderline.VMID
-	Life    Life
-	Term    oleanderline.Term
-	Got     int64 // the number of the newest item that has arrived
-	Leaving bool  // the agent is about to stop
+	Agent      oleanderline.VMID
+	Term       oleanderline.Term
+	Invitation int64 // its number
+	Got        int64 // the number of the newest item that has arrived
+	Leaving    bool  // the agent is about to stop
 }
 
 // PullReply carries items from the leader, and the permission to give orders.
 type PullReply struct {
-	Known bool      // the leader counts on this life of the agent in this term
+	Known bool      // the leader counts on the agent under this invitation
 	Now   time.Time // the leader's clock when it replied
 	// Authority is how long orders may be given, from Now on.
 	Authority time.Duration
@@ -93,11 +97,11 @@
 
 // PushRequest carries events to the leader.
 type PushRequest struct {
-	Agent  oleanderline.VMID
-	Life   Life
-	Term   oleanderline.Term
-	Number int64 // of the batch, from 1; a batch is repeated until it is answered
-	Events []Event
+	Agent      oleanderline.VMID
+	Term       oleanderline.Term
+	Invitation int64 // its number
+	Number     int64 // of the batch, from 1; a batch is repeated until it is answered
+	Events     []Event
 }
 
 // PushReply answers a PushRequest.
--- a/pkg/agent/service.go
+++ b/pkg/agent/service.go
@@ -68,7 +68,7 @@
 	for s.ctx.Err() == nil {
 		sent := s.now()
 		reply, err := s.agent.leader.Pull(s.ctx, s.invitation.Address, PullRequest{
-			Agent: s.agent.vm, Life: s.agent.life, Term: s.invitation.Term, Got: s.got, Leaving: s.leaving.Load(),
+			Agent: s.agent.vm, Term: s.invitation.Term, Invitation: s.invitation.Number, Got: s.got, Leaving: s.leaving.Load(),
 		})
 		now := s.now()
 		switch {
@@ -178,7 +178,7 @@
 			return
 		}
 		request := PushRequest{
-			Agent: s.agent.vm, Life: s.agent.life, Term: s.invitation.Term, Number: number, Events: events,
+			Agent: s.agent.vm, Term: s.invitation.Term, Invitation: s.invitation.Number, Number: number, Events: events,
 		}
 		for {
 			reply, err := s.agent.leader.Push(s.ctx, s.invitation.Address, request)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -164,7 +164,7 @@
 
 // Guards against tasks that stay on a worker which fell silent before it answered its new link: what earlier links have
 // ordered lapses at the time that they tell.
-func TestInheritedLeaseLapses(t *testing.T) {
+func TestInheritedLeaseLapses(*testing.T) {
 	runner, events := &fakeRunner{}, newRecorder()
 	runner.silence()
 	l := New("w", runner, common.NewSystemClock(), Settings{
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -113,7 +113,7 @@
 // Invite implements agentrpc.Backend. A leader older than the newest that this process has read is refused.
 func (n *Node) Invite(invitation agent.Invitation) error {
 	if n.stopping.Load() || invitation.Term < n.replica.Leader().Term {
-		return agent.ErrOldTerm
+		return agent.ErrOldInvitation
 	}
 	return n.agent.Invite(invitation)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -86,8 +86,13 @@
 	return OutcomeUnavailable
 }
 
+// err returns the error of an outcome. One that is not known, from a process of another version, promises nothing.
 func (o Outcome) err() error {
-	return [...]error{nil, oleanderline.ErrUnavailable, oleanderline.ErrUncertain, oleanderline.ErrUnknownJob, oleanderline.ErrNotReady}[o]
+	errs := [...]error{nil, oleanderline.ErrUnavailable, oleanderline.ErrUncertain, oleanderline.ErrUnknownJob, oleanderline.ErrNotReady}
+	if o < 0 || int(o) >= len(errs) {
+		return oleanderline.ErrUncertain
+	}
+	return errs[o]
 }
 
 // Client calls peers.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -91,3 +91,10 @@
 	unkeyed := NewClient(func() []string { return []string{"127.0.0.1:1"} }, peer.NewPool())
 	require.ErrorIs(t, unkeyed.Store(context.Background(), oleanderline.KeyedRecord{Key: "k"}), oleanderline.ErrUnavailable)
 }
+
+// Guards against a process that ends because a peer of a newer version answers with an outcome that it does not know. Such an
+// answer promises nothing.
+func TestUnknownOutcomeIsUncertain(t *testing.T) {
+	require.ErrorIs(t, Outcome(99).err(), oleanderline.ErrUncertain)
+	require.ErrorIs(t, Outcome(-1).err(), oleanderline.ErrUncertain)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -39,21 +39,22 @@
 
 	mu      sync.Mutex
 	members map[oleanderline.VMID]*member
-	numbers int64 // of assignments
+	numbers int64 // of invitations and assignments
 }
 
 // member is an agent that was invited.
 type member struct {
-	life     agent.Life // zero before its first pull
-	seen     time.Time  // when it pulled last, or was invited
-	leaving  bool
-	items    []agent.Item // that it may not have got
-	number   int64        // of the newest item
-	pushed   int64        // the newest batch of events that was taken in
-	granted  time.Time    // until when it may give orders
-	payloads map[oleanderline.JobID]struct{}
-	workers  map[oleanderline.WorkerID]*Worker
-	wake     chan struct{}
+	invitation int64 // its number
+	pulled     bool
+	seen       time.Time // when it pulled last, or was invited
+	leaving    bool
+	items      []agent.Item // that it may not have got
+	number     int64        // of the newest item
+	pushed     int64        // the newest batch of events that was taken in
+	granted    time.Time    // until when it may give orders
+	payloads   map[oleanderline.JobID]struct{}
+	workers    map[oleanderline.WorkerID]*Worker
+	wake       chan struct{}
 }
 
 // New returns a roster without agents.
@@ -61,16 +62,17 @@
 	return &Roster{clock: clock, settings: settings, events: events, members: map[oleanderline.VMID]*member{}}
 }
 
-// Invited adds an agent that has accepted an invitation. It counts as lost unless it pulls soon.
-func (r *Roster) Invited(vm oleanderline.VMID) {
+// Invite adds an agent that is about to be invited, and returns the number of the invitation. The agent counts as lost unless
+// it pulls soon.
+func (r *Roster) Invite(vm oleanderline.VMID) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.members[vm] == nil {
-		r.members[vm] = &member{
-			seen: r.clock.Now(), payloads: map[oleanderline.JobID]struct{}{},
-			workers: map[oleanderline.WorkerID]*Worker{}, wake: make(chan struct{}, 1),
-		}
+	r.numbers++
+	r.members[vm] = &member{
+		invitation: r.numbers, seen: r.clock.Now(), payloads: map[oleanderline.JobID]struct{}{},
+		workers: map[oleanderline.WorkerID]*Worker{}, wake: make(chan struct{}, 1),
 	}
+	return r.numbers
 }
 
 // Loads returns how many workers each agent serves, of those that can serve more.
@@ -79,7 +81,7 @@
 	defer r.mu.Unlock()
 	loads := map[oleanderline.VMID]int{}
 	for vm, m := range r.members {
-		if m.life != 0 && !m.leaving {
+		if m.pulled && !m.leaving {
 			loads[vm] = len(m.workers)
 		}
 	}
@@ -130,12 +132,12 @@
 
 // Pull answers an agent that asks for items.
 func (r *Roster) Pull(ctx context.Context, request agent.PullRequest) agent.PullReply {
-	m := r.member(request.Agent, request.Life, request.Term)
+	m := r.member(request.Agent, request.Term, request.Invitation)
 	if m == nil {
 		return agent.PullReply{}
 	}
 	r.mu.Lock()
-	m.seen = r.clock.Now()
+	m.seen, m.pulled = r.clock.Now(), true
 	m.leaving = m.leaving || request.Leaving
 	m.forget(request.Got)
 	waits := len(m.items) == 0
@@ -164,26 +166,20 @@
 	}
 }
 
-// member returns the agent that sent a request, or nil if it is not one of this term, or has lost what it knew.
-func (r *Roster) member(vm oleanderline.VMID, life agent.Life, term oleanderline.Term) *member {
+// member returns the agent that sent a request, or nil if it is not one of this term, or was invited anew.
+func (r *Roster) member(vm oleanderline.VMID, term oleanderline.Term, invitation int64) *member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[vm]
-	if m == nil || term != r.settings.Term {
+	if m == nil || term != r.settings.Term || invitation != m.invitation {
 		return nil
 	}
-	if m.life == 0 {
-		m.life = life
-	}
-	if m.life != life {
-		return nil // a restarted process is invited again once its earlier life counts as lost
-	}
 	return m
 }
 
 // Push takes in the events of an agent. An event about a worker that the agent does not serve any more is dropped.
 func (r *Roster) Push(request agent.PushRequest) agent.PushReply {
-	m := r.member(request.Agent, request.Life, request.Term)
+	m := r.member(request.Agent, request.Term, request.Invitation)
 	if m == nil {
 		return agent.PushReply{}
 	}
--- a/pkg/term/crew.go
+++ b/pkg/term/crew.go
@@ -120,9 +120,6 @@
 			room += size
 		}
 	}
-	for vm := range c.inviting {
-		room += c.sizes[vm]
-	}
 	for _, candidate := range c.candidates(now) {
 		if float64(room) >= (1+spareAgents)*float64(wanted) {
 			return
@@ -130,7 +127,8 @@
 		room += candidate.size
 		c.sizes[candidate.vm] = candidate.size
 		c.inviting[candidate.vm] = struct{}{}
-		s.duties.Go(func() { s.invite(candidate) })
+		number := s.roster.Invite(candidate.vm)
+		s.duties.Go(func() { s.invite(candidate, number) })
 	}
 }
 
@@ -160,7 +158,6 @@
 func (c *crew) answered(vm oleanderline.VMID, err error, now time.Time) {
 	delete(c.inviting, vm)
 	if err == nil {
-		c.session.roster.Invited(vm)
 		return
 	}
 	c.failed[vm] = now.Add(inviteAgain)
@@ -168,12 +165,11 @@
 }
 
 // invite sends an invitation. The agent's first pull may come before its answer.
-func (s *Session) invite(to candidate) {
+func (s *Session) invite(to candidate, number int64) {
 	ctx, cancel := context.WithTimeout(s.ctx, inviteLimit)
 	defer cancel()
-	s.roster.Invited(to.vm)
 	err := s.ports.Invite(ctx, to.address, agent.Invitation{
-		Term: s.settings.Leader.Term, Address: s.settings.Address, Lease: s.settings.Lease, Hold: s.settings.Hold,
+		Term: s.settings.Leader.Term, Number: number, Address: s.settings.Address, Lease: s.settings.Lease, Hold: s.settings.Hold,
 	})
 	s.post(invited{to.vm, err})
 }
--- a/runner.go
+++ b/runner.go
@@ -102,7 +102,7 @@
 
 // String returns the end for logs.
 func (k EndKind) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}[k]
+	return nameOf(int(k), "done", "failed", "stopped", "lapsed", "broken", "alone")
 }
 
 // RefusalReason tells why a runner refused an order.
@@ -122,7 +122,15 @@
 
 // String returns the reason for logs.
 func (r RefusalReason) String() string {
-	return [...]string{"term", "old", "late", "room", "ticket", "life", "unhealthy", "invalid"}[r]
+	return nameOf(int(r), "term", "old", "late", "room", "ticket", "life", "unhealthy", "invalid")
+}
+
+// nameOf returns the name of a value that may come from a process of another version.
+func nameOf(value int, names ...string) string {
+	if value < 0 || value >= len(names) {
+		return "unknown"
+	}
+	return names[value]
 }
 
 // RefusedError is the refusal of an order, which then has had no effect.
--- /dev/null
+++ b/runner_test.go
@@ -0,0 +1,16 @@
+package oleanderline
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a process that ends because another one, of a newer version, sends a value that it does not know.
+func TestUnknownValuesHaveAName(t *testing.T) {
+	require.Equal(t, "unknown", EndKind(99).String())
+	require.Equal(t, "unknown", EndKind(-1).String())
+	require.Equal(t, "unknown", RefusalReason(99).String())
+	require.Equal(t, "done", EndDone.String())
+	require.Equal(t, "invalid", RefusedInvalid.String())
+}
