--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -25,7 +25,7 @@
 	ackWait      = 80 * time.Millisecond
 	startTries   = 3
 	otherTries   = 2
-	// orderAge is how old an order may be when its turn comes. Later it counts as not sent.
+	// orderAge is how old an order may be when it is sent, also again. One whose turn comes later counts as not sent.
 	orderAge     = time.Second
 	lapsedRepeat = time.Second
 )
@@ -323,7 +323,7 @@
 		tries = startTries
 	}
 	for result.Attempts < tries && ctx.Err() == nil {
-		if !l.settings.Authority(l.clock.Now()) {
+		if now := l.clock.Now(); !l.settings.Authority(now) || now.Sub(next.at) > orderAge {
 			break
 		}
 		result.Attempts++
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -192,3 +193,36 @@
 	l.Order(plan.Order{Kind: plan.OrderStop, Worker: "w"})
 	require.ErrorIs(t, (<-events.results).Err, oleanderline.ErrUnavailable)
 }
+
+// slowRunner leaves every order unanswered, each for a time.
+type slowRunner struct {
+	fakeRunner
+	takes time.Duration
+	began []time.Time // of the starts
+}
+
+func (r *slowRunner) Start(context.Context, oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	r.began = append(r.began, time.Now())
+	time.Sleep(r.takes)
+	return 0, oleanderline.ErrUncertain
+}
+
+// Guards against a start that is tried again seconds after it was decided, when its job may have been cancelled meanwhile.
+func TestStartIsNotTriedAgainLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner, events := &slowRunner{takes: 600 * time.Millisecond}, newRecorder()
+		l := New("w", runner, common.NewSystemClock(), Settings{
+			Term: 1, Lease: time.Second, Authority: func(time.Time) bool { return true },
+		}, events)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		decided := time.Now()
+		l.Order(plan.Order{Kind: plan.OrderStart, Worker: "w"})
+		require.ErrorIs(t, (<-events.results).Err, oleanderline.ErrUncertain)
+		require.LessOrEqual(t, runner.began[len(runner.began)-1].Sub(decided), orderAge)
+		cancel()
+		synctest.Wait()
+	})
+}
