--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -215,14 +215,14 @@
 			Term: 1, Lease: time.Second, Authority: func(time.Time) bool { return true },
 		}, events)
 		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go l.Run(ctx)
+		var running sync.WaitGroup
+		running.Go(func() { l.Run(ctx) })
 		time.Sleep(100 * time.Millisecond)
 		decided := time.Now()
 		l.Order(plan.Order{Kind: plan.OrderStart, Worker: "w"})
 		require.ErrorIs(t, (<-events.results).Err, oleanderline.ErrUncertain)
 		require.LessOrEqual(t, runner.began[len(runner.began)-1].Sub(decided), orderAge)
 		cancel()
-		synctest.Wait()
+		running.Wait()
 	})
 }
