--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -33,6 +33,7 @@
 	p.checked = now
 	p.measureHeadroom(since)
 	p.countLasting(min(since, maxLook))
+	p.consolidate(now)
 	for _, w := range p.workers {
 		if !w.reported || w.silent {
 			continue
@@ -44,6 +45,8 @@
 			switch {
 			case w.leaves() && p.shouldLeave(w, t, now):
 				p.move(t, "worker leaves", now)
+			case p.shouldClear(w, t, now):
+				p.move(t, "lasting tasks move together", now)
 			case t.stuck(w.heard):
 				w.health.ended(true, now)
 				t.avoid = w.entry.ID
@@ -98,7 +101,7 @@
 
 // hasRoomFor reports whether a task could move to the worker.
 func (w *worker) hasRoomFor(t *task, now time.Time) bool {
-	return w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group)
+	return w != t.worker && w.usable(now) && w.suits(t.group) && w.holds(t.group) && (!w.cleared || !t.group.step.Lasting)
 }
 
 // remaining estimates the time to the end of a run from its progress, or from the step's estimate before there is any.
--- a/pkg/plan/headroom.go
+++ b/pkg/plan/headroom.go
@@ -35,8 +35,12 @@
 
 // leaves reports whether a task leaves the room that batch tasks need.
 func (h *headroom) leaves(need oleanderline.Millicores) bool {
-	kept := min(headroomFactor*h.peak, headroomLimit*float64(h.capacity)) - float64(h.running)
-	return float64(h.free-need) >= kept
+	return h.free-need >= h.kept()
+}
+
+// kept returns the free room that batch tasks need.
+func (h *headroom) kept() oleanderline.Millicores {
+	return oleanderline.Millicores(min(headroomFactor*h.peak, headroomLimit*float64(h.capacity))) - h.running
 }
 
 // measureHeadroom measures the room of every pool.
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -212,6 +212,9 @@
 	if t.group.step.Filler && p.disturbs(w, t) {
 		p.tried[imageOf(t)] = now
 	}
+	if t.group.step.TailTarget > 0 {
+		w.cleared = false
+	}
 	p.charge(t, w)
 	value, _ := t.group.ticketFor(w, now)
 	p.orders = append(p.orders, Order{
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -29,30 +29,32 @@
 
 // Planner holds the jobs, tasks and workers of one leader's term.
 type Planner struct {
-	settings  Settings
-	began     time.Time
-	now       time.Time // of the newest event
-	runBase   int
-	config    *oleanderline.CellConfig
-	queues    map[oleanderline.QueueID]oleanderline.Queue
-	jobs      map[oleanderline.JobID]*job
-	workers   map[oleanderline.WorkerID]*worker
-	open      map[*group]struct{}              // with tasks that are ready
-	timed     map[*group]struct{}              // waiting for their due time
-	dirty     map[*job]struct{}                // with progress that is not recorded
-	awaiting  map[oleanderline.RunKey]sighting // runs of jobs that are not known yet
-	pairs     *pairs.Learner
-	levels    map[oleanderline.QueueID]*Level
-	headroom  map[oleanderline.PoolID]*headroom
-	checked   time.Time                 // when all running tasks were looked at last
-	tried     map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
-	asking    bool                      // a question to the adviser is under way
-	questions []Question
-	firsts    []time.Duration // from the arrival of a job to its first start
-	orders    []Order
-	notes     []Note
-	majority  time.Time // when most workers had reported in this term
-	fresh     bool      // nothing was ever started before this term
+	settings     Settings
+	began        time.Time
+	now          time.Time // of the newest event
+	runBase      int
+	config       *oleanderline.CellConfig
+	queues       map[oleanderline.QueueID]oleanderline.Queue
+	jobs         map[oleanderline.JobID]*job
+	workers      map[oleanderline.WorkerID]*worker
+	open         map[*group]struct{}              // with tasks that are ready
+	timed        map[*group]struct{}              // waiting for their due time
+	dirty        map[*job]struct{}                // with progress that is not recorded
+	awaiting     map[oleanderline.RunKey]sighting // runs of jobs that are not known yet
+	pairs        *pairs.Learner
+	levels       map[oleanderline.QueueID]*Level
+	headroom     map[oleanderline.PoolID]*headroom
+	consolidated time.Time                 // when moving lasting tasks together was considered last
+	starvedAt    time.Time                 // when fillers were starved last
+	checked      time.Time                 // when all running tasks were looked at last
+	tried        map[pairs.Image]time.Time // when a filler was last started where it is suspected to disturb
+	asking       bool                      // a question to the adviser is under way
+	questions    []Question
+	firsts       []time.Duration // from the arrival of a job to its first start
+	orders       []Order
+	notes        []Note
+	majority     time.Time // when most workers had reported in this term
+	fresh        bool      // nothing was ever started before this term
 }
 
 // New returns the planner of a term that begins now. claims counts the claims of leadership, this one included.
--- a/pkg/plan/ranking.go
+++ b/pkg/plan/ranking.go
@@ -48,7 +48,7 @@
 
 // mayTake reports whether a task may start on a worker now.
 func (p *Planner) mayTake(w *worker, t *task, now time.Time) bool {
-	if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t, now) {
+	if !w.usable(now) || !w.suits(t.group) || !w.holds(t.group) || p.keptApart(w, t, now) || w.staysClear(t, now) {
 		return false
 	}
 	_, ok := t.group.ticketFor(w, now)
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -27,6 +27,7 @@
 	promised      oleanderline.Size // to tasks that move here
 	promisedUntil time.Time
 	vacating      bool  // it is to become empty for maintenance
+	cleared       bool  // lasting tasks are to leave it to fillers
 	seen          int64 // the highest number of an end that was taken in
 	acked         int64 // the highest number that is recorded
 
