--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -13,13 +14,13 @@
 	starvedAfter = time.Second
 	// clearFor is how long a worker stays clear of lasting tasks after fillers were starved last.
 	clearFor = 5 * time.Second
-	// movingAtOnce bounds the workers that lasting tasks are leaving at the same time.
-	movingAtOnce = 2
+	// movingAtOnce bounds the share of the workers that lasting tasks are leaving at the same time.
+	movingAtOnce = 0.1
 	// lastingWaits is how long a lasting task leaves cleared workers aside.
 	lastingWaits = 300 * time.Millisecond
 	// consolidateSpare is the share of a worker's processors that must stay free elsewhere after its lasting tasks have moved:
 	// room is scattered in pieces too small for some tasks.
-	consolidateSpare = 0.5
+	consolidateSpare = 0.25
 )
 
 // consolidate moves lasting tasks together, onto fewer workers, while fillers wait that would disturb them nearly everywhere. It
@@ -40,7 +41,7 @@
 		}
 		return
 	}
-	for range movingAtOnce - p.moving() {
+	for range int(math.Ceil(movingAtOnce*float64(len(p.workers)))) - p.moving() {
 		w := p.nextToClear(starved, now)
 		if w == nil {
 			return
