Let a leader act on a cancellation that it has stored itself

Change: the leader takes the cancellation over when it is stored. What remains: a cancellation that another process stored right before the log fails for all. The users' rule counts only machines with a path to the store, so that case is allowed; the check of pkg/cellfake stays as strict as it is. RunCount of the fake worker is exported for the test.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -64,9 +64,11 @@
 	r.payloads = append(r.payloads, order.Payload)
 	return 1, nil
 }
+
 func (r *fakeRunner) Stop(context.Context, oleanderline.StopRun) (oleanderline.WorkerTime, error) {
 	return 1, nil
 }
+
 func (r *fakeRunner) Pace(context.Context, oleanderline.PaceRun) (oleanderline.WorkerTime, error) {
 	return 1, nil
 }
--- a/pkg/cellfake/fleet.go
+++ b/pkg/cellfake/fleet.go
@@ -62,7 +62,7 @@
 		return oleanderline.ErrVMBusy
 	}
 	f.term[order.VM], f.had[order.VM], f.down[order.VM] = order.Term, order.Window, true
-	if left := worker.runCount(); left > 0 {
+	if left := worker.RunCount(); left > 0 {
 		f.faults = append(f.faults, fmt.Sprintf("%s goes down with %d runs", order.VM, left))
 	}
 	f.most = max(f.most, len(f.down))
--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -109,7 +109,8 @@
 	w.begin()
 }
 
-func (w *Worker) runCount() int {
+// RunCount returns how many runs are in progress.
+func (w *Worker) RunCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return len(w.runs)
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -130,6 +130,9 @@
 		return err
 	}
 	n.common.Event(common.EventJobCancel).WithField("job", id).Info("cancellation stored")
+	if s := n.session.Load(); s != nil {
+		s.CancelJob(id) // at once: the next read may fail
+	}
 	return nil
 }
 
--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/share"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
@@ -47,6 +49,7 @@
 	checks  *cellfake.Checker
 	fleet   *cellfake.Fleet // nil without maintenance
 	window  oleanderline.MaintenanceWindow
+	blind   atomic.Bool // reads of the records fail
 
 	mu    sync.Mutex
 	seed  uint64
@@ -140,7 +143,7 @@
 	}, Ports{
 		Agents: &cellfake.Agents{Path: m.peers, Find: w.backend},
 		Ports: term.Ports{
-			Log: &cellfake.Log{Store: w.store, Path: m.store}, Workers: streamDir, DecodeWorker: decodeWorldWorker,
+			Log: &recordless{Log: &cellfake.Log{Store: w.store, Path: m.store}, blind: &w.blind}, Workers: streamDir, DecodeWorker: decodeWorldWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
 				return &cellfake.Runner{Worker: byID[id], Path: m.paths[id]}
 			},
@@ -162,6 +165,20 @@
 	return m
 }
 
+// recordless is a log whose reads of the records can be made to fail.
+type recordless struct {
+	*cellfake.Log
+	blind *atomic.Bool
+}
+
+func (l *recordless) Read(ctx context.Context, stream oleanderline.Stream, from oleanderline.Offset, wait time.Duration) (oleanderline.KeyedBatch, error) {
+	batch, err := l.Log.Read(ctx, stream, from, wait)
+	if stream == record.Stream && l.blind.Load() {
+		return oleanderline.KeyedBatch{}, oleanderline.ErrUnavailable
+	}
+	return batch, err
+}
+
 // backend returns the process at an address, or nil while it is killed.
 func (w *world) backend(address string) agentrpc.Backend {
 	index, err := strconv.Atoi(address)
