Name the capacity of a VM and the pool of agents; count lost agents

Cause: reading the change as a newcomer: share.VM and crew did not say what they are. The leader also counted its own links anew for every worker that needs one, which at 3,000 workers is millions of steps at a take-over. No change of behaviour; the schedules of pkg/node pass.

--- a/pkg/share/share.go
+++ b/pkg/capacity/vm.go
@@ -1,5 +1,5 @@
-// Package share decides how many workers one VM can serve.
-package share
+// Package capacity decides how many workers one VM can serve.
+package capacity
 
 // What serving one worker with its share of the load takes.
 const (
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -6,14 +6,14 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
-	"github.com/oleanderline/oleanderline/pkg/share"
+	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
 // Settings of a Node.
 type Settings struct {
 	VM          oleanderline.VMID
-	Limits      share.VM      // of this VM
+	Limits      capacity.VM   // of this VM
 	PeerAddress string        // where to serve other processes of the cell; "" for nowhere
 	MaxLease    time.Duration // the longest that workers accept
 	KeepJob     time.Duration // how long a finished job stays known
--- a/pkg/node/world_test.go
+++ b/pkg/node/world_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
+	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/record"
-	"github.com/oleanderline/oleanderline/pkg/share"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
@@ -79,7 +79,7 @@
 }
 
 // limits of the VMs: without agents, or with one or two workers for each agent.
-var worldLimits = []share.VM{{Cores: 1}, {Cores: 0.0035}, {Cores: 0.0065}}
+var worldLimits = []capacity.VM{{Cores: 1}, {Cores: 0.0035}, {Cores: 0.0065}}
 
 func newCommons() []*common.Common {
 	commons := make([]*common.Common, worldNodes)
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -9,9 +9,9 @@
 	"strings"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
-	"github.com/oleanderline/oleanderline/pkg/share"
 )
 
 // Stream holds all records of a cell.
@@ -131,7 +131,7 @@
 
 // Node is a process of the cell, as it introduces itself when it starts.
 type Node struct {
-	share.VM
+	capacity.VM
 	Address string `json:"addr,omitempty"` // where it serves its peers
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -111,8 +111,8 @@
 	return w
 }
 
-// Excuse gives all agents more time: the leader has been late by that much itself.
-func (r *Roster) Excuse(late time.Duration) {
+// Extend gives all agents more time: the leader has been late by that much itself.
+func (r *Roster) Extend(late time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.members {
--- a/pkg/term/crew.go
+++ b/pkg/term/agent_pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,9 @@
 )
 
 const (
-	crewInterval = 100 * time.Millisecond
+	poolInterval = 100 * time.Millisecond
 	// lateLook is the time between looks from which on the leader counts as late itself.
-	lateLook = 3 * crewInterval
+	lateLook = 3 * poolInterval
 	// agentWait is how long a worker waits for an agent before the leader serves it beyond its own share. Runs of an earlier
 	// leader need their leases renewed.
 	agentWait = 600 * time.Millisecond
@@ -28,11 +29,12 @@
 	inviteAgain = 3 * time.Second
 )
 
-// crew decides which process serves which worker. The leader serves as many workers as fit beside its other duties; agents
+// agentPool decides which process serves which worker. The leader serves as many workers as fit beside its other duties; agents
 // serve the others. It answers sites whose strongest VM cannot call all workers.
-type crew struct {
+type agentPool struct {
 	session *Session
-	own     int // workers that this process serves within its share
+	own     int // workers that this process can serve beside its other duties
+	serves  int // workers that this process serves
 	looked  time.Time
 	// waits is since when some worker has had no link; zero if all have.
 	waits    time.Time
@@ -43,8 +45,8 @@
 	leaseEnds map[oleanderline.WorkerID]time.Time
 }
 
-func newCrew(s *Session) *crew {
-	return &crew{
+func newAgentPool(s *Session) *agentPool {
+	return &agentPool{
 		session: s, own: s.settings.Limits.ForLeader(),
 		inviting: map[oleanderline.VMID]struct{}{}, failed: map[oleanderline.VMID]time.Time{},
 		sizes: map[oleanderline.VMID]int{}, leaseEnds: map[oleanderline.WorkerID]time.Time{},
@@ -52,56 +54,51 @@
 }
 
 // look finds lost agents, gives their workers to others and invites agents that are missing.
-func (c *crew) look(now time.Time) {
-	since := now.Sub(c.looked)
-	if since < crewInterval {
+func (p *agentPool) look(now time.Time) {
+	since := now.Sub(p.looked)
+	if since < poolInterval {
 		return
 	}
-	s := c.session
-	if !c.looked.IsZero() && since > lateLook {
-		s.roster.Excuse(since) // a leader that is late itself says nothing about its agents
+	s := p.session
+	if !p.looked.IsZero() && since > lateLook {
+		s.roster.Extend(since) // a leader that is late itself says nothing about its agents
 	}
-	c.looked = now
+	p.looked = now
 	for _, id := range s.roster.Lost(now) {
 		if l := s.links[id]; l != nil && l.agent != "" {
-			c.lose(l.agent, now)
-			c.leaseEnds[id] = s.disconnect(id)
+			p.lose(l.agent, now)
+			p.leaseEnds[id] = s.disconnect(id)
 		}
 	}
 	missing := s.planner.WorkerCount() - len(s.links)
 	if missing == 0 {
-		c.waits = time.Time{}
-	} else if c.waits.IsZero() {
-		c.waits = now
+		p.waits = time.Time{}
+	} else if p.waits.IsZero() {
+		p.waits = now
 	}
-	c.invite(now)
+	p.invite(now)
 	if missing > 0 {
 		s.connect()
 	}
 }
 
-func (c *crew) lose(vm oleanderline.VMID, now time.Time) {
-	if now.Before(c.failed[vm]) {
+func (p *agentPool) lose(vm oleanderline.VMID, now time.Time) {
+	if now.Before(p.failed[vm]) {
 		return
 	}
-	c.failed[vm] = now.Add(inviteAgain)
-	c.session.common.Event(common.EventAgentLost).WithField("vm", vm).Warn("agent is lost or stops")
+	p.failed[vm] = now.Add(inviteAgain)
+	p.session.metrics.agentsLost.Inc()
+	p.session.common.Event(common.EventAgentLost).WithField("vm", vm).Warn("agent is lost or stops")
 }
 
 // choose returns the process that is to serve one more worker: an agent, or "" for this process.
-func (c *crew) choose(now time.Time) (oleanderline.VMID, bool) {
-	own := 0
-	for _, l := range c.session.links {
-		if l.agent == "" {
-			own++
-		}
-	}
-	if own < c.own {
+func (p *agentPool) choose(now time.Time) (oleanderline.VMID, bool) {
+	if p.serves < p.own {
 		return "", true
 	}
 	best, room := oleanderline.VMID(""), 0
-	for vm, load := range c.session.roster.Loads() {
-		left := c.sizes[vm] - load
+	for vm, load := range p.session.roster.Loads() {
+		left := p.sizes[vm] - load
 		if left > room || (left == room && left > 0 && vm < best) {
 			best, room = vm, left
 		}
@@ -109,30 +106,34 @@
 	if room > 0 {
 		return best, true
 	}
-	late := !c.waits.IsZero() && now.Sub(c.waits) >= agentWait
-	return "", late && own < overload*c.own
+	late := !p.waits.IsZero() && now.Sub(p.waits) >= agentWait
+	return "", late && p.serves < overload*p.own
 }
 
 // invite asks more processes to be agents while those that serve cannot take all workers.
-func (c *crew) invite(now time.Time) {
-	s := c.session
-	wanted := s.planner.WorkerCount() - c.own
+func (p *agentPool) invite(now time.Time) {
+	s := p.session
+	wanted := s.planner.WorkerCount() - p.own
 	if wanted <= 0 || s.ports.Invite == nil {
 		return
 	}
 	room := 0
-	for vm, size := range c.sizes {
+	for vm, size := range p.sizes {
 		if s.roster.Knows(vm) {
 			room += size
 		}
 	}
-	for _, candidate := range c.candidates(now) {
-		if float64(room) >= (1+spareAgents)*float64(wanted) {
+	enough := int(math.Ceil((1 + spareAgents) * float64(wanted)))
+	if room >= enough {
+		return
+	}
+	for _, candidate := range p.candidates(now) {
+		if room >= enough {
 			return
 		}
 		room += candidate.size
-		c.sizes[candidate.vm] = candidate.size
-		c.inviting[candidate.vm] = struct{}{}
+		p.sizes[candidate.vm] = candidate.size
+		p.inviting[candidate.vm] = struct{}{}
 		number := s.roster.Invite(candidate.vm)
 		s.duties.Go(func() { s.invite(candidate, number) })
 	}
@@ -145,11 +146,11 @@
 }
 
 // candidates returns the processes that may become agents, those that can serve most first.
-func (c *crew) candidates(now time.Time) []candidate {
+func (p *agentPool) candidates(now time.Time) []candidate {
 	var list []candidate
-	for vm, node := range c.session.replica.Nodes() {
-		_, asked := c.inviting[vm]
-		if vm == c.session.settings.VM || node.Address == "" || asked || now.Before(c.failed[vm]) || c.session.roster.Knows(vm) {
+	for vm, node := range p.session.replica.Nodes() {
+		_, asked := p.inviting[vm]
+		if vm == p.session.settings.VM || node.Address == "" || asked || now.Before(p.failed[vm]) || p.session.roster.Knows(vm) {
 			continue
 		}
 		list = append(list, candidate{vm, node.Address, node.ForAgent()})
@@ -161,13 +162,13 @@
 }
 
 // answered takes in how an invitation ended.
-func (c *crew) answered(vm oleanderline.VMID, err error, now time.Time) {
-	delete(c.inviting, vm)
+func (p *agentPool) answered(vm oleanderline.VMID, err error, now time.Time) {
+	delete(p.inviting, vm)
 	if err == nil {
 		return
 	}
-	c.failed[vm] = now.Add(inviteAgain)
-	c.session.common.Event(common.EventAgentRefused).WithField("vm", vm).WithError(err).Warn("no agent")
+	p.failed[vm] = now.Add(inviteAgain)
+	p.session.common.Event(common.EventAgentRefused).WithField("vm", vm).WithError(err).Warn("no agent")
 }
 
 // invite sends an invitation. The agent's first pull may come before its answer.
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -35,14 +35,14 @@
 	case fellSilent:
 		s.planner.Silent(m.id)
 	case invited:
-		s.crew.answered(m.vm, m.err, now)
+		s.agents.answered(m.vm, m.err, now)
 	case lapsed:
 		s.planner.Lapsed(m.id, now)
 	case ticked:
 		if until := s.planner.SupportedUntil(); !until.IsZero() {
 			s.supported.Store(until.UnixNano())
 		}
-		s.crew.look(now)
+		s.agents.look(now)
 		s.planner.Place(now, s.ports.Wall(), s.window.Room(now))
 	case advised:
 		s.planner.Advised(m.question, m.advice, m.err, m.asked)
--- a/pkg/term/linked.go
+++ b/pkg/term/linked.go
@@ -54,16 +54,19 @@
 func (s *Session) disconnect(id oleanderline.WorkerID) time.Time {
 	l := s.links[id]
 	delete(s.links, id)
+	if l.agent == "" {
+		s.agents.serves--
+	}
 	return l.end()
 }
 
 // open gives a worker a link if a process has room for it. A worker without a link gets one later, as connect is repeated.
 func (s *Session) open(id oleanderline.WorkerID, address string, leaseEnd time.Time) {
 	now := s.common.Clock.Now()
-	leaseEnd = later(leaseEnd, s.crew.leaseEnds[id])
-	server, ok := s.crew.choose(now)
+	leaseEnd = later(leaseEnd, s.agents.leaseEnds[id])
+	server, ok := s.agents.choose(now)
 	if !ok {
-		s.crew.leaseEnds[id] = leaseEnd
+		s.agents.leaseEnds[id] = leaseEnd
 		return
 	}
 	var l *linked
@@ -73,11 +76,14 @@
 		l = s.openRemote(server, id, address, leaseEnd)
 	}
 	if l == nil {
-		s.crew.leaseEnds[id] = leaseEnd
+		s.agents.leaseEnds[id] = leaseEnd
 		return
 	}
-	delete(s.crew.leaseEnds, id)
+	delete(s.agents.leaseEnds, id)
 	s.links[id] = l
+	if server == "" {
+		s.agents.serves++
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -31,7 +31,7 @@
 	duty      *duty.Duty
 	links     map[oleanderline.WorkerID]*linked // used only by the duty
 	roster    *roster.Roster
-	crew      *crew                    // used only by the duty
+	agents    *agentPool               // used only by the duty
 	window    *window.Window           // used only by the duty
 	windows   *maintenance.Coordinator // used only by the duty
 	began     time.Time
@@ -63,7 +63,7 @@
 	s.roster = roster.New(c.Clock, roster.Settings{
 		Term: settings.Leader.Term, Lease: settings.Lease, AuthorityEnd: s.authorityEnd,
 	}, s)
-	s.crew = newCrew(s)
+	s.agents = newAgentPool(s)
 	s.window = window.New()
 	s.writer = newWriter(s)
 	s.metrics = newTermMetrics(c.Metrics)
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -6,9 +6,9 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/record"
-	"github.com/oleanderline/oleanderline/pkg/share"
 )
 
 // Settings of a Session.
@@ -25,7 +25,7 @@
 	// VM names this process, also to the platform's service for VMs.
 	VM oleanderline.VMID
 	// Limits bound how many workers this process serves itself, and Address is where agents reach it.
-	Limits      share.VM
+	Limits      capacity.VM
 	Address     string
 	Maintenance Maintenance
 }
