Hold the test of blocked output under every order of its goroutines

Change: the test plays on virtual time with the goroutine's turn at any time and after each line, and counts every line as written or told of as dropped: all of them, and at least as many dropped as before.

--- a/pkg/logring/writer_test.go
+++ b/pkg/logring/writer_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -34,25 +36,51 @@
 
 func notice(n int64) []byte { return fmt.Appendf(nil, "dropped %d\n", n) }
 
+// counts returns how many lines were written, and how many the notices tell of as dropped.
+func (o *blockedOutput) counts(t *testing.T) (written, dropped int) {
+	for _, line := range strings.Split(strings.TrimSpace(o.text()), "\n") {
+		var n int
+		if _, err := fmt.Sscanf(line, "dropped %d", &n); err == nil {
+			dropped += n
+			continue
+		}
+		require.Equal(t, "line", line)
+		written++
+	}
+	return written, dropped
+}
+
 // Guards against a process that stands still because nobody reads its standard output, and against lines that are lost
-// without being counted.
+// without being counted, whenever the goroutine that writes them out gets its turn.
 func TestBlockedOutputCostsLinesOnly(t *testing.T) {
-	out := &blockedOutput{release: make(chan struct{})}
-	w := New(out, common.NewSystemClock(), 1<<20, notice)
-	const lines = 3 * ringLines
-	began := time.Now()
-	for range lines {
-		n, err := w.Write([]byte("line\n"))
-		require.NoError(t, err)
-		require.Equal(t, 5, n)
+	type scenario struct {
+		name   string
+		pauses bool // the goroutine gets a turn while lines are written
+	}
+	for _, s := range []scenario{{"turn at any time", false}, {"turn after each line", true}} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := &blockedOutput{release: make(chan struct{})}
+				w := New(out, common.NewSystemClock(), 1<<20, notice)
+				defer close(w.lines) // ends the goroutine
+				const lines = 3 * ringLines
+				for range lines {
+					n, err := w.Write([]byte("line\n"))
+					require.NoError(t, err)
+					require.Equal(t, 5, n)
+					if s.pauses {
+						synctest.Wait()
+					}
+				}
+				close(out.release)
+				synctest.Wait()
+				written, dropped := out.counts(t)
+				require.Equal(t, lines, written+dropped)
+				require.GreaterOrEqual(t, dropped, lines-ringLines-1)
+				require.Zero(t, w.Dropped())
+			})
+		})
 	}
-	require.Less(t, time.Since(began), 5*time.Second)
-	dropped := w.Dropped()
-	require.GreaterOrEqual(t, dropped, int64(lines-ringLines-1))
-	close(out.release)
-	require.Eventually(t, func() bool {
-		return bytes.Contains([]byte(out.text()), notice(dropped))
-	}, 10*time.Second, time.Millisecond)
 }
 
 // Guards against a load of ordinary decisions that pushes out those that tell of a refusal or a loss.
