Skip impossible jobs and tasks in messages instead of ending; fuzz what the platform sends

Cause: a report that names a task of a known job with an occurrence near the largest number ended the leader (the product with the number of steps overflows; test failed with index out of range), and a stored job whose step depends on one that does not exist would have ended every leader. Change: bounds are checked before the product, and replicas skip jobs that no process would accept.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -88,7 +88,7 @@
 
 func (p *Planner) task(key oleanderline.TaskKey) *task {
 	j := p.jobs[key.Job]
-	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 {
+	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 || key.Occurrence >= j.spec.Occurrences() {
 		return nil
 	}
 	number := key.Occurrence*len(j.spec.Steps) + key.Step
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -72,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	if err := job.Validate(); err != nil {
+		return fmt.Errorf("job %s: %w", id, err)
+	}
 	job.ID = id
 	r.entry(id).Job = job
 	return nil
--- /dev/null
+++ b/pkg/replica/fuzz_test.go
@@ -0,0 +1,44 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against one malformed record that ends every process of a cell, as all read it.
+func FuzzApply(f *testing.F) {
+	for _, key := range []string{"l", "i", "j/1", "c/1", "p/1", "w/1", "n/1", "m/1", "x", ""} {
+		f.Add(key, []byte(`{"s":4,"d":{"0":"AQ=="},"steps":[{"n":1}],"cores":1,"term":3}`), []byte("null"))
+	}
+	f.Fuzz(func(_ *testing.T, key string, first, second []byte) {
+		r := New(func(error) {})
+		now := time.Unix(1000, 0)
+		for _, value := range [][]byte{first, second, nil} {
+			records := []oleanderline.KeyedRecord{{Key: key, Value: value}}
+			r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, now)
+		}
+		if entry, ok := r.Job("1"); ok {
+			entry.State()
+		}
+		r.Peers("self")
+		r.MostCores()
+		r.Expired(now.Add(time.Hour), time.Minute)
+	})
+}
+
+// Guards against a stored job that no process would accept and that ends every leader: a step that depends on one which does
+// not exist.
+func TestImpossibleJobsAreSkipped(t *testing.T) {
+	faults := 0
+	r := New(func(error) { faults++ })
+	value := []byte(`{"q":"q","steps":[{"n":1,"after":[5]}]}`)
+	records := []oleanderline.KeyedRecord{{Key: "j/1", Value: value}}
+	r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, time.Unix(1000, 0))
+	require.Equal(t, 1, faults)
+	_, known := r.Job("1")
+	require.False(t, known)
+}
