--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -55,6 +55,8 @@
 	payloads   map[oleanderline.JobID]struct{}
 	workers    map[oleanderline.WorkerID]*Worker
 	wake       chan struct{}
+	// pushing has an element while a batch of events is taken in, so that batches follow one another.
+	pushing chan struct{}
 }
 
 // New returns a roster without agents.
@@ -70,7 +72,7 @@
 	r.numbers++
 	r.members[vm] = &member{
 		invitation: r.numbers, seen: r.clock.Now(), payloads: map[oleanderline.JobID]struct{}{},
-		workers: map[oleanderline.WorkerID]*Worker{}, wake: make(chan struct{}, 1),
+		workers: map[oleanderline.WorkerID]*Worker{}, wake: make(chan struct{}, 1), pushing: make(chan struct{}, 1),
 	}
 	return r.numbers
 }
@@ -192,6 +194,8 @@
 	if m == nil {
 		return agent.PushReply{}
 	}
+	m.pushing <- struct{}{}
+	defer func() { <-m.pushing }()
 	r.mu.Lock()
 	repeated := request.Number <= m.pushed
 	m.pushed = max(m.pushed, request.Number)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -175,3 +175,42 @@
 		require.Equal(t, 1, sent)
 	})
 }
+
+// slowEvents take their time for each report.
+type slowEvents struct {
+	recorder
+	order []int64 // the lives in the reports, in the order in which they were taken in
+}
+
+func (s *slowEvents) Report(_ oleanderline.WorkerID, report oleanderline.WorkerReport, _ time.Time) {
+	time.Sleep(3 * time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.order = append(s.order, int64(report.Life))
+}
+
+// Guards against reports that overtake one another: while a leader is busy with a batch, its agent repeats it, takes the answer
+// for that of the first call and sends the next batch.
+func TestBatchesAreTakenInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		events := &slowEvents{}
+		r := New(common.NewSystemClock(), Settings{Term: testTerm, AuthorityEnd: func(now time.Time) time.Time { return now }}, events)
+		number := r.Invite(testAgent)
+		w := r.Serve(testAgent, "w", "addr", time.Time{}, plan.Acked{})
+		batch := func(n int64) agent.PushRequest {
+			reports := []agent.Event{}
+			for i := range int64(2) {
+				report := oleanderline.WorkerReport{Life: oleanderline.WorkerLife(10*n + i)}
+				reports = append(reports, agent.Event{Kind: agent.EventReport, Worker: "w", Serves: w.serves, Report: report})
+			}
+			return agent.PushRequest{Agent: testAgent, Term: testTerm, Invitation: number, Number: n, Events: reports}
+		}
+		var calls sync.WaitGroup
+		calls.Go(func() { r.Push(batch(1)) }) // the agent does not wait for this answer
+		time.Sleep(2 * time.Second)
+		require.True(t, r.Push(batch(1)).Known)
+		require.True(t, r.Push(batch(2)).Known)
+		calls.Wait()
+		require.Equal(t, []int64{10, 11, 20, 21}, events.order)
+	})
+}
