--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -214,7 +214,7 @@
 // deadline returns a deadline on the worker's clock, and notes until when it may last. The caller holds the mutex.
 func (l *Link) deadline(now time.Time) oleanderline.WorkerTime {
 	span := now.Sub(l.readAt) + l.settings.Lease
-	l.leaseEnd = later(l.leaseEnd, l.readAt.Add(LapseAfter(span)))
+	l.leaseEnd = common.Later(l.leaseEnd, l.readAt.Add(LapseAfter(span)))
 	return l.reading.Add(span)
 }
 
@@ -223,13 +223,6 @@
 	return time.Duration(float64(span)/slowClock) + clockSlack
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (l *Link) lapsed(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -259,7 +252,7 @@
 	now := l.clock.Now()
 	if !l.known {
 		// The worker has refused earlier terms since it answered, so what they have ordered lapses a lease later at the latest.
-		l.leaseEnd = later(l.leaseEnd, now.Add(LapseAfter(l.settings.Lease)))
+		l.leaseEnd = common.Later(l.leaseEnd, now.Add(LapseAfter(l.settings.Lease)))
 		close(l.ready)
 	}
 	l.known, l.readAt, l.reading = true, now, clock
--- a/pkg/term/linked.go
+++ b/pkg/term/linked.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/roster"
@@ -63,7 +64,7 @@
 // open gives a worker a link if a process has room for it. A worker without a link gets one later, as connect is repeated.
 func (s *Session) open(id oleanderline.WorkerID, address string, leaseEnd time.Time) {
 	now := s.common.Clock.Now()
-	leaseEnd = later(leaseEnd, s.agents.leaseEnds[id])
+	leaseEnd = common.Later(leaseEnd, s.agents.leaseEnds[id])
 	server, ok := s.agents.choose(now)
 	if !ok {
 		s.agents.leaseEnds[id] = leaseEnd
@@ -86,13 +87,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (s *Session) openLocal(id oleanderline.WorkerID, address string, leaseEnd time.Time) *linked {
 	ctx, cancel := context.WithCancel(s.ctx)
 	settings := link.Settings{
@@ -104,7 +98,7 @@
 	end := func() time.Time {
 		cancel()
 		now := s.common.Clock.Now()
-		return later(s.authorityEnd(now), now).Add(link.LapseAfter(s.settings.Lease))
+		return common.Later(s.authorityEnd(now), now).Add(link.LapseAfter(s.settings.Lease))
 	}
 	return &linked{workerLink: l, address: address, end: end}
 }
