Move images of long-running tasks apart while best-effort tasks starve

Cause: each long-running image on a worker excludes the best-effort images that interfere with it. Clearing whole workers moved their tasks beside other images, which mixed the rest.

Change: pkg/consolidate chooses which image leaves which worker, by the CPU that this opens to the waiting demand for each moved task. It replaces the choice of whole workers.

TestImagesAreSeparatedForStarvedTasks fails without the change.

--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -1,10 +1,13 @@
 package plan
 
 import (
+	"fmt"
 	"math"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/consolidate"
+	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
 const (
@@ -13,124 +16,130 @@
 	consolidateInterval = time.Second
 	// starvedAfter is how long a best-effort task is ready before it counts as starved.
 	starvedAfter = time.Second
-	// clearedTimeout is how long workers stay cleared of long-running tasks after the last time that best-effort tasks were starved.
+	// clearedTimeout is how long images stay off the workers that they have left, after the last time that best-effort tasks were
+	// starved.
 	clearedTimeout = 5 * time.Second
-	// maxClearingShare is the maximum share of workers that are being cleared at the same time.
+	// maxClearingShare is the maximum share of workers off which an image moves at the same time.
 	maxClearingShare = 0.1
-	// avoidClearedTimeout is how long a ready long-running task is not placed on cleared workers.
+	// avoidClearedTimeout is how long a ready long-running task is not placed on a worker that its image has left.
 	avoidClearedTimeout = 300 * time.Millisecond
-	// consolidateMargin is the share of a worker's CPU that must stay free on other workers after its long-running tasks have
-	// moved there: free capacity is fragmented, and some fragments are too small for a task.
-	consolidateMargin = 0.25
 )
 
-// consolidate moves long-running tasks onto fewer workers while best-effort tasks are starved because they would interfere with such
-// tasks on nearly every worker. This happens when long-running tasks come and go and leave a few of them on nearly every
-// worker: most of the capacity is free, but best-effort tasks can use hardly any of it.
+// consolidate moves long-running tasks to other workers while best-effort tasks are starved because they would interfere with
+// long-running tasks on nearly every worker.
 func (p *Planner) consolidate(now time.Time) {
 	if now.Sub(p.consolidatedAt) < consolidateInterval {
 		return
 	}
 	p.consolidatedAt = now
-	starvedCPU := p.starvedCPU(now)
-	if starvedCPU > 0 {
+	demand := p.starvedDemand(now)
+	if len(demand) > 0 {
 		p.starvedAt = now
 	}
 	if now.Sub(p.starvedAt) > clearedTimeout {
 		for _, w := range p.workers {
-			w.cleared = false
+			clear(w.leaving)
 		}
 		return
 	}
-	for range int(math.Ceil(maxClearingShare*float64(len(p.workers)))) - p.countClearing() {
-		w := p.nextToClear(starvedCPU, now)
-		if w == nil {
-			return
-		}
-		w.cleared = true
-		p.note(NoteWorker, oleanderline.RunKey{}, w, "clearing the worker of long-running tasks to make room for starved best-effort tasks")
+	limit := int(math.Ceil(maxClearingShare*float64(len(p.workers)))) - p.countClearing()
+	for _, move := range consolidate.Choose(p.consolidationView(now), demand, p.pairs.Harmful, limit) {
+		w := p.workers[move.Worker]
+		w.leaving[move.Image] = struct{}{}
+		p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf(
+			"moving %d long-running tasks of image %s away to make room for starved best-effort tasks", w.servingImages[move.Image], move.Image))
 	}
 }
 
-// starvedCPU returns the CPU that starved best-effort tasks need.
-func (p *Planner) starvedCPU(now time.Time) oleanderline.Millicores {
-	var sum oleanderline.Millicores
+// starvedDemand returns the CPU that starved best-effort tasks need.
+func (p *Planner) starvedDemand(now time.Time) consolidate.Demand {
+	demand := consolidate.Demand{}
 	for g := range p.ready {
 		if !g.step.BestEffort {
 			continue
 		}
 		for i := range g.tasks {
 			if t := &g.tasks[i]; t.state == taskReady && now.Sub(t.readyAt) > starvedAfter {
-				sum += g.step.Size.CPU
+				demand[imageOf(t)] += g.step.Size.CPU
 			}
 		}
 	}
-	return sum
+	return demand
 }
 
-// countClearing returns the number of cleared workers that still have long-running tasks.
+// countClearing returns the number of workers with long-running tasks that are being moved away.
 func (p *Planner) countClearing() int {
 	count := 0
 	for _, w := range p.workers {
-		if w.cleared && len(w.servingImages) > 0 {
-			count++
+		for image := range w.leaving {
+			if w.servingImages[image] > 0 {
+				count++
+				break
+			}
 		}
 	}
 	return count
 }
 
-// nextToClear returns the worker whose long-running tasks need the least CPU. It returns nil if the other workers lack the
-// room for these tasks, or if the starved best-effort tasks fit on workers that are free of long-running tasks already.
-func (p *Planner) nextToClear(starvedCPU oleanderline.Millicores, now time.Time) *worker {
-	var best *worker
-	var freeCPU, clearedCPU oleanderline.Millicores
+// consolidationView returns the workers that may take tasks, with their long-running tasks that have a tail latency target.
+func (p *Planner) consolidationView(now time.Time) []consolidate.Worker {
+	var view []consolidate.Worker
 	for _, w := range p.workers {
-		if !w.schedulable(now) {
-			continue
-		}
-		if w.cleared {
-			clearedCPU += w.leftoverCPU()
-			continue
+		if w.schedulable(now) {
+			view = append(view, consolidate.Worker{
+				ID: w.entry.ID, Free: w.free().CPU, Leftover: w.leftoverCPU(), Serving: w.serving(),
+			})
 		}
-		if len(w.servingImages) == 0 {
-			clearedCPU += w.leftoverCPU()
-			continue
-		}
-		freeCPU += w.free().CPU
-		if p.clearable(w) && (best == nil || w.servingCPU < best.servingCPU || (w.servingCPU == best.servingCPU && w.entry.ID < best.entry.ID)) {
-			best = w
-		}
-	}
-	if best == nil || starvedCPU <= clearedCPU {
-		return nil
-	}
-	if h := p.headroom[best.entry.Pool]; h != nil {
-		freeCPU -= max(0, h.required())
 	}
-	need := best.servingCPU + oleanderline.Millicores(consolidateMargin*float64(best.entry.Capacity.CPU))
-	if freeCPU-best.free().CPU < need {
-		return nil
-	}
-	return best
+	return view
 }
 
-// clearable reports whether every long-running task with a tail latency target may be moved off the worker.
-func (p *Planner) clearable(w *worker) bool {
+// serving describes the long-running tasks with a tail latency target, by their images.
+func (w *worker) serving() map[pairs.Image]consolidate.Serving {
+	images := map[pairs.Image]consolidate.Serving{}
 	for t := range w.tasks {
-		if t.group.step.TailTarget > 0 && (t.state != taskRunning || !t.mayMove()) {
-			return false
+		if t.group.step.TailTarget == 0 {
+			continue
+		}
+		image, cpu := imageOf(t), t.group.step.Size.CPU
+		serving, known := images[image]
+		if !known {
+			_, leaving := w.leaving[image]
+			serving = consolidate.Serving{Movable: true, Leaving: leaving}
 		}
+		serving.Count++
+		serving.CPU += cpu
+		serving.Largest = max(serving.Largest, cpu, 1)
+		serving.Movable = serving.Movable && t.state == taskRunning && t.mayMove()
+		images[image] = serving
 	}
-	return true
+	return images
 }
 
-// shouldMoveOffCleared reports whether a long-running task should move now from a cleared worker. It reserves the room
+// shouldMoveAway reports whether a long-running task should move now because its image leaves the worker. It reserves the room
 // elsewhere.
-func (p *Planner) shouldMoveOffCleared(w *worker, t *task, now time.Time) bool {
-	return w.cleared && t.group.step.TailTarget > 0 && !t.done && t.isServing() && t.mayMove() && p.reserveElsewhere(t, now)
+func (p *Planner) shouldMoveAway(w *worker, t *task, now time.Time) bool {
+	return w.isLeaving(t) && !t.done && t.isServing() && t.mayMove() && p.reserveElsewhere(t, now)
+}
+
+// isLeaving reports whether the image of a long-running task leaves the worker or has left it.
+func (w *worker) isLeaving(t *task) bool {
+	if t.group.step.TailTarget == 0 {
+		return false
+	}
+	_, leaving := w.leaving[imageOf(t)]
+	return leaving
+}
+
+// changesImages reports whether a long-running task would bring an image to a worker from which images are moved away.
+func (w *worker) changesImages(t *task) bool {
+	if t.group.step.TailTarget == 0 || len(w.leaving) == 0 {
+		return false
+	}
+	return w.isLeaving(t) || w.servingImages[imageOf(t)] == 0
 }
 
-// avoidedBy reports whether a task must not be placed on a worker because the worker is cleared.
+// avoidedBy reports whether a task must not be placed on a worker yet because images are moved away from the worker.
 func (w *worker) avoidedBy(t *task, now time.Time) bool {
-	return w.cleared && t.group.step.TailTarget > 0 && now.Sub(t.readyAt) < avoidClearedTimeout
+	return w.changesImages(t) && now.Sub(t.readyAt) < avoidClearedTimeout
 }
--- a/pkg/plan/consolidate_test.go
+++ b/pkg/plan/consolidate_test.go
@@ -75,3 +75,39 @@
 		})
 	}
 }
+
+// Guards against best-effort tasks that wait because each worker serves two images and each of them excludes other best-effort
+// tasks. There is no room to clear a worker, but enough to separate the images.
+func TestImagesAreSeparatedForStarvedTasks(t *testing.T) {
+	c := newCell(t, 4)
+	c.planner.Pairs().Restore([]pairs.Evidence{
+		{Serving: "a", BestEffort: "fa", Harm: 0.99}, {Serving: "a", BestEffort: "fb", Harm: 0.01},
+		{Serving: "b", BestEffort: "fb", Harm: 0.99}, {Serving: "b", BestEffort: "fa", Harm: 0.01},
+	})
+	one := 1
+	for image, cores := range map[string]oleanderline.Millicores{"a": 2000, "b": 1000} {
+		c.add(oleanderline.JobID(image), oleanderline.Step{
+			Count: 4, Size: oleanderline.Size{CPU: cores, Memory: 1000}, LongRunning: true, Image: image, TailTarget: 100 * time.Millisecond, MaxPerWorker: 1, MaxUnavailable: &one,
+		})
+		c.place()
+	}
+	for _, image := range []string{"a", "b"} {
+		c.planner.jobs[oleanderline.JobID(image)].spec.Steps[0].MaxPerWorker = 0
+	}
+	for _, image := range []string{"fa", "fb"} {
+		c.add(oleanderline.JobID(image), oleanderline.Step{Count: 2, Size: testSize, BestEffort: true, Image: image})
+	}
+	c.simulate(5 * time.Second)
+	for _, image := range []string{"fa", "fb"} {
+		for i := range 2 {
+			require.Len(t, c.runsOf(taskOf(oleanderline.JobID(image), 0, i)), 1, "task %d of %s runs", i, image)
+		}
+	}
+	for _, w := range c.planner.workers {
+		for serving := range w.servingImages {
+			for bestEffort := range w.bestEffortImages {
+				require.False(t, c.planner.pairs.Harmful(serving, bestEffort), "%s beside %s", bestEffort, serving)
+			}
+		}
+	}
+}
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -27,7 +27,7 @@
 	reservationLifetime = time.Second
 )
 
-// checkRunning moves tasks off workers that drain or are vacated or cleared, and restarts stuck runs on other workers. It also
+// checkRunning moves tasks off workers that drain or are vacated or that their image leaves, and restarts stuck runs on other workers. It also
 // updates the headroom and the service levels.
 func (p *Planner) checkRunning(now time.Time) {
 	if now.Sub(p.checkedAt) < checkInterval {
@@ -49,7 +49,7 @@
 			switch {
 			case w.evacuating() && p.shouldEvacuate(w, t, now):
 				p.move(t, "worker is draining or vacated", now)
-			case p.shouldMoveOffCleared(w, t, now):
+			case p.shouldMoveAway(w, t, now):
 				p.move(t, "consolidating long-running tasks", now)
 			case t.stuck(w.reportedAt):
 				w.health.record(true, now)
@@ -107,7 +107,7 @@
 
 // canReceive reports whether a task could move to the worker, without regard to reservations.
 func (w *worker) canReceive(t *task, now time.Time) bool {
-	return w != t.worker && w.schedulable(now) && w.matches(t.group) && w.hasRoom(t.group) && (!w.cleared || !t.group.step.LongRunning)
+	return w != t.worker && w.schedulable(now) && w.matches(t.group) && w.hasRoom(t.group) && !w.changesImages(t)
 }
 
 // remaining estimates the time to the end of a run: from its progress, or from the step's estimate while the progress is
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -219,8 +219,8 @@
 	if t.group.step.BestEffort && p.interferes(w, t) {
 		p.lastTrial[imageOf(t)] = now
 	}
-	if t.group.step.TailTarget > 0 {
-		w.cleared = false
+	if w.isLeaving(t) {
+		delete(w.leaving, imageOf(t))
 	}
 	p.charge(t, w)
 	value, _ := t.group.ticketFor(w, now)
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -29,19 +29,19 @@
 	reserved      oleanderline.Size // reserved for tasks that move here
 	reservedUntil time.Time
 	vacating      bool  // its tasks move away for maintenance
-	cleared       bool  // its long-running tasks move away to make room for best-effort tasks
 	processed     int64 // highest number of a processed end
 	acked         int64 // highest number of a recorded end
 
 	tasks            map[*task]struct{}
-	servingImages    map[pairs.Image]int     // number of long-running tasks with a tail latency target
-	bestEffortImages map[pairs.Image]int     // number of best-effort tasks
-	used             oleanderline.Size       // committed to tasks; the CPU of best-effort tasks does not count
-	servingCPU       oleanderline.Millicores // committed to long-running tasks with a tail latency target
-	longRunningCPU   oleanderline.Millicores // committed to all long-running tasks
-	bestEffortCPU    oleanderline.Millicores // declared by best-effort tasks
-	unknownRuns      int                     // reported runs that belong to no known task here
-	backoffUntil     time.Time               // end of the backoff after a refused start
+	servingImages    map[pairs.Image]int      // number of long-running tasks with a tail latency target
+	bestEffortImages map[pairs.Image]int      // number of best-effort tasks
+	leaving          map[pairs.Image]struct{} // images of long-running tasks that move away to make room for best-effort tasks
+	used             oleanderline.Size        // committed to tasks; the CPU of best-effort tasks does not count
+	servingCPU       oleanderline.Millicores  // committed to long-running tasks with a tail latency target
+	longRunningCPU   oleanderline.Millicores  // committed to all long-running tasks
+	bestEffortCPU    oleanderline.Millicores  // declared by best-effort tasks
+	unknownRuns      int                      // reported runs that belong to no known task here
+	backoffUntil     time.Time                // end of the backoff after a refused start
 	health           health
 
 	throttle          throttleControl
@@ -97,7 +97,7 @@
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
 	w := &worker{
 		entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, throttle: newThrottleControl(),
-		servingImages: map[pairs.Image]int{}, bestEffortImages: map[pairs.Image]int{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
+		servingImages: map[pairs.Image]int{}, leaving: map[pairs.Image]struct{}{}, bestEffortImages: map[pairs.Image]int{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
 	}
 	p.workers[id] = w
 	return w
