Limit what unknown best-effort tasks can do to one worker

Cause: a job's best-effort tasks were packed onto one worker before it was known whether they interfere.

Change: a worker takes one best-effort task that may interfere there, and further ones while their CPU, weighted by the probability of harm, stays within 5% of the worker. Known harmless ones are not limited.

--- a/pkg/plan/ranking.go
+++ b/pkg/plan/ranking.go
@@ -49,7 +49,8 @@
 
 // canPlace reports whether a task may start on a worker now.
 func (p *Planner) canPlace(w *worker, t *task, now time.Time) bool {
-	if !w.schedulable(now) || !w.matches(t.group) || !w.hasRoom(t.group) || p.mustSeparate(w, t, now) || w.avoidedBy(t, now) {
+	if !w.schedulable(now) || !w.matches(t.group) || !w.hasRoom(t.group) || p.mustSeparate(w, t, now) ||
+		p.exceedsExposure(w, t) || w.avoidedBy(t, now) {
 		return false
 	}
 	_, ok := t.group.ticketFor(w, now)
--- a/pkg/plan/separation.go
+++ b/pkg/plan/separation.go
@@ -69,11 +69,11 @@
 // there. The other best-effort tasks on the worker must be known as harmless, so that a change of the tail latency is due to the
 // trial.
 func (p *Planner) allowsTrial(w *worker, t *task, now time.Time) bool {
-	if w.worstRatio > maxTrialRatio || p.bestEffortHarm(w, t) >= certainHarm || now.Sub(p.lastTrial[imageOf(t)]) < trialInterval {
+	if w.worstRatio > maxTrialRatio || p.imageHarm(w, imageOf(t)) >= certainHarm || now.Sub(p.lastTrial[imageOf(t)]) < trialInterval {
 		return false
 	}
 	for other := range w.tasks {
-		if other.group.step.BestEffort && p.bestEffortHarm(w, other) > negligibleHarm {
+		if other.group.step.BestEffort && p.imageHarm(w, imageOf(other)) > negligibleHarm {
 			return false
 		}
 	}
--- a/pkg/plan/throttle.go
+++ b/pkg/plan/throttle.go
@@ -202,7 +202,7 @@
 	highest := 0.0
 	harm := map[*task]float64{}
 	for _, t := range bestEffort {
-		harm[t] = p.bestEffortHarm(w, t)
+		harm[t] = p.imageHarm(w, imageOf(t))
 		highest = max(highest, harm[t])
 	}
 	suspects := map[*task]bool{}
@@ -212,15 +212,6 @@
 	return suspects
 }
 
-// bestEffortHarm returns the highest probability with which a best-effort task interferes with a long-running task of a worker.
-func (p *Planner) bestEffortHarm(w *worker, bestEffort *task) float64 {
-	highest := 0.0
-	for serving := range w.servingImages {
-		highest = max(highest, p.pairs.HarmProbability(serving, imageOf(bestEffort)))
-	}
-	return highest
-}
-
 func (p *Planner) orderThrottle(t *task, percent int) {
 	t.throttle, t.throttleOrderedAt = percent, p.now
 	p.orders = append(p.orders, Order{
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -33,15 +33,15 @@
 	acked         int64 // highest number of a recorded end
 
 	tasks            map[*task]struct{}
-	servingImages    map[pairs.Image]int      // number of long-running tasks with a tail latency target
-	bestEffortImages map[pairs.Image]int      // number of best-effort tasks
-	leaving          map[pairs.Image]struct{} // images of long-running tasks that move away to make room for best-effort tasks
-	used             oleanderline.Size        // committed to tasks; the CPU of best-effort tasks does not count
-	servingCPU       oleanderline.Millicores  // committed to long-running tasks with a tail latency target
-	longRunningCPU   oleanderline.Millicores  // committed to all long-running tasks
-	bestEffortCPU    oleanderline.Millicores  // declared by best-effort tasks
-	unknownRuns      int                      // reported runs that belong to no known task here
-	backoffUntil     time.Time                // end of the backoff after a refused start
+	servingImages    map[pairs.Image]int                     // number of long-running tasks with a tail latency target
+	bestEffortImages map[pairs.Image]oleanderline.Millicores // declared by best-effort tasks
+	leaving          map[pairs.Image]struct{}                // images of long-running tasks that move away to make room for best-effort tasks
+	used             oleanderline.Size                       // committed to tasks; the CPU of best-effort tasks does not count
+	servingCPU       oleanderline.Millicores                 // committed to long-running tasks with a tail latency target
+	longRunningCPU   oleanderline.Millicores                 // committed to all long-running tasks
+	bestEffortCPU    oleanderline.Millicores                 // declared by best-effort tasks
+	unknownRuns      int                                     // reported runs that belong to no known task here
+	backoffUntil     time.Time                               // end of the backoff after a refused start
 	health           health
 
 	throttle          throttleControl
@@ -97,7 +97,7 @@
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
 	w := &worker{
 		entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, throttle: newThrottleControl(),
-		servingImages: map[pairs.Image]int{}, leaving: map[pairs.Image]struct{}{}, bestEffortImages: map[pairs.Image]int{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
+		servingImages: map[pairs.Image]int{}, leaving: map[pairs.Image]struct{}{}, bestEffortImages: map[pairs.Image]oleanderline.Millicores{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
 	}
 	p.workers[id] = w
 	return w
@@ -156,17 +156,19 @@
 	}
 }
 
-// countImage adds change to the number of tasks with the image of t. It does not count tasks other than best-effort tasks and
-// long-running tasks with a target.
-func (w *worker) countImage(t *task, change int) {
-	images := w.servingImages
+// countImage adds the image of a task to those of the worker, or removes it if sign is -1. It does not count tasks other than
+// best-effort tasks and long-running tasks with a target.
+func (w *worker) countImage(t *task, sign int) {
 	switch {
 	case t.group.step.BestEffort:
-		images = w.bestEffortImages
-	case t.group.step.TailTarget == 0:
-		return
+		addToImage(w.bestEffortImages, imageOf(t), oleanderline.Millicores(sign)*max(1, t.group.step.Size.CPU))
+	case t.group.step.TailTarget > 0:
+		addToImage(w.servingImages, imageOf(t), sign)
 	}
-	image := imageOf(t)
+}
+
+// addToImage adds to the value of an image, which leaves the map when the value becomes 0.
+func addToImage[V int | oleanderline.Millicores](images map[pairs.Image]V, image pairs.Image, change V) {
 	images[image] += change
 	if images[image] == 0 {
 		delete(images, image)
