Count best-effort tasks as starved after 0.4 s

Cause: images were moved apart only after best-effort tasks had waited for a second, and a move takes another one. Objectives of such jobs are 3 to 13 s.

Change: starvedAfter 0.4 s instead of 1 s.

--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -15,7 +15,7 @@
 	// worker is chosen.
 	consolidateInterval = time.Second
 	// starvedAfter is how long a best-effort task is ready before it counts as starved.
-	starvedAfter = time.Second
+	starvedAfter = 400 * time.Millisecond
 	// clearedTimeout is how long images stay off the workers that they have left, after the last time that best-effort tasks were
 	// starved.
 	clearedTimeout = 5 * time.Second
