Exchange images between full workers

Change: where a useful move has no room, two workers that both serve two images exchange them: each gives up the one that the other keeps. The tasks move without a reservation, into the room that the others leave.

--- a/pkg/consolidate/consolidate.go
+++ b/pkg/consolidate/consolidate.go
@@ -36,56 +36,108 @@
 type Move struct {
 	Worker oleanderline.WorkerID
 	Image  pairs.Image
+	// Exchange is whether the tasks take the room that another move of the same decision frees, so that none is free yet.
+	Exchange bool
 }
 
-// Choose returns at most limit moves, the most useful first. A move is useful if the worker then suits more of the demand, by the
-// CPU that this gives to best-effort tasks for each task that moves. The moved tasks need room on workers that suit no less of
-// the demand with their image. harmful reports whether a best-effort image interferes with a serving one.
+// maxExchangeSearches is the number of moves without room, for each permitted move, for which an exchange is looked for. It bounds
+// the time of one decision.
+const maxExchangeSearches = 3
+
+// Choose returns moves off at most limit workers, the most useful first. A move is useful if the worker then suits more of the
+// demand, by the CPU that this gives to best-effort tasks for each task that moves. The moved tasks need room on workers that
+// suit no less of the demand with their image. Without such room, two workers exchange images that both of them serve. harmful
+// reports whether a best-effort image interferes with a serving one.
 func Choose(workers []Worker, demand Demand, harmful func(serving, bestEffort pairs.Image) bool, limit int) []Move {
-	c := chooser{workers: workers, harmful: harmful}
+	c := chooser{workers: workers, harmful: harmful, room: map[pairs.Image]oleanderline.Millicores{}, chosen: map[oleanderline.WorkerID]bool{}}
 	c.demand = c.unmet(demand)
 	if len(c.demand) == 0 || limit <= 0 {
 		return nil
 	}
-	candidates := c.candidates()
-	room := map[pairs.Image]oleanderline.Millicores{}
-	var moves []Move
-	chosen := map[oleanderline.WorkerID]bool{}
-	for _, candidate := range candidates {
-		image := candidate.move.Image
-		if chosen[candidate.move.Worker] {
-			continue
-		}
-		if _, known := room[image]; !known {
-			room[image] = c.room(image)
+	searches := maxExchangeSearches * limit
+	for _, candidate := range c.candidates() {
+		if len(c.chosen) >= limit {
+			break
 		}
-		serving := candidate.worker.Serving[image]
-		own := c.roomOn(candidate.worker, image)
-		if room[image]-own < serving.CPU {
+		if c.chosen[candidate.worker.ID] || c.move(candidate) {
 			continue
 		}
-		room[image] -= own + serving.CPU
-		chosen[candidate.move.Worker] = true
-		moves = append(moves, candidate.move)
-		if len(moves) == limit {
-			break
+		if searches > 0 && len(c.chosen)+2 <= limit {
+			searches--
+			c.exchange(candidate)
 		}
 	}
-	return moves
+	return c.moves
 }
 
 type chooser struct {
 	workers []Worker
 	demand  Demand
 	harmful func(serving, bestEffort pairs.Image) bool
+	room    map[pairs.Image]oleanderline.Millicores // left for tasks of an image, as far as it is known
+	chosen  map[oleanderline.WorkerID]bool          // workers with a move
+	moves   []Move
 }
 
+// candidate is a useful move of an image off a worker.
 type candidate struct {
-	move   Move
 	worker *Worker
+	image  pairs.Image
 	gain   float64
 }
 
+// move chooses a candidate if other workers have room for its tasks.
+func (c *chooser) move(candidate candidate) bool {
+	if _, known := c.room[candidate.image]; !known {
+		c.room[candidate.image] = c.roomFor(candidate.image)
+	}
+	need := candidate.worker.Serving[candidate.image].CPU + c.roomOn(candidate.worker, candidate.image)
+	if c.room[candidate.image] < need {
+		return false
+	}
+	c.room[candidate.image] -= need
+	c.choose(candidate.worker, candidate.image, false)
+	return true
+}
+
+// exchange chooses a candidate together with a move that frees room for its tasks, off a worker that serves its image already, and
+// for whose tasks it frees room in turn. Neither worker then serves an image that it did not serve before.
+func (c *chooser) exchange(candidate candidate) {
+	from, image := candidate.worker, candidate.image
+	for i := range c.workers {
+		partner := &c.workers[i]
+		if partner == from || c.chosen[partner.ID] || !partner.canKeep(image) {
+			continue
+		}
+		for other, serving := range partner.Serving {
+			if other == image || serving.Leaving || !serving.Movable || !from.canKeep(other) {
+				continue
+			}
+			if fitsAfterExchange(from, image, other, partner) && fitsAfterExchange(partner, other, image, from) {
+				c.choose(from, image, true)
+				c.choose(partner, other, true)
+				return
+			}
+		}
+	}
+}
+
+// canKeep reports whether a worker serves an image that is not leaving it.
+func (w *Worker) canKeep(image pairs.Image) bool {
+	serving, present := w.Serving[image]
+	return present && !serving.Leaving
+}
+
+// fitsAfterExchange reports whether the tasks of an image of a partner fit on a worker once the tasks of another image have left it.
+func fitsAfterExchange(w *Worker, leaving, arriving pairs.Image, partner *Worker) bool {
+	return w.Free+w.Serving[leaving].CPU >= partner.Serving[arriving].CPU
+}
+
+func (c *chooser) choose(w *Worker, image pairs.Image, exchange bool) {
+	c.chosen[w.ID] = true
+	c.moves = append(c.moves, Move{Worker: w.ID, Image: image, Exchange: exchange})
+}
+
 // unmet returns the demand of the images for which the workers that suit them have too little leftover CPU.
 func (c *chooser) unmet(demand Demand) Demand {
 	unmet := Demand{}
@@ -123,12 +175,12 @@
 			}
 			gain := float64(c.gained(w, image)) * float64(w.Leftover) / float64(serving.Count)
 			if gain > 0 {
-				list = append(list, candidate{move: Move{Worker: w.ID, Image: image}, worker: w, gain: gain})
+				list = append(list, candidate{worker: w, image: image, gain: gain})
 			}
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(-cmp.Compare(a.gain, b.gain), cmp.Compare(a.move.Worker, b.move.Worker), cmp.Compare(a.move.Image, b.move.Image))
+		return cmp.Or(-cmp.Compare(a.gain, b.gain), cmp.Compare(a.worker.ID, b.worker.ID), cmp.Compare(a.image, b.image))
 	})
 	return list
 }
@@ -144,8 +196,8 @@
 	return sum
 }
 
-// room returns the CPU that all workers have for tasks of an image.
-func (c *chooser) room(image pairs.Image) oleanderline.Millicores {
+// roomFor returns the CPU that all workers have for tasks of an image.
+func (c *chooser) roomFor(image pairs.Image) oleanderline.Millicores {
 	var sum oleanderline.Millicores
 	for i := range c.workers {
 		sum += c.roomOn(&c.workers[i], image)
--- a/pkg/consolidate/consolidate_test.go
+++ b/pkg/consolidate/consolidate_test.go
@@ -47,7 +47,7 @@
 			[]Worker{full(newWorker("w1", "a", "a", "b")), newWorker("w2", "b")},
 			Demand{"fb": 3000},
 			3,
-			[]Move{{"w1", "b"}},
+			[]Move{{Worker: "w1", Image: "b"}},
 		},
 		{
 			"nothing moves without demand",
@@ -85,12 +85,32 @@
 			Demand{"fb": 3000},
 			3, nil,
 		},
+		{
+			"full workers exchange images",
+			[]Worker{full(newWorker("w1", "a", "a", "b")), full(newWorker("w2", "a", "b", "b"))},
+			Demand{"fb": 3000, "fa": 3000},
+			2,
+			[]Move{{Worker: "w1", Image: "b", Exchange: true}, {Worker: "w2", Image: "a", Exchange: true}},
+		},
+		{
+			"an exchange counts as two",
+			[]Worker{full(newWorker("w1", "a", "a", "b")), full(newWorker("w2", "a", "b", "b"))},
+			Demand{"fb": 3000, "fa": 3000},
+			1, nil,
+		},
+		{
+			"an exchange needs tasks that fit",
+			[]Worker{full(newWorker("w1", "a", "a", "b", "b", "b")), full(newWorker("w2", "a", "b", "b", "b", "b"))},
+			Demand{"fa": 3000},
+			2,
+			nil,
+		},
 		{
 			"the limit holds",
 			[]Worker{newWorker("w1", "a", "b"), newWorker("w2", "a", "b"), newWorker("w3", "b")},
 			Demand{"fb": 30000},
 			1,
-			[]Move{{"w3", "b"}},
+			[]Move{{Worker: "w3", Image: "b"}},
 		},
 		{
 			"room is promised once",
@@ -99,7 +119,7 @@
 			}},
 			Demand{"fb": 30000},
 			2,
-			[]Move{{"w1", "b"}},
+			[]Move{{Worker: "w1", Image: "b"}},
 		},
 	} {
 		t.Run(s.name, func(t *testing.T) {
--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -45,7 +45,7 @@
 	limit := int(math.Ceil(maxClearingShare*float64(len(p.workers)))) - p.countClearing()
 	for _, move := range consolidate.Choose(p.consolidationView(now), demand, p.pairs.Harmful, limit) {
 		w := p.workers[move.Worker]
-		w.leaving[move.Image] = struct{}{}
+		w.leaving[move.Image] = departure{exchange: move.Exchange}
 		p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf(
 			"moving %d long-running tasks of image %s away to make room for starved best-effort tasks", w.servingImages[move.Image], move.Image))
 	}
@@ -116,10 +116,18 @@
 	return images
 }
 
+// departure describes how an image leaves a worker.
+type departure struct {
+	exchange bool // its tasks take the room of tasks that leave another worker, so that none can be reserved
+}
+
 // shouldMoveAway reports whether a long-running task should move now because its image leaves the worker. It reserves the room
-// elsewhere.
+// elsewhere, except for an exchange.
 func (p *Planner) shouldMoveAway(w *worker, t *task, now time.Time) bool {
-	return w.isLeaving(t) && !t.done && t.isServing() && t.mayMove() && p.reserveElsewhere(t, now)
+	if !w.isLeaving(t) || t.done || !t.isServing() || !t.mayMove() {
+		return false
+	}
+	return w.leaving[imageOf(t)].exchange || p.reserveElsewhere(t, now)
 }
 
 // isLeaving reports whether the image of a long-running task leaves the worker or has left it.
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -35,7 +35,7 @@
 	tasks            map[*task]struct{}
 	servingImages    map[pairs.Image]int                     // number of long-running tasks with a tail latency target
 	bestEffortImages map[pairs.Image]oleanderline.Millicores // declared by best-effort tasks
-	leaving          map[pairs.Image]struct{}                // images of long-running tasks that move away to make room for best-effort tasks
+	leaving          map[pairs.Image]departure               // images of long-running tasks that move away to make room for best-effort tasks
 	used             oleanderline.Size                       // committed to tasks; the CPU of best-effort tasks does not count
 	servingCPU       oleanderline.Millicores                 // committed to long-running tasks with a tail latency target
 	longRunningCPU   oleanderline.Millicores                 // committed to all long-running tasks
@@ -97,7 +97,7 @@
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
 	w := &worker{
 		entry: oleanderline.WorkerEntry{ID: id}, tasks: map[*task]struct{}{}, throttle: newThrottleControl(),
-		servingImages: map[pairs.Image]int{}, leaving: map[pairs.Image]struct{}{}, bestEffortImages: map[pairs.Image]oleanderline.Millicores{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
+		servingImages: map[pairs.Image]int{}, leaving: map[pairs.Image]departure{}, bestEffortImages: map[pairs.Image]oleanderline.Millicores{}, bestEffortEndedAt: map[pairs.Image]time.Time{},
 	}
 	p.workers[id] = w
 	return w
