Say in start lines why a task had waited

Cause: E6030 gave the time that a task was ready only as text, and not what it waited for, so that a late job could not be explained from the logs. Times had whole seconds.

Change: E6030 has the fields waited and obstacle: the nearest thing to a placement when its step last found no worker (worker, room, interference, exposure, moving, ticket, headroom). Log times have milliseconds. Tasks of a gang get the time at which they became ready, which was zero and made their wait look huge.

Result: no decision changes but the text of gang starts; go test ./pkg/plan ./pkg/term ./pkg/common ./pkg/node passes.

--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -60,12 +60,15 @@
 // actors save.
 func (c *Common) Actors() *actor.ActorSystem { return c.actors() }
 
+// timestampFormat is RFC 3339 with milliseconds, so that the lines of different processes can be put in order.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes one JSON object per line.
 func NewLogger(out io.Writer, level logrus.Level) *logrus.Logger {
 	logger := logrus.New()
 	logger.SetOutput(out)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timestampFormat})
 	return logger
 }
 
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -18,6 +18,7 @@
 	unfinished int       // tasks that are not done
 	readyCount int       // tasks that are ready to start
 	retryAt    time.Time // when workers are ranked again after none could take a task
+	obstacle   obstacle  // why none could take a task when workers were last ranked in vain
 	// tickets holds the answers of the queue's adviser about workers, if the queue has one.
 	tickets map[oleanderline.WorkerID]ticket
 	// nextIndex is the index at which the search for a ready task begins.
@@ -167,7 +168,7 @@
 		}
 	}
 	for i := range g.tasks {
-		g.tasks[i].state = taskReady
+		g.tasks[i].state, g.tasks[i].readyAt = taskReady, p.now
 	}
 	g.readyCount, g.nextIndex = len(g.tasks), 0
 	p.ready[g] = struct{}{}
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -1,6 +1,10 @@
 package plan
 
-import "github.com/oleanderline/oleanderline"
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
 
 // OrderKind is the operation that an order asks a worker for.
 type OrderKind int
@@ -52,4 +56,7 @@
 	Run    oleanderline.RunKey
 	Worker oleanderline.WorkerID
 	Reason string
+	// Waited is how long a started task was ready, and Obstacle why its step last found no worker, "" if it always found one.
+	Waited   time.Duration
+	Obstacle string
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -64,10 +64,17 @@
 			continue
 		}
 		if r == nil || g.step.SameRack { // with SameRack, the scores depend on the racks of the tasks already placed
-			r = p.rank(t, now)
+			var blocked obstacle
+			if r, blocked = p.rank(t, now); len(r) == 0 {
+				g.obstacle = blocked
+			}
 		}
 		i := p.best(&r, t, now)
-		if i < 0 || !p.takeHeadroom(t) {
+		if i >= 0 && !p.takeHeadroom(t) {
+			g.obstacle = obstacleHeadroom
+			i = -1
+		}
+		if i < 0 {
 			g.retryAt = now.Add(p.rerankDelay())
 			p.prepareAdviceRequest(g, now)
 			return started
@@ -178,7 +185,9 @@
 		Kind: OrderStart, Worker: w.entry.ID, Life: w.incarnation, Key: t.runKey(),
 		Payload: t.group.job.spec.Payload, Checkpoint: t.checkpoint, Ticket: value,
 	})
-	p.note(NoteStart, t.runKey(), w, t.startReason(w, now))
+	p.notes = append(p.notes, Note{
+		Kind: NoteStart, Run: t.runKey(), Worker: w.entry.ID, Reason: t.startReason(w, now), Waited: now.Sub(t.readyAt), Obstacle: t.group.obstacle.String(),
+	})
 }
 
 // startReason describes a start for the log: how long the task was ready, the age of its job and the job's objective, and
--- a/pkg/plan/ranking.go
+++ b/pkg/plan/ranking.go
@@ -31,32 +31,25 @@
 // once for each task, because a backlog may have thousands of tasks on hundreds of workers.
 type ranking []rankedWorker
 
-// rank ranks the workers that may take a task.
-func (p *Planner) rank(t *task, now time.Time) ranking {
+// rank ranks the workers that may take a task. It also returns the greatest obstacle on the others, for the case that none may.
+func (p *Planner) rank(t *task, now time.Time) (ranking, obstacle) {
 	var r ranking
+	greatest := obstacleWorker
 	for _, w := range p.workers {
-		if p.canPlace(w, t, now) {
+		o := p.obstacleOn(w, t, now)
+		if o == obstacleNone {
 			r = append(r, rankedWorker{w, p.score(w, t)})
 		}
+		greatest = max(greatest, o)
 	}
 	slices.SortFunc(r, compareRanked)
-	return r
+	return r, greatest
 }
 
 func compareRanked(a, b rankedWorker) int {
 	return cmp.Or(-cmp.Compare(a.score, b.score), cmp.Compare(a.worker.entry.ID, b.worker.entry.ID))
 }
 
-// canPlace reports whether a task may start on a worker now.
-func (p *Planner) canPlace(w *worker, t *task, now time.Time) bool {
-	if !w.schedulable(now) || !w.matches(t.group) || !w.hasRoom(t.group) || p.mustSeparate(w, t, now) ||
-		p.exceedsExposure(w, t) || w.avoidedBy(t, now) {
-		return false
-	}
-	_, ok := t.group.ticketFor(w, now)
-	return ok
-}
-
 // best returns the index in the ranking of the best worker for a task, or -1 if none can take it. The worker on which the task
 // last failed is returned only if there is no other. Workers that can no longer take the task are removed from the ranking.
 func (p *Planner) best(r *ranking, t *task, now time.Time) int {
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -130,6 +130,9 @@
 	if note.Worker != "" {
 		entry = entry.WithField("worker", note.Worker)
 	}
+	if note.Kind == plan.NoteStart {
+		entry = entry.WithField("waited", note.Waited.Seconds()).WithField("obstacle", note.Obstacle)
+	}
 	entry.Info(note.Reason)
 }
 
