Account for the time of tasks from the nodes' logs

Change: pkg/account reads the logs of all nodes, and oleanderctl account shows for each queue what tasks waited for, ran, and ran in vain, by periods, or the runs of one job; text or JSON. Damaged, dropped or missing lines are named. E6030 has the field kind.

--- a/pkg/ctl/settings.go
+++ b/pkg/ctl/settings.go
@@ -21,6 +21,7 @@
 	Status  *StatusCommand  `arg:"subcommand:status" help:"show the own VMs, their shards and workers, the rules and the log service"`
 	Why     *WhyCommand     `arg:"subcommand:why" help:"explain the state of a task"`
 	Cell    *CellCommand    `arg:"subcommand:cell" help:"show the nodes of a cell and the burn rates of its error budgets"`
+	Account *AccountCommand `arg:"subcommand:account" help:"show from the nodes' logs for what tasks waited, and what they ran in vain"`
 	Burn    *BurnCommand    `arg:"subcommand:burn" help:"show the burn rates of the error budgets of the slo rules"`
 
 	Key        string        `arg:"--key,env:OLEANDER_KEY" help:"shared key of the operator listeners" placeholder:"KEY"`
@@ -92,6 +93,14 @@
 	HTML string `arg:"--html" help:"write an HTML page to this file instead" placeholder:"FILE"`
 }
 
+// AccountCommand holds the arguments of account.
+type AccountCommand struct {
+	Logs   []string      `arg:"positional,required" help:"logs of the nodes, or - for standard input" placeholder:"LOG"`
+	Job    string        `arg:"--job" help:"show the runs of this job instead" placeholder:"ID"`
+	Period time.Duration `arg:"--period" help:"length of the periods into which the time is divided" default:"2s" placeholder:"TIME"`
+	JSON   bool          `arg:"--json" help:"print JSON instead of text"`
+}
+
 // AddressList is a list of IP:PORT separated by commas.
 type AddressList []string
 
@@ -135,6 +144,9 @@
 	if s.Publish != nil {
 		errs = append(errs, s.validatePublish())
 	}
+	if s.Account != nil && s.Account.Period < time.Millisecond {
+		errs = append(errs, fmt.Errorf("--period=%q: want at least 1ms", s.Account.Period))
+	}
 	return errors.Join(errs...)
 }
 
--- a/pkg/ctl/tool.go
+++ b/pkg/ctl/tool.go
@@ -79,6 +79,8 @@
 		return t.why(ctx, s.Why)
 	case s.Cell != nil:
 		return t.cell(ctx, s.Cell)
+	case s.Account != nil:
+		return t.account(s.Account)
 	case s.Burn != nil:
 		return t.burn(ctx, s.Burn)
 	default:
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -50,7 +50,7 @@
 			case w.evacuating() && p.shouldEvacuate(w, t, now):
 				p.move(t, "worker is draining or vacated", now)
 			case p.shouldMoveAway(w, t, now):
-				p.move(t, "consolidating long-running tasks", now)
+				p.move(t, "moving images of long-running tasks apart", now)
 			case t.stuck(w.reportedAt):
 				w.health.record(true, now)
 				t.avoidWorker = w.entry.ID
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -59,4 +59,5 @@
 	// Waited is how long a started task was ready, and Obstacle why its step last found no worker, "" if it always found one.
 	Waited   time.Duration
 	Obstacle string
+	TaskKind string // of a started task: "long-running", "best-effort" or "batch"
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -187,6 +187,7 @@
 	})
 	p.notes = append(p.notes, Note{
 		Kind: NoteStart, Run: t.runKey(), Worker: w.entry.ID, Reason: t.startReason(w, now), Waited: now.Sub(t.readyAt), Obstacle: t.group.obstacle.String(),
+		TaskKind: t.kind(),
 	})
 }
 
@@ -198,3 +199,14 @@
 		", job age " + now.Sub(j.arrived).Round(time.Millisecond).String() + " of objective " + j.objective().Round(time.Millisecond).String() +
 		", free CPU of the worker " + strconv.FormatInt(int64(w.free().CPU), 10) + "m"
 }
+
+// kind returns the kind of the task for the log.
+func (t *task) kind() string {
+	switch {
+	case t.group.step.LongRunning:
+		return "long-running"
+	case t.group.step.BestEffort:
+		return "best-effort"
+	}
+	return "batch"
+}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -131,7 +131,7 @@
 		entry = entry.WithField("worker", note.Worker)
 	}
 	if note.Kind == plan.NoteStart {
-		entry = entry.WithField("waited", note.Waited.Seconds()).WithField("obstacle", note.Obstacle)
+		entry = entry.WithField("waited", note.Waited.Seconds()).WithField("obstacle", note.Obstacle).WithField("kind", note.TaskKind)
 	}
 	entry.Info(note.Reason)
 }
