Exchange only tasks that fit in every resource

Cause: an exchange looked at processors alone and reserves nothing, so tasks that lack memory on the other worker, need a label or are limited in number on a worker could be stopped without a place to go to.

Change: the sizes of both sides are compared in every resource, and tasks bound to certain workers are not exchanged.

Result: two cases of TestChoose fail without the change.

--- a/pkg/consolidate/consolidate.go
+++ b/pkg/consolidate/consolidate.go
@@ -18,7 +18,7 @@
 // Worker is a worker that may take tasks.
 type Worker struct {
 	ID       oleanderline.WorkerID
-	Free     oleanderline.Millicores // not committed to any task
+	Free     oleanderline.Size       // not committed to any task
 	Leftover oleanderline.Millicores // what further best-effort tasks may use
 	Serving  map[pairs.Image]Serving
 }
@@ -26,10 +26,11 @@
 // Serving describes the long-running tasks of one image on a worker.
 type Serving struct {
 	Count   int
-	CPU     oleanderline.Millicores // of all of them
+	Size    oleanderline.Size       // of all of them
 	Largest oleanderline.Millicores // of one of them
 	Movable bool                    // all of them may be moved
 	Leaving bool                    // they are being moved off the worker
+	Bound   bool                    // some of them need a label, or are limited in number on a worker
 }
 
 // Move takes all long-running tasks of an image off a worker.
@@ -91,7 +92,7 @@
 	if _, known := c.room[candidate.image]; !known {
 		c.room[candidate.image] = c.roomFor(candidate.image)
 	}
-	need := candidate.worker.Serving[candidate.image].CPU + c.roomOn(candidate.worker, candidate.image)
+	need := candidate.worker.Serving[candidate.image].Size.CPU + c.roomOn(candidate.worker, candidate.image)
 	if c.room[candidate.image] < need {
 		return false
 	}
@@ -104,13 +105,16 @@
 // for whose tasks it frees room in turn. Neither worker then serves an image that it did not serve before.
 func (c *chooser) exchange(candidate candidate) {
 	from, image := candidate.worker, candidate.image
+	if from.Serving[image].Bound {
+		return
+	}
 	for i := range c.workers {
 		partner := &c.workers[i]
 		if partner == from || c.chosen[partner.ID] || !partner.canKeep(image) {
 			continue
 		}
 		for other, serving := range partner.Serving {
-			if other == image || serving.Leaving || !serving.Movable || !from.canKeep(other) {
+			if other == image || serving.Leaving || serving.Bound || !serving.Movable || !from.canKeep(other) {
 				continue
 			}
 			if fitsAfterExchange(from, image, other, partner) && fitsAfterExchange(partner, other, image, from) {
@@ -130,7 +134,7 @@
 
 // fitsAfterExchange reports whether the tasks of an image of a partner fit on a worker once the tasks of another image have left it.
 func fitsAfterExchange(w *Worker, leaving, arriving pairs.Image, partner *Worker) bool {
-	return w.Free+w.Serving[leaving].CPU >= partner.Serving[arriving].CPU
+	return partner.Serving[arriving].Size.Fits(w.Free.Add(w.Serving[leaving].Size))
 }
 
 func (c *chooser) choose(w *Worker, image pairs.Image, exchange bool) {
@@ -212,12 +216,12 @@
 		return 0
 	}
 	if present {
-		return w.Free / serving.Largest * serving.Largest
+		return w.Free.CPU / serving.Largest * serving.Largest
 	}
 	for bestEffort := range c.demand {
 		if c.harmful(image, bestEffort) && c.suits(w, bestEffort, "") {
 			return 0
 		}
 	}
-	return w.Free
+	return w.Free.CPU
 }
--- a/pkg/consolidate/consolidate_test.go
+++ b/pkg/consolidate/consolidate_test.go
@@ -9,16 +9,21 @@
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 )
 
+// cores returns a size with 4 GB for each core.
+func cores(n int) oleanderline.Size {
+	return oleanderline.Size{CPU: oleanderline.Millicores(1000 * n), Memory: oleanderline.Megabytes(4000 * n)}
+}
+
 // newWorker returns a worker of 10 cores with one long-running task of each image, of 2 cores each.
 func newWorker(id oleanderline.WorkerID, images ...pairs.Image) Worker {
-	w := Worker{ID: id, Free: 10000, Serving: map[pairs.Image]Serving{}}
+	w := Worker{ID: id, Free: cores(10), Serving: map[pairs.Image]Serving{}}
 	for _, image := range images {
 		serving := w.Serving[image]
-		serving = Serving{Count: serving.Count + 1, CPU: serving.CPU + 2000, Largest: 2000, Movable: true}
+		serving = Serving{Count: serving.Count + 1, Size: serving.Size.Add(cores(2)), Largest: 2000, Movable: true}
 		w.Serving[image] = serving
-		w.Free -= 2000
+		w.Free = w.Free.Sub(cores(2))
 	}
-	w.Leftover = w.Free
+	w.Leftover = w.Free.CPU
 	return w
 }
 
@@ -28,13 +33,25 @@
 // Guards against starved best-effort tasks without a worker although moves would give them one, against moves that help none of
 // them or have no room elsewhere, and against moves that take more workers from the starved tasks than they give.
 func TestChoose(t *testing.T) {
-	full := func(w Worker) Worker { w.Free = 0; return w }
+	full := func(w Worker) Worker { w.Free = oleanderline.Size{}; return w }
 	fixed := func(w Worker, image pairs.Image) Worker {
 		serving := w.Serving[image]
 		serving.Movable = false
 		w.Serving[image] = serving
 		return w
 	}
+	bound := func(w Worker, image pairs.Image) Worker {
+		serving := w.Serving[image]
+		serving.Bound = true
+		w.Serving[image] = serving
+		return w
+	}
+	lean := func(w Worker, image pairs.Image) Worker {
+		serving := w.Serving[image]
+		serving.Size.Memory = 0
+		w.Serving[image] = serving
+		return w
+	}
 	for _, s := range []struct {
 		name    string
 		workers []Worker
@@ -105,6 +122,18 @@
 			2,
 			nil,
 		},
+		{
+			"an exchange needs the memory as well",
+			[]Worker{lean(lean(full(newWorker("w1", "a", "a", "b")), "a"), "b"), full(newWorker("w2", "a", "b", "b"))},
+			Demand{"fb": 3000, "fa": 3000},
+			2, nil,
+		},
+		{
+			"tasks that need certain workers are not exchanged",
+			[]Worker{bound(bound(full(newWorker("w1", "a", "a", "b")), "a"), "b"), full(newWorker("w2", "a", "b", "b"))},
+			Demand{"fb": 3000, "fa": 3000},
+			2, nil,
+		},
 		{
 			"the limit holds",
 			[]Worker{newWorker("w1", "a", "b"), newWorker("w2", "a", "b"), newWorker("w3", "b")},
@@ -115,7 +144,7 @@
 		{
 			"room is promised once",
 			[]Worker{full(newWorker("w1", "a", "b")), full(newWorker("w2", "a", "b")), {
-				ID: "w3", Free: 2000, Serving: map[pairs.Image]Serving{"b": {Count: 4, CPU: 8000, Largest: 2000}},
+				ID: "w3", Free: cores(2), Serving: map[pairs.Image]Serving{"b": {Count: 4, Size: cores(8), Largest: 2000}},
 			}},
 			Demand{"fb": 30000},
 			2,
@@ -124,7 +153,7 @@
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			for i := range s.workers {
-				s.workers[i].Leftover = max(s.workers[i].Free, 1000)
+				s.workers[i].Leftover = max(s.workers[i].Free.CPU, 1000)
 			}
 			require.Equal(t, s.want, Choose(s.workers, s.demand, mutualHarm, s.limit))
 		})
--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -87,7 +87,7 @@
 	for _, w := range p.workers {
 		if w.schedulable(now) {
 			view = append(view, consolidate.Worker{
-				ID: w.entry.ID, Free: w.free().CPU, Leftover: w.leftoverCPU(), Serving: w.serving(),
+				ID: w.entry.ID, Free: w.free(), Leftover: w.leftoverCPU(), Serving: w.serving(),
 			})
 		}
 	}
@@ -101,15 +101,16 @@
 		if t.group.step.TailTarget == 0 {
 			continue
 		}
-		image, cpu := imageOf(t), t.group.step.Size.CPU
+		image, step := imageOf(t), t.group.step
 		serving, known := images[image]
 		if !known {
 			_, leaving := w.leaving[image]
 			serving = consolidate.Serving{Movable: true, Leaving: leaving}
 		}
 		serving.Count++
-		serving.CPU += cpu
-		serving.Largest = max(serving.Largest, cpu, 1)
+		serving.Size = serving.Size.Add(step.Size)
+		serving.Largest = max(serving.Largest, step.Size.CPU, 1)
+		serving.Bound = serving.Bound || step.Label != "" || step.MaxPerWorker > 0
 		serving.Movable = serving.Movable && t.state == taskRunning && t.mayMove()
 		images[image] = serving
 	}
