Open the breaker after callers have given up, keep retentions on reload

Cause: (1) pkg/node's batcher returned without opening its circuit breaker if all callers of a batch had given up before the append failed, so that during a slow outage each further caller waited for its whole deadline. (2) A replica that read all records again took that time as the end of every finished job, so that each reload began their retention anew.

Change: the breaker opens after a failed attempt in any case; a load keeps the times at which known jobs finished.

--- a/pkg/node/batcher.go
+++ b/pkg/node/batcher.go
@@ -101,11 +101,14 @@
 	b.probing.Store(true)
 	defer b.probing.Store(false)
 	uncertain := false
-	for range appendAttempts {
+	for attempt := range appendAttempts {
 		batch = dropExpired(batch, uncertain)
-		if len(batch) == 0 {
+		if len(batch) == 0 && attempt == 0 {
 			return
 		}
+		if len(batch) == 0 {
+			break // all callers have given up while the log failed
+		}
 		_, err := b.log.Append(ctx, record.Stream, recordsOf(batch), oleanderline.AppendCondition{})
 		if err == nil {
 			b.failing.Store(false)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -76,12 +76,24 @@
 func (r *Replica) Load(batch oleanderline.KeyedBatch, now time.Time) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	known := r.jobs
 	r.jobs = map[oleanderline.JobID]*Entry{}
 	r.workers = map[oleanderline.WorkerID]record.Worker{}
 	r.nodes = map[oleanderline.VMID]record.Node{}
 	r.windows = map[oleanderline.WindowID]maintenance.Progress{}
 	r.loaded = true
-	return r.apply(batch, now)
+	changes := r.apply(batch, now)
+	r.keepFinishTimes(known)
+	return changes
+}
+
+// keepFinishTimes takes over when jobs finished, so that their retention does not begin anew with each load.
+func (r *Replica) keepFinishTimes(known map[oleanderline.JobID]*Entry) {
+	for id, entry := range r.jobs {
+		if earlier := known[id]; earlier != nil && !earlier.FinishedAt.IsZero() && !entry.FinishedAt.IsZero() {
+			entry.FinishedAt = earlier.FinishedAt
+		}
+	}
 }
 
 // Apply applies the records of a read to the replica.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -88,3 +88,15 @@
 	_, ok := r.Job("a")
 	require.False(t, ok)
 }
+
+// Guards against a retention that begins anew whenever all records are read again, so that finished jobs are kept for longer than
+// promised memory allows.
+func TestLoadKeepsTheRetention(t *testing.T) {
+	r := New(func(err error) { require.NoError(t, err) })
+	batch := oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
+		jobRecord(t, "a", "x"), progressRecord(t, "a", record.Progress{State: oleanderline.JobFailed}),
+	}}
+	r.Load(batch, now)
+	r.Load(batch, now.Add(time.Minute))
+	require.Equal(t, []oleanderline.JobID{"a"}, r.Expired(now.Add(time.Minute+1), time.Minute))
+}
