Count gang starts, name why a worker is unreachable, encode heartbeats first

Cause: (1) the starts of gangs did not count against the maximum of a pass. (2) E6034 'worker is unreachable' dropped the error of the call. (3) If the leader's own record could not be encoded, the changes handed out for that flush were lost, since the planner counts them as stored. (4) A state set in releaseTentative had no effect.

Change: placeGang returns its starts; the error is in the line; the heartbeat is encoded before the planner is asked; the assignment is gone.

Result: TestGangsCountAgainstTheMaximumOfAPass fails without the change and passes with it. (3) cannot happen with today's record, whose fields always encode; no test.

--- a/pkg/plan/gang.go
+++ b/pkg/plan/gang.go
@@ -8,14 +8,14 @@
 	"github.com/oleanderline/oleanderline"
 )
 
-// placeGang starts all tasks of a gang with the same run number, or none of them.
-func (p *Planner) placeGang(g *group, unreportedMayRun bool, now time.Time) {
+// placeGang starts all tasks of a gang with the same run number, or none of them. It returns how many it has started.
+func (p *Planner) placeGang(g *group, unreportedMayRun bool, now time.Time) int {
 	run := p.runBase
 	checkpoint := ""
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.mayAlreadyRun(unreportedMayRun) {
-			return
+			return 0
 		}
 		run = max(run, t.run)
 		if t.checkpoint != "" {
@@ -24,11 +24,12 @@
 	}
 	for _, rack := range p.racksFor(g) {
 		if p.placeGangInRack(g, rack, run+1, checkpoint, now) {
-			return
+			return len(g.tasks)
 		}
 	}
 	g.retryAt = now.Add(p.rerankDelay())
 	p.prepareAdviceRequest(g, now)
+	return 0
 }
 
 // racksFor returns the racks to try for a gang, in order of preference. "" stands for any rack, also several. A gang with
@@ -97,7 +98,6 @@
 		if t.worker == nil {
 			continue
 		}
-		t.state = taskStopping // release overwrites it with taskIdle; all tasks of the gang become ready below
 		p.release(t)
 	}
 	for i := range g.tasks {
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -17,8 +17,8 @@
 	servingUtilization = 0.5
 )
 
-// Place runs one scheduling pass. It starts at most maxStarts ready tasks, not counting the tasks of gangs. wall is the time of
-// day, for jobs with due times.
+// Place runs one scheduling pass. It starts at most maxStarts ready tasks, and the rest of a gang that has begun within them. wall is
+// the time of day, for jobs with due times.
 func (p *Planner) Place(now, wall time.Time, maxStarts int) {
 	p.now = now
 	if !p.mayStart(now) {
@@ -42,7 +42,7 @@
 		}
 		groups++
 		if g.step.Gang {
-			p.placeGang(g, unreportedMayRun, now)
+			started += p.placeGang(g, unreportedMayRun, now)
 			continue
 		}
 		started += p.placeGroup(g, unreportedMayRun, now, maxStarts-started)
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -76,7 +76,7 @@
 			c.add("a", oleanderline.Step{Count: 8, Size: testSize})
 			c.place()
 			if s.recorded {
-				c.planner.CallFailed("w0")
+				c.planner.CallFailed("w0", oleanderline.ErrUncertain)
 			}
 			c.flush()
 			c.endTaskOn("w1")
@@ -318,7 +318,7 @@
 // Guards against a worker that gets no more tasks after it was unreachable so briefly that no record of it was written.
 func TestBriefSilenceDoesNotExcludeAWorker(t *testing.T) {
 	c := newCell(t, 1)
-	c.planner.CallFailed("w0")
+	c.planner.CallFailed("w0", oleanderline.ErrUncertain)
 	c.reportAll()
 	c.flush()
 	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
@@ -352,3 +352,18 @@
 	require.Empty(t, c.runsOf(taskOf("a", 0, 0)), "the ticket has expired")
 	require.Equal(t, []oleanderline.WorkerID{"w1"}, c.planner.AdviceRequests()[0].Workers)
 }
+
+// Guards against a pass that starts more tasks than the leader may have outstanding, because those of a gang are not counted.
+func TestGangsCountAgainstTheMaximumOfAPass(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 2, Size: testSize, Gang: true})
+	c.add("b", oleanderline.Step{Count: 1, Size: testSize})
+	c.advance(rerankInterval)
+	c.planner.Place(c.now, c.now, 1)
+	c.deliver()
+	require.Len(t, c.runsOf(taskOf("a", 0, 0)), 1)
+	require.Len(t, c.runsOf(taskOf("a", 0, 1)), 1)
+	require.Empty(t, c.runsOf(taskOf("b", 0, 0)))
+	c.place()
+	require.Len(t, c.runsOf(taskOf("b", 0, 0)), 1)
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -124,14 +125,14 @@
 // HasWorker reports whether the planner has a worker.
 func (p *Planner) HasWorker(id oleanderline.WorkerID) bool { return p.workers[id] != nil }
 
-// CallFailed marks a worker as unreachable after a failed call.
-func (p *Planner) CallFailed(id oleanderline.WorkerID) {
+// CallFailed marks a worker as unreachable after a call that failed with cause.
+func (p *Planner) CallFailed(id oleanderline.WorkerID, cause error) {
 	w := p.workers[id]
 	if w == nil || w.unreachable {
 		return
 	}
 	w.unreachable = true
-	p.note(NoteWorker, oleanderline.RunKey{}, w, "worker is unreachable")
+	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf("worker is unreachable: %v", cause))
 }
 
 // LeaseExpired releases all tasks of a worker whose lease has expired, by which time the worker has stopped their runs.
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -33,7 +33,7 @@
 		s.observeStart(m.result, now)
 		s.planner.HandleResult(m.result, now)
 	case callFailed:
-		s.planner.CallFailed(m.id)
+		s.planner.CallFailed(m.id, m.err)
 	case inviteAnswered:
 		s.agents.handleInviteAnswer(m.vm, m.err, now)
 	case leaseExpired:
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -70,6 +70,17 @@
 
 func (w *writer) flush(resign bool) {
 	s := w.session
+	now := s.common.Clock.Now()
+	heartbeat := resign || now.Sub(w.lastHeartbeat) >= heartbeatInterval
+	var own []oleanderline.KeyedRecord
+	if heartbeat { // encoded first, because the planner counts what it hands out as stored
+		rec, err := w.ownRecord(resign)
+		if err != nil {
+			s.common.Event(common.EventRecordMalformed).WithError(err).Error("failed to encode the leader's record; flush aborted")
+			return
+		}
+		own = append(own, rec)
+	}
 	reply := make(chan flush, 1)
 	s.post(flushRequested{reply})
 	var f flush
@@ -78,18 +89,7 @@
 	case <-s.ctx.Done():
 		return
 	}
-	now := s.common.Clock.Now()
-	heartbeat := resign || now.Sub(w.lastHeartbeat) >= heartbeatInterval
-	if heartbeat {
-		leader := s.settings.Leader
-		leader.Resigned = resign
-		rec, err := record.ForLeader(leader)
-		if err != nil {
-			s.common.Event(common.EventRecordMalformed).WithError(err).Error("failed to encode the leader's record; flush aborted")
-			return
-		}
-		f.records = append(f.records, rec)
-	}
+	f.records = append(f.records, own...)
 	if len(f.records) > 0 && !w.appender.store(f.records, s.lastAppendSent.Store) {
 		return
 	}
@@ -101,4 +101,11 @@
 	}
 }
 
+// ownRecord returns the leader's own record, which is its heartbeat.
+func (w *writer) ownRecord(resign bool) (oleanderline.KeyedRecord, error) {
+	leader := w.session.settings.Leader
+	leader.Resigned = resign
+	return record.ForLeader(leader)
+}
+
 func (s *Session) sleep(d time.Duration) { common.Sleep(s.ctx, s.common.Clock, d) }
