Wait in the daemons' test until shards have settled

Cause: TestDaemonsFinishWorkWhileOthersComeAndGo submits while three daemons start and move shards among them; a submission whose shard moves is refused as not run (503), which is right, but the test expects 201.

Change: the cluster of the test waits until all daemons have exchanged heartbeats and the owners of the shards have not changed for ten heartbeats. All checks stay.

--- a/pkg/sched/daemon_test.go
+++ b/pkg/sched/daemon_test.go
@@ -28,6 +28,12 @@
 // decide a result on a slow machine.
 const waitTimeout = 30 * time.Second
 
+const (
+	testHeartbeat = 100 * time.Millisecond
+	testShards    = 3
+	settledTime   = 10 * testHeartbeat // for which the owners of shards have not changed
+)
+
 // testCluster is a set of platform stand-ins with three schedulers.
 type testCluster struct {
 	t       *testing.T
@@ -65,9 +71,30 @@
 	for i := range 3 {
 		c.start(i, port, logURL, vmsURL)
 	}
+	c.awaitSettled()
 	return c
 }
 
+// awaitSettled waits until the daemons have exchanged heartbeats and each shard has stayed with one of them. While daemons start,
+// shards move among them, and a submission whose shard moves is refused as not run.
+func (c *testCluster) awaitSettled() {
+	owned, since := [3]int{}, time.Now()
+	c.await("shards have settled", func() bool {
+		now, all := [3]int{}, 0
+		for i, d := range c.daemons {
+			if len(d.membership.members()) != len(c.daemons) {
+				return false
+			}
+			now[i] = d.ownedShards()
+			all += now[i]
+		}
+		if now != owned || all != testShards {
+			owned, since = now, time.Now()
+		}
+		return time.Since(since) > settledTime
+	})
+}
+
 func ownID(i int) oleanderline.VMID { return oleanderline.VMID(fmt.Sprintf("own-%d", i)) }
 
 func freePort(t *testing.T) int {
@@ -91,7 +118,7 @@
 	settings.PeerListen = fmt.Sprintf("%s:%d", ip, peerPort)
 	settings.OperatorListen = fmt.Sprintf("%s:%d", ip, freePort(c.t))
 	settings.Key, settings.LogService, settings.VMList = testKey, logURL, vmsURL
-	settings.Heartbeat, settings.Renew, settings.Shards = 100*time.Millisecond, 100*time.Millisecond, 3
+	settings.Heartbeat, settings.Renew, settings.Shards = testHeartbeat, testHeartbeat, testShards
 	settings.AnswerTimeout = time.Second
 	logger := common.NewLogger(io.Discard, logrus.InfoLevel)
 	d, err := New(common.New("sched", common.WithLogger(logger)), settings)
