Keep moves within pools, count scheduled jobs from their due time

Cause: (1) an exchange of images could pair workers of different pools, whose tasks then had no place to go to; demand and room were summed over pools. (2) A scheduled job counted as missed when it was due, because its objective ran from the time at which it was handed in. (3) Sorting the backlog computed each urgency many times.

Change: the choice of moves is made for each pool; the objective of a scheduled job counts from its due time; the sort key is computed once.

--- a/pkg/backlog/backlog.go
+++ b/pkg/backlog/backlog.go
@@ -40,16 +40,30 @@
 	Group       int // among the sets of tasks of the job
 }
 
+// Key is the place of an item in the order. It is computed once for an item, because sorting compares it many times.
+type Key struct {
+	priority, stage int
+	urgency         float64
+	slack           time.Duration
+	job             oleanderline.JobID
+	group           int
+}
+
+// Key returns the item's place in the order.
+func (i Item) Key() Key {
+	return Key{priority: i.Priority, stage: i.stage(), urgency: i.urgency(), slack: i.Slack, job: i.Job, group: i.Group}
+}
+
 // Compare orders items: by priority, then long-running tasks, then other jobs that are not missed by their urgency, then by slack.
 // Missed jobs come last, because under overload serving them first would make all other jobs late as well.
-func Compare(a, b Item) int {
+func (k Key) Compare(other Key) int {
 	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(a.stage(), b.stage()),
-		-cmp.Compare(a.urgency(), b.urgency()),
-		cmp.Compare(a.Slack, b.Slack),
-		cmp.Compare(a.Job, b.Job),
-		cmp.Compare(a.Group, b.Group),
+		cmp.Compare(k.priority, other.priority),
+		cmp.Compare(k.stage, other.stage),
+		-cmp.Compare(k.urgency, other.urgency),
+		cmp.Compare(k.slack, other.slack),
+		cmp.Compare(k.job, other.job),
+		cmp.Compare(k.group, other.group),
 	)
 }
 
--- a/pkg/backlog/backlog_test.go
+++ b/pkg/backlog/backlog_test.go
@@ -10,7 +10,7 @@
 
 // Guards against an order in which a job that has begun waits behind new ones, a missed job delays others, or long-running tasks
 // and urgent queues lose their place.
-func TestCompare(t *testing.T) {
+func TestOrder(t *testing.T) {
 	for _, s := range []struct {
 		name          string
 		first, second Item
@@ -28,8 +28,8 @@
 		{"job, then group", Item{Job: "a", Group: 1}, Item{Job: "a", Group: 2}},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			require.Negative(t, Compare(s.first, s.second))
-			require.Positive(t, Compare(s.second, s.first))
+			require.Negative(t, s.first.Key().Compare(s.second.Key()))
+			require.Positive(t, s.second.Key().Compare(s.first.Key()))
 		})
 	}
 }
@@ -91,7 +91,7 @@
 			order = append(order, j.item(i, now, mean))
 		}
 	}
-	slices.SortFunc(order, Compare)
+	slices.SortFunc(order, func(a, b Item) int { return a.Key().Compare(b.Key()) })
 	room := roomTasks
 	for _, item := range order {
 		j := jobs[item.Group]
--- a/pkg/plan/backlog.go
+++ b/pkg/plan/backlog.go
@@ -17,13 +17,13 @@
 func (p *Planner) inOrder(now time.Time) []*group {
 	type ordered struct {
 		group *group
-		item  backlog.Item
+		key   backlog.Key
 	}
 	list := make([]ordered, 0, len(p.ready))
 	for g := range p.ready {
-		list = append(list, ordered{g, p.backlogItem(g, now)})
+		list = append(list, ordered{g, p.backlogItem(g, now).Key()})
 	}
-	slices.SortFunc(list, func(a, b ordered) int { return backlog.Compare(a.item, b.item) })
+	slices.SortFunc(list, func(a, b ordered) int { return a.key.Compare(b.key) })
 	groups := make([]*group, len(list))
 	for i := range list {
 		groups[i] = list[i].group
@@ -33,7 +33,7 @@
 
 func (p *Planner) backlogItem(g *group, now time.Time) backlog.Item {
 	objective := g.job.objective()
-	waited := now.Sub(g.job.arrived)
+	waited := now.Sub(g.since())
 	remaining := g.job.criticalPath[g.stepIndex]
 	return backlog.Item{
 		Priority:    g.job.queue.Priority,
@@ -48,6 +48,14 @@
 	}
 }
 
+// since returns the time from which the objective counts: the due time, or the arrival of a job without due times.
+func (g *group) since() time.Time {
+	if g.dueAt.IsZero() {
+		return g.job.arrived
+	}
+	return g.dueAt
+}
+
 // workSum averages the work of the jobs of a queue.
 type workSum struct {
 	total backlog.Work
--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -16,8 +16,7 @@
 	consolidateInterval = time.Second
 	// starvedAfter is how long a best-effort task is ready before it counts as starved.
 	starvedAfter = 400 * time.Millisecond
-	// clearedTimeout is how long images stay off the workers that they have left, after the last time that best-effort tasks were
-	// starved.
+	// clearedTimeout is how long images stay off the workers that they have left, after best-effort tasks were last starved.
 	clearedTimeout = 5 * time.Second
 	// maxClearingShare is the maximum share of workers off which an image moves at the same time.
 	maxClearingShare = 0.1
@@ -25,6 +24,14 @@
 	avoidClearedTimeout = 300 * time.Millisecond
 )
 
+// consolidation is what the decision about the workers of one pool needs.
+type consolidation struct {
+	demand   consolidate.Demand
+	workers  []consolidate.Worker // that may take tasks
+	known    int                  // workers of the pool
+	clearing int                  // workers with long-running tasks that are being moved away
+}
+
 // consolidate moves long-running tasks to other workers while best-effort tasks are starved because they would interfere with
 // long-running tasks on nearly every worker.
 func (p *Planner) consolidate(now time.Time) {
@@ -32,8 +39,8 @@
 		return
 	}
 	p.consolidatedAt = now
-	demand := p.starvedDemand(now)
-	if len(demand) > 0 {
+	pools := p.starvedPools(now)
+	if len(pools) > 0 {
 		p.starvedAt = now
 	}
 	if now.Sub(p.starvedAt) > clearedTimeout {
@@ -42,56 +49,80 @@
 		}
 		return
 	}
-	limit := int(math.Ceil(maxClearingShare*float64(len(p.workers)))) - p.countClearing()
-	for _, move := range consolidate.Choose(p.consolidationView(now), demand, p.pairs.Harmful, limit) {
-		w := p.workers[move.Worker]
-		w.leaving[move.Image] = departure{exchange: move.Exchange}
-		p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf(
-			"moving %d long-running tasks of image %s away to make room for starved best-effort tasks", w.servingImages[move.Image], move.Image))
+	p.addWorkers(pools, now)
+	for _, pool := range pools {
+		limit := int(math.Ceil(maxClearingShare*float64(pool.known))) - pool.clearing
+		for _, move := range consolidate.Choose(pool.workers, pool.demand, p.pairs.Harmful, limit) {
+			p.moveAway(move)
+		}
 	}
 }
 
-// starvedDemand returns the CPU that starved best-effort tasks need.
-func (p *Planner) starvedDemand(now time.Time) consolidate.Demand {
-	demand := consolidate.Demand{}
+func (p *Planner) moveAway(move consolidate.Move) {
+	w := p.workers[move.Worker]
+	w.leaving[move.Image] = departure{exchange: move.Exchange}
+	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf(
+		"moving %d long-running tasks of image %s away to make room for starved best-effort tasks", w.servingImages[move.Image], move.Image))
+}
+
+// starvedPools returns the pools with starved best-effort tasks, and the CPU that these need.
+func (p *Planner) starvedPools(now time.Time) map[oleanderline.PoolID]*consolidation {
+	pools := map[oleanderline.PoolID]*consolidation{}
 	for g := range p.ready {
-		if !g.step.BestEffort {
+		starved := g.starvedTasks(now)
+		if starved == 0 {
 			continue
 		}
-		for i := range g.tasks {
-			if t := &g.tasks[i]; t.state == taskReady && now.Sub(t.readyAt) > starvedAfter {
-				demand[imageOf(t)] += g.step.Size.CPU
-			}
+		id := g.job.queue.Pool
+		if pools[id] == nil {
+			pools[id] = &consolidation{demand: consolidate.Demand{}}
 		}
+		pools[id].demand[pairs.Image(g.step.Image)] += oleanderline.Millicores(starved) * g.step.Size.CPU
 	}
-	return demand
+	return pools
 }
 
-// countClearing returns the number of workers with long-running tasks that are being moved away.
-func (p *Planner) countClearing() int {
-	count := 0
-	for _, w := range p.workers {
-		for image := range w.leaving {
-			if w.servingImages[image] > 0 {
-				count++
-				break
-			}
+// starvedTasks returns the number of starved best-effort tasks of a group.
+func (g *group) starvedTasks(now time.Time) int {
+	if !g.step.BestEffort {
+		return 0
+	}
+	starved := 0
+	for i := range g.tasks {
+		if t := &g.tasks[i]; t.state == taskReady && now.Sub(t.readyAt) > starvedAfter {
+			starved++
 		}
 	}
-	return count
+	return starved
 }
 
-// consolidationView returns the workers that may take tasks, with their long-running tasks that have a tail latency target.
-func (p *Planner) consolidationView(now time.Time) []consolidate.Worker {
-	var view []consolidate.Worker
+// addWorkers adds the workers to their pools, with their long-running tasks that have a tail latency target.
+func (p *Planner) addWorkers(pools map[oleanderline.PoolID]*consolidation, now time.Time) {
 	for _, w := range p.workers {
+		pool := pools[w.entry.Pool]
+		if pool == nil {
+			continue
+		}
+		pool.known++
+		if w.isClearing() {
+			pool.clearing++
+		}
 		if w.schedulable(now) {
-			view = append(view, consolidate.Worker{
+			pool.workers = append(pool.workers, consolidate.Worker{
 				ID: w.entry.ID, Free: w.free(), Leftover: w.leftoverCPU(), Serving: w.serving(),
 			})
 		}
 	}
-	return view
+}
+
+// isClearing reports whether long-running tasks are being moved off the worker.
+func (w *worker) isClearing() bool {
+	for image := range w.leaving {
+		if w.servingImages[image] > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // serving describes the long-running tasks with a tail latency target, by their images.
--- a/pkg/plan/consolidate_test.go
+++ b/pkg/plan/consolidate_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 // newScatteredCell returns a cell of four workers with one long-running task of a job on each, and a job of best-effort tasks that would
@@ -113,3 +114,35 @@
 		}
 	}
 }
+
+// Guards against an exchange of images between workers of different pools, whose tasks then have no place to go to.
+func TestImagesAreNotExchangedBetweenPools(t *testing.T) {
+	c := newCell(t, 12)
+	c.entries[11].Pool = "other"
+	c.planner.SetWorkers(c.entries, c.now)
+	other := testQueue
+	other.ID, other.Pool = "o", "other"
+	c.planner.SetConfig(&oleanderline.CellConfig{
+		Version: 2, Queues: []oleanderline.Queue{testQueue, other}, Pools: []oleanderline.Pool{{ID: "pool"}, {ID: "other"}},
+	})
+	c.planner.Pairs().Restore([]pairs.Evidence{{Serving: "b", BestEffort: "f", Harm: 0.99}, {Serving: "a", BestEffort: "f", Harm: 0.01}})
+	add := func(id oleanderline.JobID, queue oleanderline.QueueID, step oleanderline.Step) {
+		step.LongRunning, step.TailTarget = true, 100*time.Millisecond
+		c.planner.AddJob(oleanderline.Job{ID: id, Queue: queue, Steps: []oleanderline.Step{step}}, record.Progress{}, c.now, 0)
+		c.place()
+	}
+	size := func(cpu oleanderline.Millicores) oleanderline.Size { return oleanderline.Size{CPU: cpu, Memory: 1000} }
+	none := 0
+	add("full", "q", oleanderline.Step{Count: 10, Size: size(4000), Image: "b", MaxUnavailable: &none})
+	add("qa", "q", oleanderline.Step{Count: 2, Size: size(1000), Image: "a"})
+	add("qb", "q", oleanderline.Step{Count: 1, Size: size(2000), Image: "b"})
+	add("oa", "o", oleanderline.Step{Count: 1, Size: size(2000), Image: "a"})
+	add("ob", "o", oleanderline.Step{Count: 2, Size: size(1000), Image: "b"})
+	c.add("f", oleanderline.Step{Count: 4, Size: testSize, BestEffort: true, Image: "f"})
+	c.simulate(4 * time.Second)
+	for _, job := range []oleanderline.JobID{"qa", "qb", "oa", "ob"} {
+		runs := c.runsOf(taskOf(job, 0, 0))
+		require.Len(t, runs, 1, "job %s", job)
+		require.Equal(t, 1, runs[0].Run, "job %s was not moved", job)
+	}
+}
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -17,6 +17,7 @@
 	tasks      []task
 	unfinished int       // tasks that are not done
 	readyCount int       // tasks that are ready to start
+	dueAt      time.Time // when it was due, if its job has due times
 	retryAt    time.Time // when workers are ranked again after none could take a task
 	obstacle   obstacle  // why none could take a task when workers were last ranked in vain
 	// tickets holds the answers of the queue's adviser about workers, if the queue has one.
@@ -134,8 +135,9 @@
 // enqueueDue queues the tasks of the groups whose due time has passed. wall is the time of day.
 func (p *Planner) enqueueDue(wall time.Time) {
 	for g := range p.notDue {
-		if !wall.Before(g.job.spec.Due(g.occurrence)) {
+		if due := g.job.spec.Due(g.occurrence); !wall.Before(due) {
 			delete(p.notDue, g)
+			g.dueAt = p.now.Add(-wall.Sub(due))
 			p.enqueueGroup(g)
 		}
 	}
