Compute a worker's exposure once in a pass

A leader may have a tenth of a core.

Change: the value is kept for the pass until the worker takes or ends a task.

Decisions are the same: what is learned changes between passes only.

--- a/pkg/plan/exposure.go
+++ b/pkg/plan/exposure.go
@@ -22,8 +22,15 @@
 }
 
 // exposure returns the CPU of the best-effort tasks on a worker that may interfere there, weighted by their probability of harm, in
-// millicores.
+// millicores. It is computed once in a pass for each worker, unless the worker takes a task.
 func (p *Planner) exposure(w *worker) float64 {
+	if w.exposedIn != p.pass {
+		w.exposed, w.exposedIn = p.computeExposure(w), p.pass
+	}
+	return w.exposed
+}
+
+func (p *Planner) computeExposure(w *worker) float64 {
 	sum := 0.0
 	for image, cpu := range w.bestEffortImages {
 		if harm := p.imageHarm(w, image); harm > negligibleHarm {
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -21,6 +21,7 @@
 // the time of day, for jobs with due times.
 func (p *Planner) Place(now, wall time.Time, maxStarts int) {
 	p.now = now
+	p.pass++
 	if !p.mayStart(now) {
 		return
 	}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -50,6 +50,7 @@
 	levels         map[oleanderline.QueueID]*ServiceLevel
 	headroom       map[oleanderline.PoolID]*headroom
 	meanWork       map[oleanderline.QueueID]workSum
+	pass           int64                     // number of the scheduling pass
 	consolidatedAt time.Time                 // when consolidate last ran
 	starvedAt      time.Time                 // when best-effort tasks were last starved
 	checkedAt      time.Time                 // when checkRunning last ran
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -47,6 +47,8 @@
 
 	throttle          throttleControl
 	worstRatio        float64                   // highest ratio of a tail latency to its target in the newest report
+	exposed           float64                   // see Planner.exposure
+	exposedIn         int64                     // the pass in which it was computed; 0 if it has changed since
 	overSince         time.Time                 // since when the ratio exceeds pauseRatio
 	sampledAt         time.Time                 // when the learner last received a sample
 	bestEffortMovedAt time.Time                 // when a best-effort task was last moved away
@@ -160,6 +162,7 @@
 // countImage adds the image of a task to those of the worker, or removes it if sign is -1. It does not count tasks other than
 // best-effort tasks and long-running tasks with a target.
 func (w *worker) countImage(t *task, sign int) {
+	w.exposedIn = 0
 	switch {
 	case t.group.step.BestEffort:
 		addToImage(w.bestEffortImages, imageOf(t), oleanderline.Millicores(sign)*max(1, t.group.step.Size.CPU))
