Do not run an inspection that its caller has abandoned

Cause: pkg/sched looks at its shards with a time limit. After the limit the look still ran, and wrote to maps that the caller used meanwhile. In 60 plays of the daemons' test beside others (six at a time) one ended with 'fatal error: concurrent map writes' in collectRooms, which takes the process down. Another failed on a port that a connection had taken.

Change: an abandoned inspection does not run, and one that runs is waited for. The test takes ports below those given to connections.

Result: TestAbandonedInspectionDoesNotRun fails without the change and passes with it.

--- a/pkg/sched/daemon_test.go
+++ b/pkg/sched/daemon_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -31,6 +32,8 @@
 const (
 	testHeartbeat = 100 * time.Millisecond
 	testShards    = 3
+	firstTestPort = 10000
+	testPorts     = 20000
 	settledTime   = 10 * testHeartbeat // for which the owners of shards have not changed
 )
 
@@ -97,11 +100,21 @@
 
 func ownID(i int) oleanderline.VMID { return oleanderline.VMID(fmt.Sprintf("own-%d", i)) }
 
+// freePort returns a port on which nothing listens. It is below those that the system gives to connections, one of which would
+// otherwise take it before the daemon listens.
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	t.Helper()
+	for range 100 {
+		port := firstTestPort + rand.IntN(testPorts)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, listener.Close())
+		return port
+	}
+	require.Fail(t, "no free port")
+	return 0
 }
 
 func (c *testCluster) serve(handler http.Handler) string {
@@ -211,6 +224,27 @@
 	c.requireNoViolations()
 }
 
+// Guards against a look at a shard that goes on after its caller has given up: it would write to variables that the caller uses
+// meanwhile. With the rooms of several shards, concurrent writes to one map ended the process.
+func TestAbandonedInspectionDoesNotRun(t *testing.T) {
+	c := newTestCluster(t)
+	for _, s := range c.daemons[0].shards {
+		busy, free := make(chan struct{}), make(chan struct{})
+		require.True(t, s.coreLoop.Post(coreFunc(func(*shard.Core) {
+			close(busy)
+			<-free
+		})))
+		<-busy
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		looked := false
+		require.ErrorIs(t, s.inspect(ctx, func(*shard.Core) { looked = true }), context.Canceled)
+		close(free)
+		require.NoError(t, s.inspect(t.Context(), func(*shard.Core) {}))
+		require.False(t, looked)
+	}
+}
+
 // Guards against a submission that is answered as not run during an outage of the log service but recorded later.
 func TestDaemonRefusesSubmissionsWhileTheLogIsDown(t *testing.T) {
 	c := newTestCluster(t)
--- a/pkg/sched/shard_runner.go
+++ b/pkg/sched/shard_runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -158,23 +159,35 @@
 	}
 }
 
-// inspect runs f in the core loop and waits until it has returned.
+// inspect runs f in the core loop and waits until it has returned. After an error, f does not run any more, so that it may write to
+// variables of the caller.
 func (s *shardRunner) inspect(ctx context.Context, f coreFunc) error {
 	done := make(chan struct{})
+	var mu sync.Mutex
+	abandoned := false
 	if !s.coreLoop.Post(coreFunc(func(core *shard.Core) {
-		f(core)
+		mu.Lock()
+		defer mu.Unlock()
+		if !abandoned {
+			f(core)
+		}
 		close(done)
 	})) {
 		return errBusy
 	}
+	var err error
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
 	case <-s.ctx.Done():
-		return s.ctx.Err()
+		err = s.ctx.Err()
 	}
+	mu.Lock()
+	defer mu.Unlock()
+	abandoned = true
+	return err
 }
 
 func (s *shardRunner) append(message any) {
