--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -19,7 +19,7 @@
 	EventJobRefused       Event = "E6021" // a submission, cancellation or state call was not answered with success; the error in the line says why
 	EventJobCancel        Event = "E6022" // the cancellation of a job was stored
 	EventJobFinal         Event = "E6023" // the leader recorded the final state of a job
-	EventRunStart         Event = "E6030" // the leader starts a run of a task on a worker
+	EventRunStart         Event = "E6030" // the leader starts a run of a task on a worker; the fields give the kind of the task, for how many seconds it was ready (waited), and what kept its step from a worker when one was last sought in vain (obstacle)
 	EventRunEnd           Event = "E6031" // a worker reported the end of a run
 	EventRunStop          Event = "E6032" // the leader stops a run, or a worker refused to start it; the message is the reason
 	EventRunLost          Event = "E6033" // the leader considers a run ended although its worker reported no end; the message is the reason
