--- a/pkg/consolidate/consolidate_test.go
+++ b/pkg/consolidate/consolidate_test.go
@@ -1,6 +1,7 @@
 package consolidate
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -159,3 +160,28 @@
 		})
 	}
 }
+
+// BenchmarkChoose measures one decision at the size to design for: 870 workers with three of ten images each, and a dozen starved
+// best-effort images.
+func BenchmarkChoose(b *testing.B) {
+	var workers []Worker
+	for i := range 870 {
+		var images []pairs.Image
+		for j := range 3 {
+			images = append(images, pairs.Image(fmt.Sprintf("s%d", (i+j*j)%10)))
+		}
+		workers = append(workers, newWorker(oleanderline.WorkerID(fmt.Sprintf("w%d", i)), images...))
+	}
+	demand := Demand{}
+	harmful := map[[2]pairs.Image]bool{}
+	for f := range 12 {
+		bestEffort := pairs.Image(fmt.Sprintf("f%d", f))
+		demand[bestEffort] = 10000000
+		for s := range 10 {
+			harmful[[2]pairs.Image{pairs.Image(fmt.Sprintf("s%d", s)), bestEffort}] = (s+f)%2 == 0
+		}
+	}
+	for b.Loop() {
+		Choose(workers, demand, func(serving, bestEffort pairs.Image) bool { return harmful[[2]pairs.Image{serving, bestEffort}] }, 87)
+	}
+}
