Name the decider, the sender and the facts on the lines of runs

- E6030 and E6032 name the leader's VM, the agent that sends the order, and what the leader knows of the worker: reported in this term or not, inherited, listed, unreachable, seconds since its newest report.
- E6032 of a failed start has its calls, its time and whether the task may start elsewhere at once.
E6033 has the times of the decision: the start, its answer, the request of the report that misses the run, the end of the lease that was computed (link.Events and agent.Event carry it to the leader).
- E6045 is new: the leader stops a run that it does not expect.
Until now this had no line, although it is the sign of a second run.
A run is named once while the reports of its worker list it.

The fields agent, age, known and leader sort before "msg", so that they stay in a line that is cut. No decision changes.

--- a/pkg/agent/messages.go
+++ b/pkg/agent/messages.go
@@ -93,7 +93,10 @@
 	Sent     time.Time
 	Order    plan.Order // without payload
 	Attempts int
+	Took     time.Duration // of the order
 	Failure  Failure
+	// LeaseEnd is when the leases on the worker expired, by the leader's clock.
+	LeaseEnd time.Time
 }
 
 // PushRequest carries a batch of events to the leader.
--- a/pkg/agent/reporter.go
+++ b/pkg/agent/reporter.go
@@ -26,7 +26,7 @@
 	order := result.Order
 	order.Payload, order.Checkpoint = "", ""
 	r.add(Event{
-		Kind: EventResult, Worker: order.Worker, Order: order, Attempts: result.Attempts, Failure: FailureOf(result.Err),
+		Kind: EventResult, Worker: order.Worker, Order: order, Attempts: result.Attempts, Took: result.Took, Failure: FailureOf(result.Err),
 	})
 }
 
@@ -36,8 +36,8 @@
 }
 
 // LeaseExpired implements link.Events.
-func (r *reporter) LeaseExpired(id oleanderline.WorkerID) {
-	r.add(Event{Kind: EventLeaseExpired, Worker: id})
+func (r *reporter) LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time) {
+	r.add(Event{Kind: EventLeaseExpired, Worker: id, LeaseEnd: r.session.leaderTime(leaseEnd)})
 }
 
 // Fenced implements link.Events.
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -19,11 +19,11 @@
 	EventJobRefused       Event = "E6021" // a submission, cancellation or state call was not answered with success; the error in the line says why
 	EventJobCancel        Event = "E6022" // the cancellation of a job was stored
 	EventJobFinal         Event = "E6023" // the leader recorded the final state of a job
-	EventRunStart         Event = "E6030" // the leader starts a run of a task on a worker; the fields give the kind of the task, for how many seconds it was ready (waited), and what kept its step from a worker when one was last sought in vain (obstacle)
+	EventRunStart         Event = "E6030" // the leader starts a run of a task on a worker; the fields give the kind of the task, for how many seconds it was ready (waited), what kept its step from a worker when one was last sought in vain (obstacle), the VM of the leader that decided (leader), the agent that sends the order (agent; none if the leader sends it, unserved if nobody serves the worker), what the leader knows of the worker (known: reported in this term or not, empty if its earlier runs count as expired without a report, inherited from an earlier leader, listed if its record names the only tasks there, unreachable), and the seconds since its newest report (age)
 	EventRunEnd           Event = "E6031" // a worker reported the end of a run
-	EventRunStop          Event = "E6032" // the leader stops a run, or a worker refused to start it; the message is the reason
-	EventRunLost          Event = "E6033" // the leader considers a run ended although its worker reported no end; the message is the reason
-	EventWorkerChange     Event = "E6034" // the leader's view of a worker changed, for example because it does not answer, answers again or drains; the message is the change. Check a worker that stays without an answer
+	EventRunStop          Event = "E6032" // the leader stops a run, or a worker refused to start it; the message is the reason, leader, agent, known and age are as in E6030. A failed start has the number of its calls (attempts), the seconds from its turn on the link to the result (took; 0 if its agent was lost), and whether the task may start elsewhere at once (released) or a stop is sent first
+	EventRunLost          Event = "E6033" // the leader considers a run ended although its worker reported no end; the message is the reason. Seconds before this line: began (start decided, or run of an earlier leader adopted), answered (worker answered the start or stop), asked (the report that misses the run was requested), expired (computed end of the lease). Compare them if the run turns out to have continued
+	EventWorkerChange     Event = "E6034" // the leader's view of a worker changed (known and age as in E6030), for example because it does not answer, answers again or drains; the message is the change. Check a worker that stays without an answer
 	EventThrottle         Event = "E6035" // the leader changed the throttle of a run; the message is the new percentage of full speed
 	EventPeersUnserved    Event = "E6014" // other processes cannot reach this one at its peer address; this is not retried, so correct the cause and restart the process
 	EventAdviceFailed     Event = "E6036" // a request to the adviser failed and is repeated; check the adviser if this recurs
@@ -34,5 +34,6 @@
 	EventAgentEnds        Event = "E6042" // this process no longer serves workers for that leader
 	EventAgentLost        Event = "E6043" // an agent of this leader does not answer or is stopping; its workers are reassigned to other processes
 	EventAgentRefused     Event = "E6044" // a process declined or did not answer an invitation to become an agent of this leader; it is not invited again for a while
+	EventRunUnexpected    Event = "E6045" // the leader stops a run that a worker reports and that it does not expect there; expectrun and expecton are the run of the same task that it expects and its worker, done says that the task is done. If both runs are in progress, the task runs twice: collect the lines of all nodes that name the task and report them
 	EventLinesDropped     Event = "E6040" // log lines were dropped because the limit per second was reached or the output was blocked; the message has their number
 )
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -54,9 +54,9 @@
 	Result(result plan.Result)
 	// CallFailed reports that a renew call failed.
 	CallFailed(id oleanderline.WorkerID, err error)
-	// LeaseExpired reports that renew calls fail and that the leases of all runs on the worker have expired. It is repeated
-	// while calls fail.
-	LeaseExpired(id oleanderline.WorkerID)
+	// LeaseExpired reports that renew calls fail and that the leases of all runs on the worker have expired at leaseEnd. It is
+	// repeated while calls fail.
+	LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time)
 	// Fenced reports that the worker has seen a newer term.
 	Fenced(id oleanderline.WorkerID)
 }
@@ -192,9 +192,9 @@
 		}
 		l.events.CallFailed(l.id, err)
 		now = l.clock.Now()
-		if l.expired(now) && now.Sub(expiryReportedAt) >= expiryRepeatInterval {
+		if leaseEnd, expired := l.expired(now); expired && now.Sub(expiryReportedAt) >= expiryRepeatInterval {
 			expiryReportedAt = now
-			l.events.LeaseExpired(l.id)
+			l.events.LeaseExpired(l.id, leaseEnd)
 		}
 		l.sleep(ctx, retryDelay)
 	}
@@ -234,10 +234,11 @@
 	return time.Duration(float64(span)/minClockRate) + clockSlack
 }
 
-func (l *Link) expired(now time.Time) bool {
+// expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
+func (l *Link) expired(now time.Time) (leaseEnd time.Time, expired bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.leaseEnd.IsZero() && now.After(l.leaseEnd)
+	return l.leaseEnd, !l.leaseEnd.IsZero() && now.After(l.leaseEnd)
 }
 
 // applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that acknowledged
@@ -304,7 +305,9 @@
 		case <-ctx.Done():
 			return
 		case next := <-l.orders:
+			began := l.clock.Now()
 			result, fenced := l.execute(ctx, next)
+			result.Took = l.clock.Now().Sub(began)
 			if fenced {
 				l.events.Fenced(l.id)
 				return
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -63,13 +63,13 @@
 
 // recorder is a link.Events that records the results and signals the other events.
 type recorder struct {
-	expired chan struct{}
+	expired chan time.Time // when the leases expired
 	results chan plan.Result
 	reports chan struct{}
 }
 
 func newRecorder() *recorder {
-	return &recorder{expired: make(chan struct{}, 100), results: make(chan plan.Result, 100), reports: make(chan struct{}, 1)}
+	return &recorder{expired: make(chan time.Time, 100), results: make(chan plan.Result, 100), reports: make(chan struct{}, 1)}
 }
 
 func (r *recorder) Report(oleanderline.WorkerID, oleanderline.WorkerReport, time.Time) {
@@ -78,10 +78,10 @@
 	default:
 	}
 }
-func (r *recorder) Result(result plan.Result)               { r.results <- result }
-func (r *recorder) CallFailed(oleanderline.WorkerID, error) {}
-func (r *recorder) LeaseExpired(oleanderline.WorkerID)      { r.expired <- struct{}{} }
-func (r *recorder) Fenced(oleanderline.WorkerID)            {}
+func (r *recorder) Result(result plan.Result)                                { r.results <- result }
+func (r *recorder) CallFailed(oleanderline.WorkerID, error)                  {}
+func (r *recorder) LeaseExpired(_ oleanderline.WorkerID, leaseEnd time.Time) { r.expired <- leaseEnd }
+func (r *recorder) Fenced(oleanderline.WorkerID)                             {}
 
 func startLink(t *testing.T, runner oleanderline.Runner, events Events, lease time.Duration) *Link {
 	t.Helper()
@@ -161,8 +161,10 @@
 	<-events.reports
 	answered := time.Now()
 	runner.makeUnreachable()
-	<-events.expired
+	leaseEnd := <-events.expired
 	require.GreaterOrEqual(t, time.Since(answered), lease)
+	require.GreaterOrEqual(t, leaseEnd.Sub(answered), lease, "the expiry that is reported must be the one that was computed")
+	require.Less(t, leaseEnd, time.Now())
 }
 
 // Guards against tasks that stay assigned to a worker which became unreachable before it answered over its new link: leases
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -36,6 +36,7 @@
 	// inheritedWorker is an unreachable worker on which the task may run, by the record of an earlier leader.
 	inheritedWorker *worker
 	run             int                   // highest known run number
+	adopted         bool                  // an earlier leader has started that run
 	failures        int                   // failed runs that count against the job
 	worker          *worker               // on which it holds room, if any
 	avoidWorker     oleanderline.WorkerID // the worker of the last failed or stuck run
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -34,30 +34,6 @@
 	Err   error
 	// Attempts is the number of calls made. If there was more than one, an earlier call may still take effect.
 	Attempts int
-}
-
-// NoteKind is the kind of a decision.
-type NoteKind int
-
-// Kinds of notes.
-const (
-	NoteStart    NoteKind = iota // a start was ordered
-	NoteEnd                      // a worker reported the end of a run; the reason is how it ended
-	NoteStop                     // a stop was ordered, or a start failed
-	NoteLost                     // a run counts as ended without a report of its end
-	NoteJob                      // a job ended; the reason is its final state
-	NoteWorker                   // the state of a worker changed
-	NoteThrottle                 // a throttle was ordered; the reason is its percentage of full speed
-)
-
-// Note is a decision or state change that the caller logs.
-type Note struct {
-	Kind   NoteKind
-	Run    oleanderline.RunKey
-	Worker oleanderline.WorkerID
-	Reason string
-	// Waited is how long a started task was ready, and Obstacle why its step last found no worker, "" if it always found one.
-	Waited   time.Duration
-	Obstacle string
-	TaskKind string // of a started task: "long-running", "best-effort" or "batch"
+	// Took is the time from the turn of the order until its result, as measured by the process that sent it; 0 if unknown.
+	Took time.Duration
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -173,7 +173,7 @@
 	p.dequeue(t)
 	t.state, t.run, t.startedAt, t.progressAt, t.answeredAt = taskStarting, run, now, now, time.Time{}
 	t.throttle = throttleFull
-	t.unreported = false
+	t.unreported, t.adopted = false, false
 	if t.group.step.BestEffort && p.interferes(w, t) {
 		p.lastTrial[imageOf(t)] = now
 	}
@@ -186,10 +186,10 @@
 		Kind: OrderStart, Worker: w.entry.ID, Life: w.incarnation, Key: t.runKey(),
 		Payload: t.group.job.spec.Payload, Checkpoint: t.checkpoint, Ticket: value,
 	})
-	p.notes = append(p.notes, Note{
-		Kind: NoteStart, Run: t.runKey(), Worker: w.entry.ID, Reason: t.startReason(w, now), Waited: now.Sub(t.readyAt), Obstacle: t.group.obstacle.String(),
+	p.addNote(Note{
+		Kind: NoteStart, Run: t.runKey(), Reason: t.startReason(w, now), Waited: now.Sub(t.readyAt), Obstacle: t.group.obstacle.String(),
 		TaskKind: t.kind(),
-	})
+	}, w)
 }
 
 // startReason describes a start for the log: how long the task was ready, the age of its job and the job's objective, and
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -128,14 +128,6 @@
 	return notes
 }
 
-func (p *Planner) note(kind NoteKind, run oleanderline.RunKey, w *worker, reason string) {
-	n := Note{Kind: kind, Run: run, Reason: reason}
-	if w != nil {
-		n.Worker = w.entry.ID
-	}
-	p.notes = append(p.notes, n)
-}
-
 // mayStart reports whether tasks may be started in this term: every worker on which any task of an earlier leader may run has
 // reported, or Settle has passed.
 func (p *Planner) mayStart(now time.Time) bool {
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -99,6 +99,8 @@
 func (p *Planner) handleRunning(w *worker, running []oleanderline.RunStatus, sent, now time.Time) {
 	listed := make(map[*task]struct{}, len(running))
 	w.unknownRuns = 0
+	notedBefore := w.unexpectedRuns
+	w.unexpectedRuns = nil
 	for _, status := range running {
 		t := p.task(status.Key.Task)
 		if t == nil || !p.handleStatus(w, t, status, now) {
@@ -107,6 +109,7 @@
 				continue
 			}
 			p.orders = append(p.orders, Order{Kind: OrderStop, Worker: w.entry.ID, Life: w.incarnation, Key: status.Key})
+			p.noteUnexpected(w, status.Key, t, notedBefore)
 			continue
 		}
 		listed[t] = struct{}{}
@@ -123,7 +126,7 @@
 			continue
 		}
 		if t.state == taskRunning || t.state == taskStopping {
-			p.note(NoteLost, t.runKey(), w, "run is missing from the report of its worker")
+			p.noteLost(t, "run is missing from the report of its worker", Loss{RequestedAt: sent})
 			p.release(t)
 		}
 	}
@@ -161,7 +164,7 @@
 func (p *Planner) adopt(w *worker, t *task, run int, now time.Time) {
 	p.dequeue(t)
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
-	t.throttle = -1 // unknown
+	t.throttle, t.adopted = -1, true // the throttle is unknown
 	p.charge(t, w)
 	p.recordStart(t)
 }
@@ -231,11 +234,13 @@
 	if refused != nil && refused.Reason == oleanderline.RefusedTicket {
 		delete(t.group.tickets, w.entry.ID)
 	}
-	p.note(NoteStop, t.runKey(), w, result.Err.Error())
+	released := p.certainlyNotStarted(result, refused)
+	failure := &StartFailure{Attempts: result.Attempts, Took: result.Took, Released: released}
+	p.addNote(Note{Kind: NoteStop, Run: t.runKey(), Reason: result.Err.Error(), Failure: failure}, w)
 	if errors.As(result.Err, &refused) && refused.Reason == oleanderline.RefusedUnhealthy {
 		w.backoffUntil = now.Add(unhealthyBackoff)
 	}
-	if p.certainlyNotStarted(result, refused) {
+	if released {
 		p.release(t)
 		return
 	}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -42,6 +42,7 @@
 	longRunningCPU   oleanderline.Millicores                 // committed to all long-running tasks
 	bestEffortCPU    oleanderline.Millicores                 // declared by best-effort tasks
 	unknownRuns      int                                     // reported runs that belong to no known task here
+	unexpectedRuns   map[oleanderline.RunKey]struct{}        // those of them whose stop was ordered
 	backoffUntil     time.Time                               // end of the backoff after a refused start
 	health           health
 
@@ -137,24 +138,19 @@
 	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf("worker is unreachable: %v", cause))
 }
 
-// LeaseExpired releases all tasks of a worker whose lease has expired, by which time the worker has stopped their runs.
-func (p *Planner) LeaseExpired(id oleanderline.WorkerID, now time.Time) {
+// LeaseExpired releases all tasks of a worker whose lease has expired at leaseEnd, by which time the worker has stopped their runs.
+func (p *Planner) LeaseExpired(id oleanderline.WorkerID, leaseEnd, now time.Time) {
 	p.now = now
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
 	w.reported = true // runs of earlier leaders have expired there as well
-	p.releaseLost(w, "lease of the worker expired")
-}
-
-// releaseLost releases the tasks of a worker, except those whose start has no result yet, for which the result decides.
-func (p *Planner) releaseLost(w *worker, reason string) {
 	for t := range w.tasks {
 		if t.state == taskStarting {
-			continue
+			continue // the result of the start decides
 		}
-		p.note(NoteLost, t.runKey(), w, reason)
+		p.noteLost(t, "lease of the worker expired", Loss{LeaseEnd: leaseEnd})
 		p.release(t)
 	}
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -227,11 +227,11 @@
 	case agent.EventReport:
 		r.events.Report(event.Worker, event.Report, earlier(event.Sent, r.clock.Now()))
 	case agent.EventResult:
-		r.events.Result(plan.Result{Order: event.Order, Attempts: event.Attempts, Err: event.Failure.Err()})
+		r.events.Result(plan.Result{Order: event.Order, Attempts: event.Attempts, Took: event.Took, Err: event.Failure.Err()})
 	case agent.EventCallFailed:
 		r.events.CallFailed(event.Worker, event.Failure.Err())
 	case agent.EventLeaseExpired:
-		r.events.LeaseExpired(event.Worker)
+		r.events.LeaseExpired(event.Worker, event.LeaseEnd)
 	case agent.EventFenced:
 		r.events.Fenced(event.Worker)
 	}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 )
@@ -37,7 +36,7 @@
 	case inviteAnswered:
 		s.agents.handleInviteAnswer(m.vm, m.err, now)
 	case leaseExpired:
-		s.planner.LeaseExpired(m.id, now)
+		s.planner.LeaseExpired(m.id, m.leaseEnd, now)
 	case ticked:
 		if until := s.planner.MajorityUntil(); !until.IsZero() {
 			s.majorityUntil.Store(until.UnixNano())
@@ -109,33 +108,6 @@
 	}
 }
 
-var noteEvents = map[plan.NoteKind]common.Event{
-	plan.NoteStart:    common.EventRunStart,
-	plan.NoteEnd:      common.EventRunEnd,
-	plan.NoteStop:     common.EventRunStop,
-	plan.NoteLost:     common.EventRunLost,
-	plan.NoteJob:      common.EventJobFinal,
-	plan.NoteWorker:   common.EventWorkerChange,
-	plan.NoteThrottle: common.EventThrottle,
-}
-
-func (s *Session) logNote(note plan.Note) {
-	if note.Kind == plan.NoteLost {
-		s.metrics.runsLost.Inc()
-	}
-	entry := s.common.Event(noteEvents[note.Kind]).WithField("term", s.settings.Leader.Term)
-	if note.Run.Task.Job != "" {
-		entry = entry.WithField("task", note.Run.Task.String()).WithField("run", note.Run.Run)
-	}
-	if note.Worker != "" {
-		entry = entry.WithField("worker", note.Worker)
-	}
-	if note.Kind == plan.NoteStart {
-		entry = entry.WithField("waited", note.Waited.Seconds()).WithField("obstacle", note.Obstacle).WithField("kind", note.TaskKind)
-	}
-	entry.Info(note.Reason)
-}
-
 func (s *Session) handleFlushStored(m flushStored) {
 	for _, id := range m.workers {
 		s.planner.WorkerRecorded(id)
@@ -177,7 +149,9 @@
 }
 
 // LeaseExpired implements link.Events.
-func (s *Session) LeaseExpired(id oleanderline.WorkerID) { s.post(leaseExpired{id}) }
+func (s *Session) LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time) {
+	s.post(leaseExpired{id, leaseEnd})
+}
 
 // Fenced implements link.Events.
 func (s *Session) Fenced(id oleanderline.WorkerID) {
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -25,7 +25,10 @@
 		id  oleanderline.WorkerID
 		err error
 	}
-	leaseExpired   struct{ id oleanderline.WorkerID }
+	leaseExpired struct {
+		id       oleanderline.WorkerID
+		leaseEnd time.Time
+	}
 	inviteAnswered struct {
 		vm  oleanderline.VMID
 		err error
--- /dev/null
+++ b/pkg/term/notes.go
@@ -0,0 +1,87 @@
+package term
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+)
+
+var noteEvents = map[plan.NoteKind]common.Event{
+	plan.NoteStart:      common.EventRunStart,
+	plan.NoteEnd:        common.EventRunEnd,
+	plan.NoteStop:       common.EventRunStop,
+	plan.NoteLost:       common.EventRunLost,
+	plan.NoteJob:        common.EventJobFinal,
+	plan.NoteWorker:     common.EventWorkerChange,
+	plan.NoteThrottle:   common.EventThrottle,
+	plan.NoteUnexpected: common.EventRunUnexpected,
+}
+
+// logNote logs a decision of the planner. Each note is one line, so that the limit of lines per second bounds them.
+func (s *Session) logNote(note plan.Note) {
+	if note.Kind == plan.NoteLost {
+		s.metrics.runsLost.Inc()
+	}
+	fields := logrus.Fields{"term": s.settings.Leader.Term}
+	if note.Run.Task.Job != "" {
+		fields["task"], fields["run"] = note.Run.Task.String(), note.Run.Run
+	}
+	if note.Worker != "" {
+		fields["worker"] = note.Worker
+	}
+	switch note.Kind {
+	case plan.NoteStart, plan.NoteStop, plan.NoteUnexpected, plan.NoteLost, plan.NoteWorker:
+		s.addDecision(fields, note)
+	}
+	if note.Kind == plan.NoteStart {
+		fields["waited"], fields["obstacle"], fields["kind"] = note.Waited.Seconds(), note.Obstacle, note.TaskKind
+	}
+	if note.Failure != nil {
+		fields["attempts"], fields["released"] = note.Failure.Attempts, note.Failure.Released
+		fields["took"] = seconds(note.Failure.Took)
+	}
+	if note.Loss != nil {
+		s.addLoss(fields, note.Loss)
+	}
+	if note.Expected != nil {
+		fields["expectrun"], fields["expecton"], fields["done"] = note.Expected.Run, note.Expected.Worker, note.Expected.Done
+	}
+	s.common.Event(noteEvents[note.Kind]).WithFields(fields).Info(note.Reason)
+}
+
+// addDecision adds which process decided and which one sends the orders to the worker, and what the leader knows of the worker.
+func (s *Session) addDecision(fields logrus.Fields, note plan.Note) {
+	fields["leader"] = s.settings.VM
+	switch l := s.links[note.Worker]; {
+	case l == nil:
+		fields["unserved"] = true
+	case l.agent != "":
+		fields["agent"] = l.agent
+	}
+	fields["known"] = note.View.String()
+	if note.View.Reported {
+		fields["age"] = seconds(note.View.Age)
+	}
+}
+
+// addLoss adds the facts behind the loss of a run. Times are given as seconds before the line.
+func (s *Session) addLoss(fields logrus.Fields, loss *plan.Loss) {
+	now := s.common.Clock.Now()
+	for _, fact := range []struct {
+		name string
+		at   time.Time
+	}{
+		{"began", loss.StartedAt}, {"answered", loss.AnsweredAt}, {"asked", loss.RequestedAt}, {"expired", loss.LeaseEnd},
+	} {
+		if !fact.at.IsZero() {
+			fields[fact.name] = seconds(now.Sub(fact.at))
+		}
+	}
+	fields["adopted"], fields["stopping"] = loss.Adopted, loss.Stopping
+}
+
+// seconds returns d in seconds, in whole milliseconds to keep lines short.
+func seconds(d time.Duration) float64 { return float64(d.Milliseconds()) / 1000 }
