Log each start that an agent sends, and why an agent ends

An order that an agent sends left no line on the agent's node, so that the sender in the users' record could not be matched with a decision.

E6046 is one line for each start that has a result: task, run, worker, term, the leader's address, calls, time and outcome. One line a second with all runs would be cheaper, but the users pick the lines that name a task and cut lines at about 190 characters, so that such a list would end after three runs, and one dropped line would lose all of them. The leader writes two lines for a run on its own node (E6030, E6031), its agents one on theirs: no process writes twice as many lines as before. The lines are of level info, which the limit of lines drops first.

E6042 gives the reason, the numbers of workers, starts and workers that have seen a newer term, the authority that was left and for how long the last calls went on.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -56,7 +56,7 @@
 		case 1:
 			return ErrStaleInvitation
 		}
-		a.session.cancel()
+		a.session.cancel(errNewerInvitation)
 	}
 	a.session = newSession(a, invitation)
 	a.common.Event(common.EventAgentBegins).WithField("term", invitation.Term).WithField("leader", invitation.Address).
@@ -79,7 +79,7 @@
 	a.mu.Lock()
 	a.stopped = true
 	if a.session != nil {
-		a.session.cancel()
+		a.session.cancel(errStopped)
 	}
 	a.mu.Unlock()
 	a.wg.Wait()
--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -92,7 +92,12 @@
 
 func startAgent(t *testing.T, leader *fakeLeader, runner *fakeRunner) *Agent {
 	t.Helper()
-	c := common.New("test", common.WithClock(common.NewSystemClock()), common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+	return startLoggingAgent(t, leader, runner, io.Discard)
+}
+
+func startLoggingAgent(t *testing.T, leader *fakeLeader, runner *fakeRunner, log io.Writer) *Agent {
+	t.Helper()
+	c := common.New("test", common.WithClock(common.NewSystemClock()), common.WithLogger(common.NewLogger(log, logrus.InfoLevel)))
 	a := New(c, "vm1", func(oleanderline.WorkerID, string) oleanderline.Runner { return runner }, leader)
 	require.NoError(t, a.Invite(testInvitation))
 	return a
--- a/pkg/agent/reporter.go
+++ b/pkg/agent/reporter.go
@@ -23,6 +23,9 @@
 
 // Result implements link.Events.
 func (r *reporter) Result(result plan.Result) {
+	if result.Order.Kind == plan.OrderStart {
+		r.session.logStart(result)
+	}
 	order := result.Order
 	order.Payload, order.Checkpoint = "", ""
 	r.add(Event{
@@ -41,7 +44,10 @@
 }
 
 // Fenced implements link.Events.
-func (r *reporter) Fenced(id oleanderline.WorkerID) { r.add(Event{Kind: EventFenced, Worker: id}) }
+func (r *reporter) Fenced(id oleanderline.WorkerID) {
+	r.session.fenced.Add(1)
+	r.add(Event{Kind: EventFenced, Worker: id})
+}
 
 func (r *reporter) add(event Event) {
 	event.Serves = r.assignment
--- a/pkg/agent/session.go
+++ b/pkg/agent/session.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/link"
@@ -26,10 +29,12 @@
 	agent      *Agent
 	invitation Invitation
 	ctx        context.Context
-	cancel     context.CancelFunc
+	cancel     context.CancelCauseFunc // the cause is logged
 	wg         sync.WaitGroup
 	leaving    atomic.Bool
 	outbox     *outbox
+	starts     atomic.Int64 // starts with a result
+	fenced     atomic.Int64 // workers that have seen a newer term
 
 	links    map[oleanderline.WorkerID]*runningLink // used only by the goroutine of pull
 	payloads map[oleanderline.JobID]string          // likewise
@@ -47,24 +52,43 @@
 }
 
 func newSession(a *Agent, invitation Invitation) *session {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	return &session{
 		agent: a, invitation: invitation, ctx: ctx, cancel: cancel, outbox: newOutbox(),
 		links: map[oleanderline.WorkerID]*runningLink{}, payloads: map[oleanderline.JobID]string{},
 	}
 }
 
+// Causes of the end of a session.
+var (
+	errNewerInvitation   = errors.New("a newer invitation was accepted")
+	errUnknownInvitation = errors.New("the leader does not know the invitation")
+	errNoAnswer          = errors.New("the leader does not answer")
+	errStopped           = errors.New("this process is stopping")
+)
+
 func (s *session) run() {
 	s.wg.Go(s.push)
-	s.pull()
-	s.cancel()
+	s.cancel(s.pull())
+	endedAt := s.now()
 	s.wg.Wait()
-	s.agent.common.Event(common.EventAgentEnds).WithField("term", s.invitation.Term).Info("stopped serving workers for a leader")
+	s.logEnd(endedAt)
+}
+
+// logEnd logs that the last call of the session, which ended at endedAt, has returned.
+func (s *session) logEnd(endedAt time.Time) {
+	s.mu.Lock()
+	authorityLeft := s.authorityEnd.Sub(endedAt)
+	s.mu.Unlock()
+	s.agent.common.Event(common.EventAgentEnds).WithFields(logrus.Fields{
+		"term": s.invitation.Term, "leader": s.invitation.Address, "reason": context.Cause(s.ctx).Error(), "workers": len(s.links),
+		"starts": s.starts.Load(), "fenced": s.fenced.Load(), "authority": authorityLeft.Seconds(), "waited": s.now().Sub(endedAt).Seconds(),
+	}).Info("stopped serving workers for a leader")
 }
 
 // pull requests items from the leader and applies them, until the leader does not know the invitation any more or has not
-// answered for leaderTimeout.
-func (s *session) pull() {
+// answered for leaderTimeout. It returns why it has ended.
+func (s *session) pull() error {
 	lastReply := s.now()
 	for s.ctx.Err() == nil {
 		sent := s.now()
@@ -74,9 +98,11 @@
 		now := s.now()
 		switch {
 		case s.ctx.Err() != nil:
-			return
-		case err != nil && now.Sub(lastReply) > leaderTimeout, err == nil && !reply.Known:
-			return
+			return errStopped
+		case err != nil && now.Sub(lastReply) > leaderTimeout:
+			return errNoAnswer
+		case err == nil && !reply.Known:
+			return errUnknownInvitation
 		case err != nil:
 			s.sleep(retryDelay)
 			continue
@@ -90,6 +116,7 @@
 			}
 		}
 	}
+	return errStopped
 }
 
 // updateAuthority applies the authority granted by a reply. It counts from when the request was sent, which is earlier than when
@@ -189,7 +216,7 @@
 				return
 			}
 			if err == nil && !reply.Known {
-				s.cancel()
+				s.cancel(errUnknownInvitation)
 				return
 			}
 			if err == nil {
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -31,9 +31,10 @@
 	EventFleetStale       Event = "E6038" // the fleet's VM list could not be read, so maintenance waits, or too many states of maintenance windows were waiting to be stored; check the platform's fleet service
 	EventWindowMalformed  Event = "E6039" // a maintenance window entered by an operator could not be decoded and is skipped; enter it again in corrected form
 	EventAgentBegins      Event = "E6041" // this process serves workers as an agent of a leader
-	EventAgentEnds        Event = "E6042" // this process no longer serves workers for that leader
+	EventAgentEnds        Event = "E6042" // this process no longer serves workers for that leader, and its last call has returned. The fields give the reason, how many workers it served, how many starts it sent, how many workers have seen a newer term (fenced), for how many more seconds the leader had allowed orders (authority), and for how many seconds calls continued (waited)
 	EventAgentLost        Event = "E6043" // an agent of this leader does not answer or is stopping; its workers are reassigned to other processes
 	EventAgentRefused     Event = "E6044" // a process declined or did not answer an invitation to become an agent of this leader; it is not invited again for a while
 	EventRunUnexpected    Event = "E6045" // the leader stops a run that a worker reports and that it does not expect there; expectrun and expecton are the run of the same task that it expects and its worker, done says that the task is done. If both runs are in progress, the task runs twice: collect the lines of all nodes that name the task and report them
+	EventAgentStart       Event = "E6046" // this process sent a start order as an agent; the message is the outcome, the fields name the leader's address, its term, the number of calls (attempts; 0 if none was sent) and the seconds that they took. E6030 of the leader has the decision
 	EventLinesDropped     Event = "E6040" // log lines were dropped because the limit per second was reached or the output was blocked; the message has their number
 )
