Log what a new leader inherits, hears and concludes

- E6011 has the VM, the address that agents know, the workers recorded as unreachable and the time since the claim.
- E6047 names the inherited workers, with the number of tasks that the record of an unreachable one lists.
- E6048 names each worker at its first report in the term: after how long, incarnation, runs adopted and not, agent.
- E6049 names the workers that count as empty without a report, and why: lease, majority or horizon.
It takes the place of a line E6034 for each worker; an expired lease without tasks had no line.
- E6050 says from when on tasks start, and unreported tasks, why, and which workers had not reported.

A line lists up to 50 workers and waits 250 ms for more: a take-over of 540 workers that all report writes at most 24 such lines, one without any report at most 44 (TestTakeoverOfManyWorkersWritesFewLines). What waits is written when the term ends. No decision changes.

--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -12,7 +12,7 @@
 	EventLeaderChanged    Event = "E6008" // this process read from the log that another VM is the leader
 	EventClaimed          Event = "E6009" // this process considers the leader lost and claims leadership; the fields name the previous leader and its term
 	EventClaimFailed      Event = "E6010" // a claim of leadership failed, because another process claimed first or the log service failed; this process stays a follower and may claim again
-	EventTermBegins       Event = "E6011" // this process has become the leader
+	EventTermBegins       Event = "E6011" // this process has become the leader. The fields give its VM and the address that agents name as their leader, the number of inherited workers (workers), how many of them are recorded as unreachable with a list of their tasks (listed), and the seconds since the claim was sent (claimed)
 	EventTermEnds         Event = "E6012" // this process is no longer the leader; the field reason says why
 	EventWorkerMalformed  Event = "E6013" // an entry of the worker directory could not be decoded; its worker is not used until the entry is corrected
 	EventJobStored        Event = "E6020" // a submitted job was stored and accepted
@@ -36,5 +36,9 @@
 	EventAgentRefused     Event = "E6044" // a process declined or did not answer an invitation to become an agent of this leader; it is not invited again for a while
 	EventRunUnexpected    Event = "E6045" // the leader stops a run that a worker reports and that it does not expect there; expectrun and expecton are the run of the same task that it expects and its worker, done says that the task is done. If both runs are in progress, the task runs twice: collect the lines of all nodes that name the task and report them
 	EventAgentStart       Event = "E6046" // this process sent a start order as an agent; the message is the outcome, the fields name the leader's address, its term, the number of calls (attempts; 0 if none was sent) and the seconds that they took. E6030 of the leader has the decision
+	EventWorkersInherited Event = "E6047" // the workers whose records the leader read when its term began, up to 50 a line: id, and tasks=N if the record says that the worker is unreachable and only these N tasks may run there. If a task runs twice, look for the worker of the first run here: it is missing if its record was lost or dropped
+	EventFirstReports     Event = "E6048" // workers that have reported for the first time in this term, up to 50 a line: id, what is known (see E6030), seconds since the start of the term (after), incarnation (life), runs of earlier leaders that were adopted and runs that were not (unknown), and the agent that serves the worker, if any
+	EventWorkersEmpty     Event = "E6049" // inherited workers that have not reported in this term and count as empty from now on, up to 50 a line; the message is the reason, expired is how many seconds ago the lease ended by which the reason was concluded. Check workers that stay without an answer
+	EventTakeover         Event = "E6050" // a restriction on starts after a change of leader has ended; the message says which and why. The fields give the seconds since the start of the term (after) and how many workers were inherited, are listed (recorded as unreachable), have reported (heard), count as empty without a report, or are neither (waiting); workers names those that have not reported
 	EventLinesDropped     Event = "E6040" // log lines were dropped because the limit per second was reached or the output was blocked; the message has their number
 )
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -83,12 +83,14 @@
 
 // newCommons creates the Common of each process, outside the synctest bubble. OLEANDER_LOG makes the processes log to stdout.
 func newCommons() []*common.Common {
-	commons := make([]*common.Common, processCount)
-	out := io.Discard
-	level := logrus.PanicLevel
 	if os.Getenv("OLEANDER_LOG") != "" {
-		out, level = os.Stdout, logrus.InfoLevel
+		return newLoggingCommons(os.Stdout, logrus.InfoLevel)
 	}
+	return newLoggingCommons(io.Discard, logrus.PanicLevel)
+}
+
+func newLoggingCommons(out io.Writer, level logrus.Level) []*common.Common {
+	commons := make([]*common.Common, processCount)
 	for i := range commons {
 		logger := common.NewLogger(out, level)
 		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -11,14 +11,18 @@
 
 // Kinds of notes.
 const (
-	NoteStart      NoteKind = iota // a start was ordered
-	NoteEnd                        // a worker reported the end of a run; the reason is how it ended
-	NoteStop                       // a stop was ordered, or a start failed
-	NoteLost                       // a run counts as ended without a report of its end
-	NoteJob                        // a job ended; the reason is its final state
-	NoteWorker                     // the state of a worker changed
-	NoteThrottle                   // a throttle was ordered; the reason is its percentage of full speed
-	NoteUnexpected                 // the stop of a run was ordered that a worker reports and the leader does not expect there
+	NoteStart       NoteKind = iota // a start was ordered
+	NoteEnd                         // a worker reported the end of a run; the reason is how it ended
+	NoteStop                        // a stop was ordered, or a start failed
+	NoteLost                        // a run counts as ended without a report of its end
+	NoteJob                         // a job ended; the reason is its final state
+	NoteWorker                      // the state of a worker changed
+	NoteThrottle                    // a throttle was ordered; the reason is its percentage of full speed
+	NoteUnexpected                  // the stop of a run was ordered that a worker reports and the leader does not expect there
+	NoteInherited                   // workers whose records were read when the term began
+	NoteFirstReport                 // workers that have reported for the first time in this term
+	NoteEmpty                       // workers that count as empty although they have not reported in this term
+	NoteTakeover                    // a restriction on starts after a change of leader has ended
 )
 
 // Note is a decision or state change that the caller logs.
@@ -35,6 +39,9 @@
 	Failure  *StartFailure // of a start that failed
 	Loss     *Loss         // of a NoteLost
 	Expected *Placement    // of a NoteUnexpected; nil if the leader does not know the task
+	Workers  []WorkerFact  // of a note about several workers; at most maxWorkersPerNote
+	Takeover *TakeoverState
+	After    time.Duration // of a NoteTakeover: since the start of the term
 }
 
 // WorkerView is what the leader knows about a worker when it decides.
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -22,10 +22,13 @@
 func (p *Planner) Place(now, wall time.Time, maxStarts int) {
 	p.now = now
 	p.pass++
+	p.emitDue(now)
 	if !p.mayStart(now) {
 		return
 	}
+	p.noteStartsAllowed(now)
 	p.expireUnreported(now)
+	p.noteUnreportedAllowed(now)
 	p.checkRunning(now)
 	p.enqueueDue(wall)
 	if len(p.ready) == 0 {
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -62,6 +62,9 @@
 	notes          []Note
 	majorityAt     time.Time // when a majority of the inherited workers had reported in this term
 	firstTerm      bool      // this is the first term, so nothing was started before
+	batches        []*noteBatch
+	// startsNoted and unreportedNoted are whether noteStartsAllowed and noteUnreportedAllowed have done their part.
+	startsNoted, unreportedNoted bool
 }
 
 // New returns the planner of a term that begins now. claims is the number of times that leadership was claimed, this claim
@@ -152,8 +155,8 @@
 	}
 	for _, w := range p.workers {
 		if w.inherited && !w.reported {
-			p.note(NoteWorker, oleanderline.RunKey{}, w, "no report in this term; the runs of earlier leaders there have expired")
 			w.reported, w.unreachable = true, true
+			p.noteEmpty(w, p.expiryReason(now), time.Time{})
 		}
 	}
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -33,7 +33,11 @@
 	}
 	p.handleEnds(w, report.Ended, now)
 	p.handleRunning(w, report.Running, sent, now)
+	first := w.reportedAt.IsZero()
 	w.reported, w.reportedAt = true, now
+	if first {
+		p.noteFirstReport(w)
+	}
 	if sent.After(w.callSentAt) {
 		w.callSentAt = sent
 	}
@@ -165,6 +169,7 @@
 	p.dequeue(t)
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
 	t.throttle, t.adopted = -1, true // the throttle is unknown
+	w.adopted++
 	p.charge(t, w)
 	p.recordStart(t)
 }
--- /dev/null
+++ b/pkg/plan/takeover_test.go
@@ -0,0 +1,146 @@
+package plan
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// takeNotes takes the planner's notes, those that wait for more workers included.
+func (c *testCell) takeNotes() map[NoteKind][]Note {
+	c.advance(maxNoteDelay)
+	c.planner.Place(c.now, c.now, maxStartsPerPass)
+	c.deliver()
+	notes := map[NoteKind][]Note{}
+	for _, n := range c.planner.LastNotes() {
+		notes[n.Kind] = append(notes[n.Kind], n)
+	}
+	return notes
+}
+
+// factsOf returns what notes say of each worker.
+func factsOf(notes []Note) map[oleanderline.WorkerID]WorkerFact {
+	facts := map[oleanderline.WorkerID]WorkerFact{}
+	for _, n := range notes {
+		for _, fact := range n.Workers {
+			facts[fact.ID] = fact
+		}
+	}
+	return facts
+}
+
+// Guards against a task that runs twice after a change of leader while the log does not show which workers the new leader has
+// inherited, what they have reported, and from when on it starts tasks.
+func TestTakeoverIsNoted(t *testing.T) {
+	c := newCell(t, 3)
+	c.add("1", oleanderline.Step{Count: 6, Size: testSize})
+	c.place()
+	c.planner.CallFailed("w1", oleanderline.ErrUncertain)
+	onW1 := len(c.workers["w1"].running)
+	c.flush()
+	c.newTerm(2)
+	stray := oleanderline.RunKey{Task: taskOf("1", 0, 99), Run: 1}
+	c.workers["w0"].running[stray] = oleanderline.RunStatus{Key: stray}
+	onW0 := len(c.workers["w0"].running) - 1
+	c.report("w0")
+
+	notes := c.takeNotes()
+	inherited := factsOf(notes[NoteInherited])
+	require.Len(t, inherited, 3)
+	require.Equal(t, WorkerFact{ID: "w1", View: WorkerView{Inherited: true, TasksListed: true}, Tasks: onW1}, inherited["w1"])
+	require.False(t, inherited["w2"].View.TasksListed)
+	reports := factsOf(notes[NoteFirstReport])
+	require.Len(t, reports, 1)
+	require.Equal(t, onW0, reports["w0"].Adopted)
+	require.Equal(t, 1, reports["w0"].Unknown)
+	require.Equal(t, testIncarnation, reports["w0"].Life)
+	require.Empty(t, notes[NoteTakeover], "w2 may run any task and has not reported")
+
+	c.advance(testSettings().Settle)
+	takeover := c.takeNotes()[NoteTakeover]
+	require.Len(t, takeover, 1)
+	require.Equal(t, TakeoverState{Inherited: 3, Listed: 1, Reported: 1, Waiting: 2}, *takeover[0].Takeover)
+	require.Len(t, takeover[0].Workers, 2)
+
+	c.report("w2")
+	takeover = c.takeNotes()[NoteTakeover]
+	require.Len(t, takeover, 1)
+	require.True(t, strings.HasPrefix(takeover[0].Reason, "unreported tasks start: all"), takeover[0].Reason)
+	require.Contains(t, factsOf(takeover), oleanderline.WorkerID("w1"))
+	require.Empty(t, c.takeNotes()[NoteTakeover], "each restriction is noted once")
+}
+
+// Guards against a worker that counts as empty without a report while the log does not show why.
+func TestEmptyWorkerIsNotedWithItsReason(t *testing.T) {
+	for _, s := range []struct {
+		name    string
+		reports []oleanderline.WorkerID
+		wait    time.Duration
+		expire  bool
+		reason  emptyReason
+		restart string // when unreported tasks start
+	}{
+		{"lease", []oleanderline.WorkerID{"w0", "w1"}, time.Second, true, emptyByLease, "unreported tasks start: all inherited workers that may run any task have reported"},
+		{"majority", []oleanderline.WorkerID{"w0", "w1"}, 6 * time.Second, false, emptyByMajority, "unreported tasks start: most workers refuse earlier leaders for longer than a lease"},
+		{"horizon", nil, 11 * time.Second, false, emptyByHorizon, "unreported tasks start: the horizon has passed"},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 3)
+			c.add("1", oleanderline.Step{Count: 6, Size: testSize})
+			c.place()
+			c.newTerm(2)
+			for _, id := range s.reports {
+				c.report(id)
+			}
+			if s.expire {
+				c.planner.LeaseExpired("w2", c.now.Add(-time.Second), c.now)
+			}
+			var empty, takeover []Note
+			for range s.wait / maxNoteDelay {
+				notes := c.takeNotes()
+				empty, takeover = append(empty, notes[NoteEmpty]...), append(takeover, notes[NoteTakeover]...)
+			}
+			facts := factsOf(empty)
+			require.Len(t, facts, 3-len(s.reports))
+			require.Equal(t, string(s.reason), empty[0].Reason)
+			require.True(t, facts["w2"].View.AssumedEmpty)
+			require.Equal(t, s.expire, !facts["w2"].LeaseEnd.IsZero())
+			last := takeover[len(takeover)-1]
+			require.Equal(t, s.restart, last.Reason)
+			require.Equal(t, len(facts), last.Takeover.Empty)
+		})
+	}
+}
+
+// Guards against a change of leader that writes a line for each worker, so that the limit of lines drops those that matter.
+func TestTakeoverOfManyWorkersWritesFewLines(t *testing.T) {
+	const workers = 540
+	const linesPerList = workers/maxWorkersPerNote + 1
+	for _, s := range []struct {
+		name   string
+		report bool
+		most   int // lists of inherited workers, of first reports or of those without one, and of empty ones
+	}{
+		{"all report", true, 2*linesPerList + 2},
+		{"none reports", false, 4 * linesPerList},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, workers)
+			c.newTerm(2)
+			if s.report {
+				c.reportAll()
+			}
+			count := 0
+			for range 2 * testSettings().Horizon / maxNoteDelay {
+				for _, notes := range c.takeNotes() {
+					count += len(notes)
+				}
+			}
+			require.LessOrEqual(t, count, s.most)
+		})
+	}
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -41,6 +41,7 @@
 	servingCPU       oleanderline.Millicores                 // committed to long-running tasks with a tail latency target
 	longRunningCPU   oleanderline.Millicores                 // committed to all long-running tasks
 	bestEffortCPU    oleanderline.Millicores                 // declared by best-effort tasks
+	adopted          int                                     // runs of earlier leaders that were adopted there
 	unknownRuns      int                                     // reported runs that belong to no known task here
 	unexpectedRuns   map[oleanderline.RunKey]struct{}        // those of them whose stop was ordered
 	backoffUntil     time.Time                               // end of the backoff after a refused start
@@ -96,6 +97,7 @@
 			t.inheritedWorker = w
 		}
 	}
+	p.noteInherited(w, rec)
 }
 
 func (p *Planner) addWorker(id oleanderline.WorkerID) *worker {
@@ -145,7 +147,10 @@
 	if w == nil {
 		return
 	}
-	w.reported = true // runs of earlier leaders have expired there as well
+	if !w.reported {
+		w.reported = true // runs of earlier leaders have expired there as well
+		p.noteEmpty(w, emptyByLease, leaseEnd)
+	}
 	for t := range w.tasks {
 		if t.state == taskStarting {
 			continue // the result of the start decides
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -1,6 +1,7 @@
 package term
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,14 +11,18 @@
 )
 
 var noteEvents = map[plan.NoteKind]common.Event{
-	plan.NoteStart:      common.EventRunStart,
-	plan.NoteEnd:        common.EventRunEnd,
-	plan.NoteStop:       common.EventRunStop,
-	plan.NoteLost:       common.EventRunLost,
-	plan.NoteJob:        common.EventJobFinal,
-	plan.NoteWorker:     common.EventWorkerChange,
-	plan.NoteThrottle:   common.EventThrottle,
-	plan.NoteUnexpected: common.EventRunUnexpected,
+	plan.NoteStart:       common.EventRunStart,
+	plan.NoteEnd:         common.EventRunEnd,
+	plan.NoteStop:        common.EventRunStop,
+	plan.NoteLost:        common.EventRunLost,
+	plan.NoteJob:         common.EventJobFinal,
+	plan.NoteWorker:      common.EventWorkerChange,
+	plan.NoteThrottle:    common.EventThrottle,
+	plan.NoteUnexpected:  common.EventRunUnexpected,
+	plan.NoteInherited:   common.EventWorkersInherited,
+	plan.NoteFirstReport: common.EventFirstReports,
+	plan.NoteEmpty:       common.EventWorkersEmpty,
+	plan.NoteTakeover:    common.EventTakeover,
 }
 
 // logNote logs a decision of the planner. Each note is one line, so that the limit of lines per second bounds them.
@@ -49,6 +54,14 @@
 	if note.Expected != nil {
 		fields["expectrun"], fields["expecton"], fields["done"] = note.Expected.Run, note.Expected.Worker, note.Expected.Done
 	}
+	if len(note.Workers) > 0 {
+		fields["count"], fields["workers"] = len(note.Workers), s.describeWorkers(note.Workers)
+	}
+	if note.Takeover != nil {
+		state := note.Takeover
+		fields["after"], fields["inherited"], fields["listed"] = seconds(note.After), state.Inherited, state.Listed
+		fields["heard"], fields["empty"], fields["waiting"] = state.Reported, state.Empty, state.Waiting
+	}
 	s.common.Event(noteEvents[note.Kind]).WithFields(fields).Info(note.Reason)
 }
 
@@ -83,5 +96,34 @@
 	fields["adopted"], fields["stopping"] = loss.Adopted, loss.Stopping
 }
 
+// describeWorkers returns a short text for each worker, which begins with its id.
+func (s *Session) describeWorkers(facts []plan.WorkerFact) []string {
+	list := make([]string, len(facts))
+	for i, fact := range facts {
+		list[i] = s.describeWorker(fact)
+	}
+	return list
+}
+
+func (s *Session) describeWorker(fact plan.WorkerFact) string {
+	text := string(fact.ID) + " " + fact.View.String()
+	if fact.After > 0 {
+		text += fmt.Sprintf(" after=%.3f", seconds(fact.After))
+	}
+	if fact.View.TasksListed {
+		text += fmt.Sprintf(" tasks=%d", fact.Tasks)
+	}
+	if fact.View.Reported {
+		text += fmt.Sprintf(" life=%d adopted=%d unknown=%d", fact.Life, fact.Adopted, fact.Unknown)
+	}
+	if !fact.LeaseEnd.IsZero() {
+		text += fmt.Sprintf(" expired=%.3f", seconds(s.common.Clock.Now().Sub(fact.LeaseEnd)))
+	}
+	if l := s.links[fact.ID]; l != nil && l.agent != "" {
+		text += " agent=" + string(l.agent)
+	}
+	return text
+}
+
 // seconds returns d in seconds, in whole milliseconds to keep lines short.
 func seconds(d time.Duration) float64 { return float64(d.Milliseconds()) / 1000 }
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -27,6 +27,7 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	wg              sync.WaitGroup
+	closeOnce       sync.Once
 	planner         *plan.Planner // used only by the event loop
 	loop            *eventloop.Loop
 	links           map[oleanderline.WorkerID]*connection // used only by the event loop
@@ -73,8 +74,12 @@
 	wallNow := ports.Wall()
 	jobs.Jobs(func(entry replica.Entry) { s.loadJob(entry, wallNow) })
 	inherited := jobs.Workers()
+	listed := 0
 	for _, worker := range inherited {
 		s.planner.InheritWorker(worker)
+		if worker.Unreachable {
+			listed++
+		}
 	}
 	for id, progress := range jobs.Windows() {
 		s.maintenance.Restore(id, progress)
@@ -88,7 +93,8 @@
 	}
 	s.wg.Go(s.writer.run)
 	c.Event(common.EventTermBegins).WithField("term", settings.Leader.Term).WithField("claims", settings.Leader.ClaimCount).
-		WithField("workers", len(inherited)).Info("leadership begins")
+		WithField("workers", len(inherited)).WithField("listed", listed).WithField("vm", settings.VM).WithField("address", settings.Address).
+		WithField("claimed", seconds(c.Clock.Now().Sub(claimSentAt))).Info("leadership begins")
 	return s
 }
 
@@ -124,8 +130,17 @@
 	}
 	s.end("stopped")
 	s.wg.Wait()
+	s.closeOnce.Do(s.close)
+}
+
+// close ends the event loop and logs the remaining notes.
+func (s *Session) close() {
 	if err := s.loop.Stop(); err != nil {
 		s.common.Log.WithError(err).Warn("event loop of the planner did not stop")
+		return
+	}
+	for _, note := range s.planner.LastNotes() {
+		s.logNote(note)
 	}
 }
 
