Log the records of workers that a leader stores and deletes

A record that says "unreachable" makes the next leader take the listed tasks for the only ones there, whether or not the leader that stored it had heard the worker. The log did not show what a record said.

E6051 names the workers recorded as in use, as unreachable (with the number of tasks listed) and those whose record is deleted, each with what the leader knew of it, up to 50 workers a line.

--- a/pkg/node/takeover_log_test.go
+++ b/pkg/node/takeover_log_test.go
@@ -144,6 +144,7 @@
 		require.Contains(t, text, "reported,inherited", id)
 		require.Contains(t, text, "unknown=0", id)
 	}
+	require.Len(t, workersOf(events[common.EventWorkersRecorded]), workerCount)
 	takeover := events[common.EventTakeover]
 	require.Len(t, takeover, 2)
 	for _, l := range takeover {
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -22,6 +22,7 @@
 	NoteInherited                   // workers whose records were read when the term began
 	NoteFirstReport                 // workers that have reported for the first time in this term
 	NoteEmpty                       // workers that count as empty although they have not reported in this term
+	NoteRecord                      // workers whose records are about to be stored or deleted
 	NoteTakeover                    // a restriction on starts after a change of leader has ended
 )
 
--- a/pkg/plan/takeover.go
+++ b/pkg/plan/takeover.go
@@ -17,14 +17,16 @@
 
 // WorkerFact is what a note about several workers says about one of them. Fields that do not apply are zero.
 type WorkerFact struct {
-	ID       oleanderline.WorkerID
-	Life     oleanderline.WorkerIncarnation
-	View     WorkerView
-	After    time.Duration // since the start of the term
-	Tasks    int           // tasks that its record lists
-	Adopted  int           // runs of earlier leaders that it has reported and the leader has adopted
-	Unknown  int           // runs that it has reported and the leader has not adopted
-	LeaseEnd time.Time     // when its lease expired, as computed by the process that serves it
+	ID    oleanderline.WorkerID
+	Life  oleanderline.WorkerIncarnation // of a worker that has reported for the first time
+	View  WorkerView
+	After time.Duration // since the start of the term
+	// ListsTasks is whether its record says that it is unreachable and lists the only tasks that may run there, Tasks of them.
+	ListsTasks bool
+	Tasks      int
+	Adopted    int       // runs of earlier leaders that it has reported and the leader has adopted
+	Unknown    int       // runs that it has reported and the leader has not adopted
+	LeaseEnd   time.Time // when its lease expired, as computed by the process that serves it
 }
 
 // TakeoverState counts the inherited workers.
@@ -88,7 +90,23 @@
 	if rec.Unreachable {
 		reason = "inherited workers that were recorded as unreachable"
 	}
-	p.addFact(NoteInherited, reason, WorkerFact{ID: w.entry.ID, View: w.view(p.now), Tasks: len(rec.Tasks)})
+	p.addFact(NoteInherited, reason, WorkerFact{ID: w.entry.ID, View: w.view(p.now), ListsTasks: rec.Unreachable, Tasks: len(rec.Tasks)})
+}
+
+// noteRecord notes a record of a worker that is about to be stored.
+func (p *Planner) noteRecord(w *worker, rec record.Worker) {
+	reason := "workers recorded as in use"
+	if rec.Unreachable {
+		reason = "workers recorded as unreachable"
+	}
+	p.addFact(NoteRecord, reason, WorkerFact{
+		ID: w.entry.ID, View: w.view(p.now), After: p.now.Sub(p.termStart), ListsTasks: rec.Unreachable, Tasks: len(rec.Tasks),
+	})
+}
+
+// noteDrop notes that the record of a worker is about to be deleted.
+func (p *Planner) noteDrop(w *worker) {
+	p.addFact(NoteRecord, "records of unreachable workers without tasks deleted", WorkerFact{ID: w.entry.ID, View: w.view(p.now), After: p.now.Sub(p.termStart)})
 }
 
 // noteFirstReport notes the first report of a worker in this term.
--- a/pkg/plan/worker_record.go
+++ b/pkg/plan/worker_record.go
@@ -22,6 +22,7 @@
 			if w.stored {
 				w.stored, w.written, w.useRecorded = false, false, false
 				records = append(records, record.DropWorker(id))
+				p.noteDrop(w)
 			}
 			continue
 		}
@@ -31,10 +32,12 @@
 		if w.unreachable && !w.stored && !w.inherited {
 			continue // no task can have been started there
 		}
-		rec, err := record.ForWorker(w.record())
+		value := w.record()
+		rec, err := record.ForWorker(value)
 		if err != nil {
 			return nil, nil, err
 		}
+		p.noteRecord(w, value)
 		w.written, w.writtenUnreachable, w.stored = true, w.unreachable, true
 		w.useRecorded = w.useRecorded && !w.unreachable
 		records = append(records, rec)
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -22,6 +22,7 @@
 	plan.NoteInherited:   common.EventWorkersInherited,
 	plan.NoteFirstReport: common.EventFirstReports,
 	plan.NoteEmpty:       common.EventWorkersEmpty,
+	plan.NoteRecord:      common.EventWorkersRecorded,
 	plan.NoteTakeover:    common.EventTakeover,
 }
 
@@ -110,10 +111,10 @@
 	if fact.After > 0 {
 		text += fmt.Sprintf(" after=%.3f", seconds(fact.After))
 	}
-	if fact.View.TasksListed {
+	if fact.ListsTasks {
 		text += fmt.Sprintf(" tasks=%d", fact.Tasks)
 	}
-	if fact.View.Reported {
+	if fact.Life != 0 {
 		text += fmt.Sprintf(" life=%d adopted=%d unknown=%d", fact.Life, fact.Adopted, fact.Unknown)
 	}
 	if !fact.LeaseEnd.IsZero() {
