Log how a term ends and why the next leader claims

A term's last line gave a reason only.

- E6012: resignation stored or not, starts without a result, for how long the leader and its agents could still have given orders.
- E6052 is new: the last call of the term has returned, after how long, and the runs without a result of their start or stop.
- E6009: why the leader counts as lost, the age of its newest record and for how long reads have succeeded (lead.FailureDetector.Evidence).

No decision changes.

--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -10,10 +10,10 @@
 	EventLogOutOfSequence Event = "E6006" // the log service expected a different sequence number from the leader than the one sent; the append is retried with the expected number
 	EventRecordMalformed  Event = "E6007" // a record could not be decoded or encoded and is skipped; report it with the error in the line
 	EventLeaderChanged    Event = "E6008" // this process read from the log that another VM is the leader
-	EventClaimed          Event = "E6009" // this process considers the leader lost and claims leadership; the fields name the previous leader and its term
+	EventClaimed          Event = "E6009" // this process considers the leader lost and claims leadership; the fields name the previous leader and its term, why it counts as lost (reason), for how many seconds no record of it was read (age), and for how many seconds reads have succeeded (readable)
 	EventClaimFailed      Event = "E6010" // a claim of leadership failed, because another process claimed first or the log service failed; this process stays a follower and may claim again
 	EventTermBegins       Event = "E6011" // this process has become the leader. The fields give its VM and the address that agents name as their leader, the number of inherited workers (workers), how many of them are recorded as unreachable with a list of their tasks (listed), and the seconds since the claim was sent (claimed)
-	EventTermEnds         Event = "E6012" // this process is no longer the leader; the field reason says why
+	EventTermEnds         Event = "E6012" // this process is no longer the leader; the field reason says why. The others say whether its resignation was stored (resigned), how many starts have no result (starts), for how many more seconds it could have given orders (authority), and for how many its agents may still send those that they have (agents). E6052 follows
 	EventWorkerMalformed  Event = "E6013" // an entry of the worker directory could not be decoded; its worker is not used until the entry is corrected
 	EventJobStored        Event = "E6020" // a submitted job was stored and accepted
 	EventJobRefused       Event = "E6021" // a submission, cancellation or state call was not answered with success; the error in the line says why
@@ -41,5 +41,6 @@
 	EventWorkersEmpty     Event = "E6049" // inherited workers that have not reported in this term and count as empty from now on, up to 50 a line; the message is the reason, expired is how many seconds ago the lease ended by which the reason was concluded. Check workers that stay without an answer
 	EventTakeover         Event = "E6050" // a restriction on starts after a change of leader has ended; the message says which and why. The fields give the seconds since the start of the term (after) and how many workers were inherited, are listed (recorded as unreachable), have reported (heard), count as empty without a report, or are neither (waiting); workers names those that have not reported
 	EventWorkersRecorded  Event = "E6051" // records of workers that the leader is about to store or delete, up to 50 a line; the message says which, each worker has its id, what is known (see E6030), seconds since the start of the term (after), and tasks=N if the record lists N tasks as the only ones that may run there. A worker that is unreported and recorded with tasks=0 is one of which the leader did not know what runs there
+	EventTermClosed       Event = "E6052" // the last call of a former leader has returned: it sends nothing any more. The fields say how many seconds after the end of the term (after), and how many runs have no result of their start (starts) or of their stop (stops), with the first 20 of each (starting, stopping). A result that arrived after the end does not count
 	EventLinesDropped     Event = "E6040" // log lines were dropped because the limit per second was reached or the output was blocked; the message has their number
 )
--- a/pkg/lead/detector.go
+++ b/pkg/lead/detector.go
@@ -47,6 +47,45 @@
 	return known && !now.Before(due)
 }
 
+// Cause is why a leader counts as lost.
+type Cause string
+
+// Causes.
+const (
+	CauseResigned Cause = "the leader has resigned"
+	CauseDead     Cause = "the leader was an earlier process of this VM"
+	CauseSilent   Cause = "no record of the leader was read within the timeout"
+	CauseNone     Cause = "no record of a leader has ever been read"
+)
+
+// Evidence is what a claim of leadership is based on.
+type Evidence struct {
+	Cause    Cause
+	Age      time.Duration // since the newest leader record was read; 0 if none was
+	Readable time.Duration // for how long all reads have succeeded
+}
+
+// Evidence returns why the leader counts as lost, provided that ShouldClaim holds.
+func (d *FailureDetector) Evidence(now time.Time) Evidence {
+	e := Evidence{Cause: CauseSilent, Readable: now.Sub(d.readableSince)}
+	switch {
+	case d.lastLeaderRecord.IsZero():
+		e.Cause = CauseNone
+		return e
+	case d.dead:
+		e.Cause = CauseDead
+	case d.resignationHolds():
+		e.Cause = CauseResigned
+	}
+	e.Age = now.Sub(d.lastLeaderRecord)
+	return e
+}
+
+// resignationHolds reports whether the leader has resigned and all reads since then have succeeded.
+func (d *FailureDetector) resignationHolds() bool {
+	return d.resigned && d.readableSince.Before(d.lastLeaderRecord)
+}
+
 // ClaimTime returns when this process should claim leadership if it reads no leader record until then. The time is unknown
 // while reads fail.
 func (d *FailureDetector) ClaimTime(delay time.Duration) (due time.Time, known bool) {
@@ -57,7 +96,7 @@
 	if d.readableSince.After(since) {
 		since = d.readableSince
 	}
-	if d.dead || (d.resigned && d.readableSince.Before(d.lastLeaderRecord)) {
+	if d.dead || d.resignationHolds() {
 		return since.Add(delay), true
 	}
 	return since.Add(d.timeout + delay), true
--- a/pkg/lead/detector_test.go
+++ b/pkg/lead/detector_test.go
@@ -61,3 +61,30 @@
 		})
 	}
 }
+
+// Guards against a claim of leadership whose log line gives a wrong reason, or an age that hides how long the leader was silent.
+func TestEvidenceOfALostLeader(t *testing.T) {
+	const silent = 3 * time.Second
+	for _, s := range []struct {
+		name  string
+		steps func(d *FailureDetector)
+		want  Evidence
+	}{
+		{"no leader so far", func(*FailureDetector) {}, Evidence{Cause: CauseNone, Readable: silent}},
+		{"silent", func(d *FailureDetector) { d.ObserveLeader(false, start.Add(time.Second)) }, Evidence{Cause: CauseSilent, Age: 2 * time.Second, Readable: silent}},
+		{"resigned", func(d *FailureDetector) { d.ObserveLeader(true, start.Add(time.Second)) }, Evidence{Cause: CauseResigned, Age: 2 * time.Second, Readable: silent}},
+		{"resigned, then reads failed", func(d *FailureDetector) {
+			d.ObserveLeader(true, start)
+			d.ObserveRead(false, start)
+			d.ObserveRead(true, start.Add(time.Second))
+		}, Evidence{Cause: CauseSilent, Age: silent, Readable: 2 * time.Second}},
+		{"certainly dead", func(d *FailureDetector) { d.ObserveDeadLeader(start.Add(2 * time.Second)) }, Evidence{Cause: CauseDead, Age: time.Second, Readable: silent}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			d := NewFailureDetector(timeout)
+			d.ObserveRead(true, start)
+			s.steps(d)
+			require.Equal(t, s.want, d.Evidence(start.Add(silent)))
+		})
+	}
+}
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/lead"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/term"
@@ -34,7 +37,7 @@
 	n.metrics.claims.Inc()
 	start := n.common.Clock.Now()
 	old := n.replica.Leader()
-	n.common.Event(common.EventClaimed).WithField("term", old.Term).WithField("leader", old.VM).Info("no live leader; claiming leadership")
+	n.logClaim(old, n.detector.Evidence(start))
 	leader, err := n.appendClaim()
 	if err == nil {
 		n.ownTerm = leader.Term
@@ -70,6 +73,13 @@
 	n.windows.each(s.AddWindow)
 }
 
+// logClaim logs a claim of leadership, with the previous leader.
+func (n *Node) logClaim(old record.Leader, evidence lead.Evidence) {
+	n.common.Event(common.EventClaimed).WithFields(logrus.Fields{
+		"term": old.Term, "leader": old.VM, "reason": evidence.Cause, "age": evidence.Age.Seconds(), "readable": evidence.Readable.Seconds(),
+	}).Info("no live leader; claiming leadership")
+}
+
 // leaderPorts returns the ports of a session. Agents are invited only if this process has an address for peers.
 func (n *Node) leaderPorts() term.Ports {
 	ports := n.ports.Ports
--- a/pkg/node/takeover_log_test.go
+++ b/pkg/node/takeover_log_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/lead"
 )
 
 // logBuffer collects the log lines of all processes.
@@ -155,3 +156,40 @@
 	require.Contains(t, takeover[1]["msg"], "unreported tasks start")
 	require.InDelta(t, workerCount, takeover[1]["heard"], 0)
 }
+
+// Guards against a change of leader of which the log does not show whether the leader resigned, when its last call had returned, and
+// why the next one claimed.
+func TestEndOfLeadershipIsLogged(t *testing.T) {
+	for _, s := range []struct {
+		name     string
+		stop     func(c *testCell, leader int)
+		resigned bool
+		cause    lead.Cause
+	}{
+		{"planned stop", func(c *testCell, leader int) { c.process(leader).node.Drain(c.ctx) }, true, lead.CauseResigned},
+		{"loss", func(c *testCell, leader int) { c.killProcess(leader, 4*time.Second) }, false, lead.CauseSilent},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			log := &logBuffer{}
+			commons := newLoggingCommons(log, logrus.InfoLevel)
+			synctest.Test(t, func(t *testing.T) {
+				c := newTestCell(t, 1, commons)
+				defer c.close()
+				time.Sleep(4 * time.Second)
+				log.take(t)
+				s.stop(c, c.leaderIndex())
+				time.Sleep(6 * time.Second)
+				events := log.take(t)
+				require.Len(t, events[common.EventTermEnds], 1)
+				require.Equal(t, s.resigned, events[common.EventTermEnds][0]["resigned"])
+				require.Contains(t, events[common.EventTermEnds][0], "agents")
+				require.Len(t, events[common.EventTermClosed], 1)
+				require.InDelta(t, 0, events[common.EventTermClosed][0]["starts"], 0)
+				require.NotEmpty(t, events[common.EventClaimed])
+				claim := events[common.EventClaimed][0]
+				require.Equal(t, string(s.cause), claim["reason"])
+				require.Positive(t, claim["age"])
+			})
+		})
+	}
+}
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -149,3 +149,18 @@
 	}
 	p.addNote(n, w)
 }
+
+// OpenRuns returns the runs whose start has no result yet, and those whose stop has no answer yet.
+func (p *Planner) OpenRuns() (starts, stops []oleanderline.RunKey) {
+	for _, w := range p.workers {
+		for t := range w.tasks {
+			switch {
+			case t.state == taskStarting:
+				starts = append(starts, t.runKey())
+			case t.state == taskStopping && t.answeredAt.IsZero():
+				stops = append(stops, t.runKey())
+			}
+		}
+	}
+	return starts, stops
+}
--- a/pkg/plan/note_test.go
+++ b/pkg/plan/note_test.go
@@ -135,3 +135,23 @@
 		})
 	}
 }
+
+// Guards against a term that ends while the log does not show which runs had no result of their start or stop.
+func TestOpenRunsAreThoseWithoutAResult(t *testing.T) {
+	c, running := runningTask(t)
+	c.add("2", batchStep)
+	c.advance(rerankInterval)
+	c.planner.Place(c.now, c.now, maxStartsPerPass)
+	starts, stops := c.planner.OpenRuns()
+	require.Len(t, starts, 1)
+	require.Equal(t, taskOf("2", 0, 0), starts[0].Task)
+	require.Empty(t, stops)
+	c.deliver()
+	c.planner.Cancel("1")
+	starts, stops = c.planner.OpenRuns()
+	require.Empty(t, starts)
+	require.Equal(t, []oleanderline.RunKey{running}, stops)
+	c.deliver()
+	_, stops = c.planner.OpenRuns()
+	require.Empty(t, stops)
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// AuthorityEnd returns until when an agent may still send orders, by the authority that was granted; the zero time if there is none.
+func (r *Roster) AuthorityEnd() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var end time.Time
+	for _, a := range r.agents {
+		if a.authorityEnd.After(end) {
+			end = a.authorityEnd
+		}
+	}
+	return end
+}
+
 // RemoveLost removes the agents that have not pulled within agentTimeout. It returns the workers that they served, and those of
 // agents that are about to stop.
 func (r *Roster) RemoveLost(now time.Time) []oleanderline.WorkerID {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -213,3 +213,13 @@
 		require.Equal(t, []int64{10, 11, 20, 21}, events.incarnations)
 	})
 }
+
+// Guards against the end of a term whose log line does not show for how long an agent may still send orders.
+func TestAuthorityEndIsThatOfTheAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRoster(&recorder{})
+		require.Zero(t, r.AuthorityEnd())
+		pull(r, r.AddInvited(testAgent), 0)
+		require.Equal(t, time.Now().Add(time.Second), r.AuthorityEnd())
+	})
+}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -75,6 +75,7 @@
 	now := s.common.Clock.Now()
 	for _, order := range s.planner.Orders() {
 		if order.Kind == plan.OrderStart {
+			s.openStarts.Add(1)
 			s.startWindow.Sent(order.Key, now)
 		}
 		if l := s.links[order.Worker]; l != nil {
@@ -134,6 +135,9 @@
 // Result implements link.Events.
 func (s *Session) Result(result plan.Result) {
 	s.metrics.countResult(result)
+	if result.Order.Kind == plan.OrderStart {
+		s.openStarts.Add(-1)
+	}
 	s.post(orderAnswered{result})
 }
 
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -44,6 +44,9 @@
 	jobsDroppedAt   time.Time    // when finished jobs were last dropped
 	lastAppendSent  atomic.Int64 // when the newest confirmed append was sent, as Unix time in nanoseconds
 	ended           atomic.Bool
+	resigned        atomic.Bool  // the leader's resignation is stored
+	openStarts      atomic.Int64 // starts without a result
+	endedAt         atomic.Int64 // as Unix time in nanoseconds
 	// majorityUntil is until when most workers are known to accept the calls of this term, as Unix time in nanoseconds.
 	majorityUntil atomic.Int64
 }
@@ -133,26 +136,6 @@
 	s.closeOnce.Do(s.close)
 }
 
-// close ends the event loop and logs the remaining notes.
-func (s *Session) close() {
-	if err := s.loop.Stop(); err != nil {
-		s.common.Log.WithError(err).Warn("event loop of the planner did not stop")
-		return
-	}
-	for _, note := range s.planner.LastNotes() {
-		s.logNote(note)
-	}
-}
-
-func (s *Session) end(reason string) {
-	if s.ended.Swap(true) {
-		return
-	}
-	s.common.Event(common.EventTermEnds).WithField("term", s.settings.Leader.Term).WithField("reason", reason).
-		Info("leadership ends")
-	s.cancel()
-}
-
 // post sends a message to the event loop. It blocks while the mailbox is full, and drops the message if the term ends meanwhile.
 func (s *Session) post(message any) {
 	for !s.loop.Post(message) {
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -41,7 +41,7 @@
 		case <-w.session.ctx.Done():
 			return
 		case done := <-w.resignations:
-			w.flush(true)
+			w.session.resigned.Store(w.flush(true))
 			close(done)
 			return
 		case <-w.wakeup:
@@ -68,7 +68,9 @@
 	}
 }
 
-func (w *writer) flush(resign bool) {
+// flush stores the records that have changed, and the leader's own record if it is due or the leader resigns. It reports whether
+// they are stored.
+func (w *writer) flush(resign bool) bool {
 	s := w.session
 	now := s.common.Clock.Now()
 	heartbeat := resign || now.Sub(w.lastHeartbeat) >= heartbeatInterval
@@ -77,7 +79,7 @@
 		rec, err := w.ownRecord(resign)
 		if err != nil {
 			s.common.Event(common.EventRecordMalformed).WithError(err).Error("failed to encode the leader's record; flush aborted")
-			return
+			return false
 		}
 		own = append(own, rec)
 	}
@@ -87,11 +89,11 @@
 	select {
 	case f = <-reply:
 	case <-s.ctx.Done():
-		return
+		return false
 	}
 	f.records = append(f.records, own...)
 	if len(f.records) > 0 && !w.appender.store(f.records, s.lastAppendSent.Store) {
-		return
+		return false
 	}
 	if heartbeat {
 		w.lastHeartbeat = now
@@ -99,6 +101,7 @@
 	if len(f.completion.ends) > 0 || len(f.completion.workers) > 0 || len(f.completion.windows) > 0 {
 		s.post(f.completion)
 	}
+	return true
 }
 
 // ownRecord returns the leader's own record, which is its heartbeat.
