--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -108,7 +108,7 @@
 type Placement struct {
 	Run    int
 	Worker oleanderline.WorkerID
-	Done   bool // the task is done
+	Over   bool // the task is done, or its job has ended or was cancelled
 }
 
 func (p *Planner) note(kind NoteKind, run oleanderline.RunKey, w *worker, reason string) {
@@ -142,7 +142,7 @@
 	}
 	n := Note{Kind: NoteUnexpected, Run: key, Reason: "stopping a run that is not expected on the worker"}
 	if t != nil {
-		n.Expected = &Placement{Run: t.run, Done: t.done}
+		n.Expected = &Placement{Run: t.run, Over: t.done || !t.group.job.active()}
 		if t.worker != nil {
 			n.Expected.Worker = t.worker.entry.ID
 		}
--- a/pkg/term/end.go
+++ b/pkg/term/end.go
@@ -39,10 +39,17 @@
 		s.logNote(note)
 	}
 	starts, stops := s.planner.OpenRuns()
-	s.common.Event(common.EventTermClosed).WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"term": s.settings.Leader.Term, "after": seconds(s.common.Clock.Now().Sub(time.Unix(0, s.endedAt.Load()))),
-		"starts": len(starts), "stops": len(stops), "starting": runTexts(starts), "stopping": runTexts(stops),
-	}).Info("the last call of the term has returned")
+		"starts": len(starts), "stops": len(stops),
+	}
+	if len(starts) > 0 {
+		fields["starting"] = runTexts(starts)
+	}
+	if len(stops) > 0 {
+		fields["stopping"] = runTexts(stops)
+	}
+	s.common.Event(common.EventTermClosed).WithFields(fields).Info("the last call of the term has returned")
 }
 
 // runTexts returns the first maxLoggedRuns of the runs as TASK/RUN.
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -53,10 +53,10 @@
 		s.addLoss(fields, note.Loss)
 	}
 	if note.Expected != nil {
-		fields["expectrun"], fields["expecton"], fields["done"] = note.Expected.Run, note.Expected.Worker, note.Expected.Done
+		fields["expectrun"], fields["expecton"], fields["over"] = note.Expected.Run, note.Expected.Worker, note.Expected.Over
 	}
 	if len(note.Workers) > 0 {
-		fields["count"], fields["workers"] = len(note.Workers), s.describeWorkers(note.Workers)
+		fields["count"], fields["workers"] = len(note.Workers), s.describeWorkers(note)
 	}
 	if note.Takeover != nil {
 		state := note.Takeover
@@ -98,16 +98,19 @@
 }
 
 // describeWorkers returns a short text for each worker, which begins with its id.
-func (s *Session) describeWorkers(facts []plan.WorkerFact) []string {
-	list := make([]string, len(facts))
-	for i, fact := range facts {
-		list[i] = s.describeWorker(fact)
+func (s *Session) describeWorkers(note plan.Note) []string {
+	list := make([]string, len(note.Workers))
+	for i, fact := range note.Workers {
+		list[i] = s.describeWorker(note.Kind, fact)
 	}
 	return list
 }
 
-func (s *Session) describeWorker(fact plan.WorkerFact) string {
-	text := string(fact.ID) + " " + fact.View.String()
+func (s *Session) describeWorker(kind plan.NoteKind, fact plan.WorkerFact) string {
+	text := string(fact.ID)
+	if kind != plan.NoteInherited { // of inherited workers, nothing is known at that time
+		text += " " + fact.View.String()
+	}
 	if fact.After > 0 {
 		text += fmt.Sprintf(" after=%.3f", seconds(fact.After))
 	}
