Keep a worker's record until it has reported to the new leader

Callers saw a task run twice at once (rule TWICE): a third leader started tasks elsewhere that ran on a worker which the second one had not reached.

Cause: a leader that failed to call a worker stored its record as "unreachable" with the tasks that this leader had placed there. Before the worker's first report these are none, whatever earlier leaders have started. The next leader takes the list of such a record for complete.

Change: the record of an inherited worker stays as the earlier leader has stored it until the worker has reported in this term, or until everything there has expired. A list of tasks thus outlasts any number of leaders.

--- /dev/null
+++ b/pkg/plan/successor_test.go
@@ -0,0 +1,48 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against a second run of a task after two changes of leader in a row: a leader that has no report of a worker must not
+// store a record that lists the tasks there.
+func TestTasksOnSilentWorkerOutlastTwoLeaders(t *testing.T) {
+	type scenario struct {
+		name  string
+		first func(c *testCell) // what the first leader observes after it has started the tasks
+	}
+	for _, s := range []scenario{
+		{"recorded as in use by the first leader", func(*testCell) {}},
+		{"recorded as unreachable by the first leader", func(c *testCell) {
+			c.planner.CallFailed("w0", oleanderline.ErrUncertain)
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 4, Size: testSize})
+			c.place()
+			require.Len(t, c.workers["w0"].running, 2)
+			s.first(c)
+			c.flush()
+			for claims := 2; claims <= 4; claims++ {
+				c.newTerm(claims)
+				c.flush()
+				c.planner.CallFailed("w0", oleanderline.ErrUncertain)
+				c.report("w1")
+				c.flush()
+				c.advance(time.Second)
+				c.place()
+				require.Len(t, c.workers["w1"].running, 2, "leader %d starts tasks that run on w0", claims)
+			}
+			c.workers["w0"].running = map[oleanderline.RunKey]oleanderline.RunStatus{}
+			c.advance(testSettings().Horizon)
+			c.place()
+			require.Len(t, c.workers["w1"].running, 4, "the tasks start again once their runs have expired")
+		})
+	}
+}
--- a/pkg/plan/worker_record.go
+++ b/pkg/plan/worker_record.go
@@ -11,6 +11,9 @@
 // unused reports whether the worker is unreachable and no run can exist on it.
 func (w *worker) unused() bool { return w.unreachable && len(w.tasks) == 0 && w.reported }
 
+// reportAwaited reports whether earlier leaders may have started tasks on the worker of which no report has told in this term.
+func (w *worker) reportAwaited() bool { return w.inherited && !w.reported }
+
 // Records returns the records of workers that have changed, and the ids of the workers for which the caller calls
 // WorkerRecorded once they are stored. It removes workers that are gone.
 func (p *Planner) Records() (records []oleanderline.KeyedRecord, ids []oleanderline.WorkerID, err error) {
@@ -26,6 +29,9 @@
 			}
 			continue
 		}
+		if w.reportAwaited() {
+			continue // the record of the earlier leader knows more than this leader
+		}
 		if w.written && w.writtenUnreachable == w.unreachable {
 			continue
 		}
