Keep a worker in use while it runs tasks of unread jobs

Cause: a leader that has not read a job yet sees a run of it on a worker as unknown. If it then lost that worker, it dropped the worker's record as unused, or listed only the tasks it knew. The next leader, which reads the job, started the task elsewhere while the run went on.

Change: the record of a worker with unknown runs says that any task may run there, and is dropped only once these runs are gone or have expired.

Measured: TestRunOfUnreadJobOutlastsItsLeader fails without the change (two runs of a.0.0.0) and passes with it.

--- a/pkg/plan/successor_test.go
+++ b/pkg/plan/successor_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 // Guards against a second run of a task after two changes of leader in a row: a leader that has no report of a worker must not
@@ -46,3 +47,30 @@
 		})
 	}
 }
+
+// Guards against a second run of a task whose job the leader had not read when the worker that runs it became unreachable: the
+// record of that worker must not say that it is empty.
+func TestRunOfUnreadJobOutlastsItsLeader(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+	c.place()
+	run := c.runsOf(taskOf("a", 0, 0))[0]
+	holder, other := oleanderline.WorkerID("w0"), oleanderline.WorkerID("w1")
+	if _, ok := c.workers[other].running[run]; ok {
+		holder, other = other, holder
+	}
+	spec := c.planner.jobs["a"].spec
+	delete(c.planner.jobs, "a")
+	c.newTerm(2)
+	c.reportAll()
+	c.flush()
+	c.planner.CallFailed(holder, oleanderline.ErrUncertain)
+	c.flush()
+	c.newTerm(3)
+	c.planner.AddJob(spec, record.Progress{}, c.now, 0)
+	c.report(other)
+	c.flush()
+	c.advance(time.Second)
+	c.place()
+	require.Len(t, c.runsOf(taskOf("a", 0, 0)), 1)
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -151,6 +151,7 @@
 		w.reported = true // runs of earlier leaders have expired there as well
 		p.noteEmpty(w, emptyByLease, leaseEnd)
 	}
+	w.unknownRuns = 0
 	for t := range w.tasks {
 		if t.state == taskStarting {
 			continue // the result of the start decides
--- a/pkg/plan/worker_record.go
+++ b/pkg/plan/worker_record.go
@@ -9,7 +9,14 @@
 func (w *worker) removable() bool { return !w.inDirectory && w.unused() }
 
 // unused reports whether the worker is unreachable and no run can exist on it.
-func (w *worker) unused() bool { return w.unreachable && len(w.tasks) == 0 && w.reported }
+func (w *worker) unused() bool { return w.unreachable && w.reported && w.empty() }
+
+// empty reports whether this leader knows of no run on the worker.
+func (w *worker) empty() bool { return len(w.tasks) == 0 && w.unknownRuns == 0 }
+
+// listsTasks reports whether the worker's record lists the tasks that may run there, which the next leader takes for all of them.
+// Runs that belong to no known task cannot be listed, so the record of a worker with such runs says that any task may run there.
+func (w *worker) listsTasks() bool { return w.unreachable && w.unknownRuns == 0 }
 
 // reportAwaited reports whether earlier leaders may have started tasks on the worker of which no report has told in this term.
 func (w *worker) reportAwaited() bool { return w.inherited && !w.reported }
@@ -32,10 +39,10 @@
 		if w.reportAwaited() {
 			continue // the record of the earlier leader knows more than this leader
 		}
-		if w.written && w.writtenUnreachable == w.unreachable {
+		if w.written && w.writtenUnreachable == w.listsTasks() {
 			continue
 		}
-		if w.unreachable && !w.stored && !w.inherited {
+		if w.unreachable && !w.stored && w.empty() {
 			continue // no task can have been started there
 		}
 		value := w.record()
@@ -44,19 +51,18 @@
 			return nil, nil, err
 		}
 		p.noteRecord(w, value)
-		w.written, w.writtenUnreachable, w.stored = true, w.unreachable, true
-		w.useRecorded = w.useRecorded && !w.unreachable
+		w.written, w.writtenUnreachable, w.stored = true, value.Unreachable, true
+		w.useRecorded = w.useRecorded && !value.Unreachable
 		records = append(records, rec)
 		ids = append(ids, id)
 	}
 	return records, ids, nil
 }
 
-// record returns the worker's record. While the worker is unreachable, it lists the tasks that may run there; otherwise any
-// task may run there.
+// record returns the worker's record.
 func (w *worker) record() record.Worker {
-	rec := record.Worker{ID: w.entry.ID, Address: w.entry.Address, Unreachable: w.unreachable}
-	if w.unreachable {
+	rec := record.Worker{ID: w.entry.ID, Address: w.entry.Address, Unreachable: w.listsTasks()}
+	if rec.Unreachable {
 		for t := range w.tasks {
 			rec.Tasks = append(rec.Tasks, t.key())
 		}
