Take no VM down of which it is not known what runs there

Cause: MayStopAll counted the tasks that this leader knows on a worker. For a worker that has not reported since the leader changed, or that runs tasks of jobs not read yet, these can be none, so a maintenance window could end long-running tasks beyond their limit.

Change: such a worker may not be stopped until its report has come or everything there has expired.

Measured: TestWorkerWithoutReportMayNotBeStopped fails without the change and passes with it.

--- a/pkg/plan/vacate.go
+++ b/pkg/plan/vacate.go
@@ -49,12 +49,15 @@
 }
 
 // MayStopAll reports whether all tasks on a worker may be ended at once, so that no step then has more unavailable tasks
-// than its MaxUnavailable allows.
+// than its MaxUnavailable allows. While it is not known which tasks run there, they may not.
 func (p *Planner) MayStopAll(id oleanderline.WorkerID) bool {
 	w := p.workers[id]
 	if w == nil {
 		return true
 	}
+	if w.reportAwaited() || w.unknownRuns > 0 {
+		return false
+	}
 	here := map[*group]int{}
 	for t := range w.tasks {
 		if t.group.step.MaxUnavailable != nil {
--- a/pkg/plan/vacate_test.go
+++ b/pkg/plan/vacate_test.go
@@ -88,3 +88,22 @@
 	require.Nil(t, c.planner.task(taskOf("a", 0, 1)).worker)
 	require.False(t, kept.mayMove())
 }
+
+// Guards against a VM that is taken down with tasks that users count on, because its worker has not reported to the new leader yet.
+func TestWorkerWithoutReportMayNotBeStopped(t *testing.T) {
+	c := newCell(t, 2)
+	limit := 0
+	c.add("a", oleanderline.Step{Count: 2, Size: testSize, LongRunning: true, MaxUnavailable: &limit})
+	c.place()
+	c.flush()
+	c.newTerm(2)
+	for id := range c.workers {
+		require.False(t, c.planner.MayStopAll(id))
+		require.False(t, c.planner.Empty(id))
+	}
+	c.advance(testSettings().Horizon)
+	c.place()
+	for id := range c.workers {
+		require.True(t, c.planner.Empty(id), "everything there has expired")
+	}
+}
