--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	if err := n.store(ctx, rec); err != nil {
-		n.logRefusal("submit", job.ID, err)
+		n.logRefusal(callSubmit, job.ID, err)
 		return err
 	}
 	n.common.Event(common.EventJobStored).WithField("job", job.ID).WithField("queue", job.Queue).Info("job stored")
@@ -77,6 +77,13 @@
 		WithField("read", age.String()).WithError(err).Warn("call answered with an error")
 }
 
+// Calls of callers, as named in log lines.
+const (
+	callSubmit = "submit"
+	callState  = "state"
+	callCancel = "cancel"
+)
+
 // State implements oleanderline.JobService.
 func (n *Node) State(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) (oleanderline.JobState, error) {
 	n.metrics.states.Inc()
@@ -89,7 +96,7 @@
 	}
 	n.refresh(ctx)
 	if entry, ok = n.replica.Job(id); !ok {
-		return 0, n.unknownJob(id)
+		return 0, n.unknownJob(callState, id)
 	}
 	return entry.State(), nil
 }
@@ -106,15 +113,15 @@
 }
 
 // unknownJob returns ErrUnknownJob, or ErrNotReady if the records are too old to tell.
-func (n *Node) unknownJob(id oleanderline.JobID) error {
+func (n *Node) unknownJob(call string, id oleanderline.JobID) error {
 	age, loaded := n.replica.ReadAge(n.common.Clock.Now())
 	if !loaded || age > maxReadWait+freshReadMargin {
 		n.metrics.notReady.Inc()
-		n.logRefusal("state", id, oleanderline.ErrNotReady)
+		n.logRefusal(call, id, oleanderline.ErrNotReady)
 		return oleanderline.ErrNotReady
 	}
 	n.metrics.unknown.Inc()
-	n.logRefusal("state", id, oleanderline.ErrUnknownJob)
+	n.logRefusal(call, id, oleanderline.ErrUnknownJob)
 	return oleanderline.ErrUnknownJob
 }
 
@@ -122,13 +129,13 @@
 func (n *Node) Cancel(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) error {
 	entry, ok := n.replica.Job(id)
 	if !ok {
-		return n.unknownJob(id)
+		return n.unknownJob(callCancel, id)
 	}
 	if entry.State().Final() {
 		return nil
 	}
 	if err := n.store(ctx, record.ForCancel(id)); err != nil {
-		n.logRefusal("cancel", id, err)
+		n.logRefusal(callCancel, id, err)
 		return err
 	}
 	n.common.Event(common.EventJobCancel).WithField("job", id).Info("cancellation stored")
