Find a job that was just accepted elsewhere before refusing its cancellation

Cause: a node that had not read a submission yet answered its cancellation with "no such job", although another node had accepted the job a moment before. The caller took the job for gone, and it ran on.

Change: before such an answer the node reads what the log holds beyond its records, and answers "not ready" if it can't. A cancellation of a job that is found there is stored as usual.

Measured: TestCancellationRightAfterSubmission fails without the change ("no such job") and passes with it; pkg/node with -race three times, passed.

--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -125,15 +126,36 @@
 	return oleanderline.ErrUnknownJob
 }
 
+// storedSince reports whether the log holds the submission of a job at or after an offset. Another process may just have
+// accepted it. It returns ErrNotReady if the log cannot be read.
+func (n *Node) storedSince(ctx context.Context, from oleanderline.Offset, id oleanderline.JobID) (bool, error) {
+	batch, err := n.ports.Log.Read(ctx, record.Stream, from, 0)
+	if err != nil {
+		return false, oleanderline.ErrNotReady
+	}
+	return slices.ContainsFunc(batch.Records, func(rec oleanderline.KeyedRecord) bool {
+		kind, job := record.ParseKey(rec.Key)
+		return kind == record.KindJob && job == string(id) && len(rec.Value) > 0
+	}), nil
+}
+
 // Cancel implements oleanderline.JobService.
 func (n *Node) Cancel(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) error {
+	read := n.replica.NextOffset()
 	entry, ok := n.replica.Job(id)
-	if !ok {
-		return n.unknownJob(callCancel, id)
-	}
-	if entry.State().Final() {
+	if ok && entry.State().Final() {
 		return nil
 	}
+	if !ok {
+		stored, err := n.storedSince(ctx, read, id)
+		if err != nil {
+			n.logRefusal(callCancel, id, err)
+			return err
+		}
+		if !stored {
+			return n.unknownJob(callCancel, id)
+		}
+	}
 	if err := n.store(ctx, record.ForCancel(id)); err != nil {
 		n.logRefusal(callCancel, id, err)
 		return err
--- a/pkg/node/service_test.go
+++ b/pkg/node/service_test.go
@@ -38,3 +38,27 @@
 		})
 	}
 }
+
+// Guards against a cancellation that is answered with "no such job", and has no effect, because this process has not read yet
+// that another one has accepted the job.
+func TestCancellationRightAfterSubmission(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 0, commons)
+		defer c.close()
+		time.Sleep(4 * time.Second) // until there is a leader
+		for i := range processCount {
+			job := oleanderline.Job{ID: oleanderline.JobID(string(rune('a' + i))), Queue: testQueue.ID, Payload: "1", Policy: testQueue, Steps: []oleanderline.Step{
+				{Count: 1, Size: oleanderline.Size{CPU: 1000, Memory: 500}, LongRunning: true},
+			}}
+			c.checker.Submitted(job)
+			require.NoError(t, c.process(i).node.Submit(c.ctx, job))
+			c.checker.Accepted(job.ID)
+			require.NoError(t, c.process((i+1)%processCount).node.Cancel(c.ctx, "q", job.ID))
+			c.checker.Cancelled(job.ID)
+			time.Sleep(2 * time.Second)
+		}
+		require.Zero(t, c.runningCount())
+		require.Empty(t, c.checker.Violations())
+	})
+}
