Log requests for services without minions, and limit each event by itself

Change: a refusal for an unknown service is E2003; each event that callers can cause has five lines a second of its own.

--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -21,8 +21,8 @@
 	common    *common.Common
 	settings  Settings
 	exchanger Exchanger
-	buffered  atomic.Int64 // bytes reserved for the heads of all bodies
-	logLimit  *logLimiter
+	buffered  atomic.Int64                 // bytes reserved for the heads of all bodies
+	logLimits map[common.Event]*logLimiter // by event, so that lines of one do not keep out those of another
 	answered  *metrics.Counter
 	notRun    *metrics.Counter
 	unknown   *metrics.Counter
@@ -35,7 +35,7 @@
 		common:    c,
 		settings:  settings,
 		exchanger: exchanger,
-		logLimit:  newLogLimiter(maxLogLinesPerSecond, time.Second),
+		logLimits: newLogLimits(common.EventBadRequest, common.EventServiceUnknown, common.EventAnswerTruncated),
 		answered:  c.Metrics.NewCounter("oleander_caller_answered_total"),    // requests whose complete answer was forwarded to the caller
 		notRun:    c.Metrics.NewCounter("oleander_caller_not_run_total"),     // requests refused without having run, invalid ones included
 		unknown:   c.Metrics.NewCounter("oleander_caller_unknown_total"),     // requests that may have run, but have no answer
@@ -43,9 +43,22 @@
 	}
 }
 
-// maxLogLinesPerSecond limits the log lines about invalid requests and truncated answers.
+// maxLogLinesPerSecond limits the log lines of each event that callers can cause.
 const maxLogLinesPerSecond = 5
 
+func newLogLimits(events ...common.Event) map[common.Event]*logLimiter {
+	limits := map[common.Event]*logLimiter{}
+	for _, event := range events {
+		limits[event] = newLogLimiter(maxLogLinesPerSecond, time.Second)
+	}
+	return limits
+}
+
+// mayLog reports whether another line of an event may be logged now.
+func (h *Handler) mayLog(event common.Event) bool {
+	return h.logLimits[event].allow(h.common.Clock.Now())
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	call, problem := h.parse(r, h.common.Clock.Now())
@@ -103,10 +116,7 @@
 	} else {
 		h.unknown.Inc()
 	}
-	if problem.Status < http.StatusInternalServerError && h.logLimit.allow(h.common.Clock.Now()) {
-		h.common.Event(common.EventBadRequest).WithField("from", r.RemoteAddr).WithField("reason", string(problem.Reason)).
-			WithField("detail", problem.Detail).Info("refused an invalid request")
-	}
+	h.logRefusal(r, problem)
 	switch problem.Reason {
 	case ReasonBodySize, ReasonSlowBody, ReasonBadBody:
 		// The rest of the body is not read, so the connection cannot carry another request.
@@ -115,6 +125,18 @@
 	problem.write(w)
 }
 
+// logRefusal logs a problem for which the caller or the operators are responsible.
+func (h *Handler) logRefusal(r *http.Request, problem *Problem) {
+	event := common.EventBadRequest
+	if problem.Reason == ReasonUnknownService {
+		event = common.EventServiceUnknown
+	}
+	if problem.Status < http.StatusInternalServerError && h.mayLog(event) {
+		h.common.Event(event).WithField("from", r.RemoteAddr).WithField("reason", string(problem.Reason)).
+			WithField("detail", problem.Detail).Info("refused a request")
+	}
+}
+
 // copyBuffers holds reusable buffers for copying answers, to avoid an allocation for each answer.
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
@@ -129,7 +151,7 @@
 	w.WriteHeader(reply.Status)
 	if err := copyBody(w, reply); err != nil {
 		h.truncated.Inc()
-		if h.logLimit.allow(h.common.Clock.Now()) {
+		if h.mayLog(common.EventAnswerTruncated) {
 			h.common.Event(common.EventAnswerTruncated).WithError(err).Warn("could not forward the complete answer; closing the connection to the caller")
 		}
 		// A truncated answer must not look complete: aborting closes the connection before the end of the body.
