Start tasks only on workers that a process serves

Cause: a worker without a link still counted as one on which tasks may start. Every pass placed tasks there, each start failed at once as unavailable, and since nothing was in use there the next pass chose the worker again. Each such start also shrinks the window of outstanding starts, down to 8 for the whole cell, because its result looks like that of an order that became too old.

Change: the session tells the planner when a link to a worker opens or closes (Planner.SetServed). Tasks start on a worker after a report has come since its link was opened: between the assignment to an agent and the agent's first report a start would only wait.

--- a/pkg/plan/bench_test.go
+++ b/pkg/plan/bench_test.go
@@ -26,6 +26,7 @@
 	}
 	p.SetWorkers(entries, now)
 	for _, entry := range entries {
+		p.SetServed(entry.ID, true)
 		p.Report(entry.ID, oleanderline.WorkerReport{Life: testIncarnation}, now, now)
 	}
 	_, ids, _ := p.Records()
--- a/pkg/plan/cell_test.go
+++ b/pkg/plan/cell_test.go
@@ -54,6 +54,7 @@
 		})
 	}
 	c.planner.SetWorkers(c.entries, c.now)
+	c.serveAll()
 	c.reportAll()
 	c.flush()
 	return c
@@ -90,6 +91,14 @@
 		c.planner.InheritWorker(w)
 	}
 	c.planner.SetWorkers(c.entries, c.now)
+	c.serveAll()
+}
+
+// serveAll makes the planner regard all workers as served.
+func (c *testCell) serveAll() {
+	for id := range c.workers {
+		c.planner.SetServed(id, true)
+	}
 }
 
 func (c *testCell) flush() {
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -39,7 +39,7 @@
 	p.countLongRunning(min(since, maxCheckGap))
 	p.consolidate(now)
 	for _, w := range p.workers {
-		if !w.reported || w.unreachable {
+		if !w.reported || w.service != serviceOpen || w.unreachable {
 			continue
 		}
 		for t := range w.tasks {
--- a/pkg/plan/obstacle.go
+++ b/pkg/plan/obstacle.go
@@ -8,7 +8,7 @@
 
 const (
 	obstacleNone         obstacle = iota
-	obstacleWorker                // no worker is usable: unreachable, draining, in quarantine, or of another pool or label
+	obstacleWorker                // no worker is usable: not served, unreachable, draining, in quarantine, or of another pool or label
 	obstacleRoom                  // no usable worker has room
 	obstacleInterference          // it would interfere with long-running tasks on all workers with room
 	obstacleExposure              // the workers left have best-effort tasks about which too little is known yet
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -31,6 +31,7 @@
 		w.unreachable = false
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "worker is reachable again")
 	}
+	w.confirmService()
 	p.handleEnds(w, report.Ended, now)
 	p.handleRunning(w, report.Running, sent, now)
 	first := w.reportedAt.IsZero()
--- /dev/null
+++ b/pkg/plan/service_test.go
@@ -0,0 +1,57 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against starts on a worker that no process serves, or whose process has not reached it yet: they fail at once, or wait
+// until they are too old.
+func TestTasksStartOnlyOnServedWorkers(t *testing.T) {
+	c := newCell(t, 1)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+	c.planner.SetServed("w0", false)
+	c.place()
+	require.Empty(t, c.runsOf(taskOf("a", 0, 0)), "no process serves the worker")
+	c.report("w0") // over the link that is closed
+	c.place()
+	require.Empty(t, c.runsOf(taskOf("a", 0, 0)), "the report came from a process that serves the worker no longer")
+	c.planner.SetServed("w0", true)
+	c.place()
+	require.Empty(t, c.runsOf(taskOf("a", 0, 0)), "its process has not passed on a report yet")
+	c.report("w0")
+	c.place()
+	require.Len(t, c.runsOf(taskOf("a", 0, 0)), 1)
+}
+
+// Guards against a move off a worker that no process serves: its stop fails, and the task counts as stopping from then on.
+func TestNothingMovesFromAnUnservedWorker(t *testing.T) {
+	type scenario struct {
+		name   string
+		served bool
+		orders int
+	}
+	for _, s := range []scenario{{"served", true, 1}, {"not served", false, 0}} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize, LongRunning: true})
+			c.place()
+			for i, entry := range c.entries {
+				if len(c.workers[entry.ID].running) > 0 {
+					c.entries[i].Draining = true
+					c.planner.SetServed(entry.ID, s.served)
+					if s.served {
+						c.report(entry.ID)
+					}
+				}
+			}
+			c.planner.SetWorkers(c.entries, c.now)
+			c.advance(checkInterval)
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			require.Len(t, c.planner.Orders(), s.orders)
+		})
+	}
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -25,6 +25,7 @@
 	reportedAt    time.Time // time of its newest report
 	callSentAt    time.Time // when the newest answered call was sent
 	unreachable   bool      // its last call failed
+	service       service
 	incarnation   oleanderline.WorkerIncarnation
 	evacuateBy    time.Time         // when its tasks have to be gone, while it drains or is vacated
 	reserved      oleanderline.Size // reserved for tasks that move here
@@ -231,8 +232,8 @@
 
 // schedulable reports whether any new task may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.inDirectory && w.useRecorded && w.reported && !w.unreachable && !w.evacuating() && w.unknownRuns == 0 &&
-		!now.Before(w.backoffUntil) && w.health.admits(now)
+	return w.inDirectory && w.useRecorded && w.reported && w.service == serviceOpen && !w.unreachable && !w.evacuating() &&
+		w.unknownRuns == 0 && !now.Before(w.backoffUntil) && w.health.admits(now)
 }
 
 // matches reports whether the worker is in the pool of the group's queue and has the label that the step requires.
--- a/pkg/term/connection.go
+++ b/pkg/term/connection.go
@@ -56,6 +56,7 @@
 func (s *Session) disconnect(id oleanderline.WorkerID) time.Time {
 	l := s.links[id]
 	delete(s.links, id)
+	s.planner.SetServed(id, false)
 	if l.agent == "" {
 		s.agents.ownWorkers--
 	}
@@ -83,6 +84,7 @@
 	}
 	delete(s.agents.leaseEnds, id)
 	s.links[id] = l
+	s.planner.SetServed(id, true)
 	if server == "" {
 		s.agents.ownWorkers++
 	}
