Release the tasks of unserved workers when their leases have expired

Cause: the time at which the leases on a worker without a link have expired was kept in agentPool.leaseEnds, and passed on to the next link, but nobody acted on it while there was none. Tasks on a worker that no process had the capacity to serve stayed assigned to it for the rest of the term.

Change: the regular check of the agent pool reports the expiry to the planner, as a link does for a worker that does not answer: the worker counts as unreachable from then on, which is logged and recorded, and its tasks are queued again.

--- a/pkg/node/unserved_test.go
+++ b/pkg/node/unserved_test.go
@@ -17,6 +17,9 @@
 // agentOutage is how long killed agents are down, which is longer than any of the checks.
 const agentOutage = time.Minute
 
+// fullWorker is the size of a task that takes a whole worker.
+var fullWorker = oleanderline.Size{CPU: 4000, Memory: 4000}
+
 // killAgents stops all processes but the leader, and returns the leader.
 func (c *testCell) killAgents() *Node {
 	leader := c.leaderIndex()
@@ -77,3 +80,23 @@
 		c.requireFinished(leader)
 	})
 }
+
+// Guards against tasks that never end because no process serves their worker any more: their leases expire there unnoticed.
+func TestTasksLeaveAnUnservedWorker(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, shortageSeed, commons)
+		defer c.closeAfterOutage()
+		time.Sleep(4 * time.Second)
+		leader := c.process(c.leaderIndex()).node
+		for i := range workerCount {
+			c.submitTo(leader, i, oleanderline.Step{Count: 1, Size: fullWorker})
+		}
+		for c.runningCount() < workerCount {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.killAgents()
+		time.Sleep(15 * time.Second)
+		c.requireFinished(leader)
+	})
+}
--- a/pkg/term/agent_pool.go
+++ b/pkg/term/agent_pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -29,6 +30,8 @@
 	inviteBackoff = 3 * time.Second
 )
 
+var errUnserved = errors.New("no process has capacity to serve it")
+
 // agentPool decides which process serves each worker, that is renews its leases and sends it orders. The leader serves as many
 // workers as its capacity allows; agents (other processes of the cell) serve the rest. It exists for sites where not even the
 // largest VM can call all workers.
@@ -81,6 +84,22 @@
 	if unserved > 0 {
 		s.connectWorkers()
 	}
+	p.expireLeases(now)
+}
+
+// expireLeases reports the expiry of all leases on workers without a link, as a link does for a worker that does not answer. It
+// repeats this, because the planner keeps a task whose start has no result yet.
+func (p *agentPool) expireLeases(now time.Time) {
+	planner := p.session.planner
+	for id, end := range p.leaseEnds {
+		switch {
+		case !planner.HasWorker(id):
+			delete(p.leaseEnds, id)
+		case !end.IsZero() && now.After(end):
+			planner.CallFailed(id, errUnserved)
+			planner.LeaseExpired(id, end, now)
+		}
+	}
 }
 
 // markLost counts and logs the loss of an agent once, although it is called for each of its workers.
