Keep the longest lease when links of a worker close in a row

Cause: closing a link returned only the expiry of leases that this link may have granted. The time that the link was given for earlier links was dropped, so after the loss of two agents in a row the leases of the first could outlive the time at which the worker's tasks are released.

Change: Worker.Close and the closing of a local link return the later one of both times. A local link also adds what it knows about the leases that it has granted itself (Link.LeaseEnd).

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -234,11 +234,17 @@
 	return time.Duration(float64(span)/minClockRate) + clockSlack
 }
 
-// expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
-func (l *Link) expired(now time.Time) (leaseEnd time.Time, expired bool) {
+// LeaseEnd returns the latest expiry of the leases granted over this link or earlier links; zero if there were none.
+func (l *Link) LeaseEnd() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaseEnd, !l.leaseEnd.IsZero() && now.After(l.leaseEnd)
+	return l.leaseEnd
+}
+
+// expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
+func (l *Link) expired(now time.Time) (leaseEnd time.Time, expired bool) {
+	end := l.LeaseEnd()
+	return end, !end.IsZero() && now.After(end)
 }
 
 // applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that acknowledged
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -133,6 +133,17 @@
 	})
 }
 
+// Guards against tasks that are released too early after two agents of a worker were lost in a row: the first may have granted
+// leases that last longer than all that the second can have granted.
+func TestEarlierLeasesOutliveALaterAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRoster(&recorder{})
+		r.AddInvited(testAgent)
+		earlier := time.Now().Add(time.Minute)
+		require.Equal(t, earlier, r.Assign(testAgent, "w", "addr", earlier, plan.Acked{}).Close())
+	})
+}
+
 // Guards against a batch of events that is handled twice because its answer was lost, and against events about a worker that
 // is now served under another assignment.
 func TestEventsCountOnce(t *testing.T) {
--- a/pkg/roster/worker.go
+++ b/pkg/roster/worker.go
@@ -7,6 +7,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
+	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 )
@@ -87,7 +88,7 @@
 }
 
 // Close removes the worker from the agent, and gives pending orders an uncertain result. It returns the latest expiry of leases
-// that the agent has granted or may still grant.
+// that the agent has granted or may still grant, and of those granted before it served the worker.
 func (w *Worker) Close() time.Time {
 	r := w.roster
 	r.mu.Lock()
@@ -108,5 +109,5 @@
 			Order: order, Attempts: uncertainAttempts, Err: fmt.Errorf("%w: %w", errUnassigned, oleanderline.ErrUncertain),
 		})
 	}
-	return end.Add(link.ExpiryBound(r.settings.Lease))
+	return common.Later(w.leaseEnd, end.Add(link.ExpiryBound(r.settings.Lease)))
 }
--- a/pkg/term/connection.go
+++ b/pkg/term/connection.go
@@ -27,7 +27,7 @@
 	workerLink
 	address string
 	agent   oleanderline.VMID // "" if this process calls the worker itself
-	// closeLink closes the link, and returns the latest expiry of leases that may be granted over it.
+	// closeLink closes the link, and returns the latest expiry of leases that may be granted over it or were granted before.
 	closeLink func() time.Time
 }
 
@@ -52,7 +52,7 @@
 	}
 }
 
-// disconnect closes the link of a worker, and returns the latest expiry of leases that may be granted over it.
+// disconnect closes the link of a worker, and returns the latest expiry of leases that may be granted over it or were granted before.
 func (s *Session) disconnect(id oleanderline.WorkerID) time.Time {
 	l := s.links[id]
 	delete(s.links, id)
@@ -101,7 +101,8 @@
 	closeLink := func() time.Time {
 		cancel()
 		now := s.common.Clock.Now()
-		return common.Later(s.authorityEnd(now), now).Add(link.ExpiryBound(s.settings.Lease))
+		grantedEnd := common.Later(s.authorityEnd(now), now).Add(link.ExpiryBound(s.settings.Lease))
+		return common.Later(l.LeaseEnd(), grantedEnd)
 	}
 	return &connection{workerLink: l, address: address, closeLink: closeLink}
 }
