Don't take the expiry of this term's leases for that of earlier leaders

Cause: LeaseExpired marked a worker as if it had reported, "as runs of earlier leaders have expired there as well". That does not follow: a link gets the expiry of the leases of earlier links of the same term, and if none of them ever reached the worker, this says nothing about a leader before, whose runs are over only Majority and Lease after a majority has reported, or after Horizon. A leader that lost its agents before their first reports, without a majority, took its workers for empty one authority and lease after that loss.

Change: LeaseExpired releases the tasks of this term only. An inherited worker without a report in this term waits for expireUnreported.

It is a test of the planner; no cell was seen to do this.

--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -156,7 +156,7 @@
 	for _, w := range p.workers {
 		if w.inherited && !w.reported {
 			w.reported, w.unreachable = true, true
-			p.noteEmpty(w, p.expiryReason(now), time.Time{})
+			p.noteEmpty(w, p.expiryReason(now))
 		}
 	}
 }
--- a/pkg/plan/service_test.go
+++ b/pkg/plan/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -55,3 +56,31 @@
 		})
 	}
 }
+
+// Guards against a second run of a task that an earlier leader may still extend on a worker which has not reported in this term.
+// The expiry of the leases that this term may have granted there says nothing about those of earlier leaders.
+func TestExpiredLeaseOfThisTermSaysNothingAboutEarlierTerms(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize, MaxPerWorker: 1})
+	c.place()
+	c.flush()
+	key := taskOf("a", 0, 0)
+	require.Len(t, c.runsOf(key), 1)
+	silent, other := oleanderline.WorkerID("w0"), oleanderline.WorkerID("w1")
+	if len(c.workers[other].running) > 0 {
+		silent, other = other, silent
+	}
+	c.newTerm(2)
+	c.report(other)
+	c.flush()
+	c.advance(testSettings().Lease + time.Second)
+	c.planner.CallFailed(silent, oleanderline.ErrUncertain)
+	c.planner.LeaseExpired(silent, c.now, c.now)
+	c.place()
+	require.Len(t, c.runsOf(key), 1, "no majority has reported, and the horizon has not passed")
+	c.advance(testSettings().Horizon)
+	c.workers[silent].running = map[oleanderline.RunKey]oleanderline.RunStatus{}
+	c.place()
+	require.Len(t, c.runsOf(key), 1)
+	require.Len(t, c.workers[other].running, 1)
+}
--- a/pkg/plan/takeover.go
+++ b/pkg/plan/takeover.go
@@ -24,9 +24,8 @@
 	// ListsTasks is whether its record says that it is unreachable and lists the only tasks that may run there, Tasks of them.
 	ListsTasks bool
 	Tasks      int
-	Adopted    int       // runs of earlier leaders that it has reported and the leader has adopted
-	Unknown    int       // runs that it has reported and the leader has not adopted
-	LeaseEnd   time.Time // when its lease expired, as computed by the process that serves it
+	Adopted    int // runs of earlier leaders that it has reported and the leader has adopted
+	Unknown    int // runs that it has reported and the leader has not adopted
 }
 
 // TakeoverState counts the inherited workers.
@@ -117,15 +116,14 @@
 }
 
 // noteEmpty notes that an inherited worker without a report counts as empty from now on.
-func (p *Planner) noteEmpty(w *worker, reason emptyReason, leaseEnd time.Time) {
-	p.addFact(NoteEmpty, string(reason), WorkerFact{ID: w.entry.ID, View: w.view(p.now), After: p.now.Sub(p.termStart), LeaseEnd: leaseEnd})
+func (p *Planner) noteEmpty(w *worker, reason emptyReason) {
+	p.addFact(NoteEmpty, string(reason), WorkerFact{ID: w.entry.ID, View: w.view(p.now), After: p.now.Sub(p.termStart)})
 }
 
 // emptyReason is why the runs of earlier leaders on a worker that has not reported count as expired.
 type emptyReason string
 
 const (
-	emptyByLease    emptyReason = "no report in this term; the lease granted in this term has expired"
 	emptyByMajority emptyReason = "no report in this term; most workers refuse earlier leaders for longer than a lease"
 	emptyByHorizon  emptyReason = "no report in this term; the horizon has passed"
 )
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -141,17 +141,16 @@
 	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf("worker is unreachable: %v", cause))
 }
 
-// LeaseExpired releases all tasks of a worker whose lease has expired at leaseEnd, by which time the worker has stopped their runs.
+// LeaseExpired releases all tasks of an unreachable worker on which the leases that this term has granted have expired at leaseEnd,
+// by which time the worker has stopped their runs. Runs of earlier leaders on a worker that has not reported in this term may
+// continue: see expireUnreported.
 func (p *Planner) LeaseExpired(id oleanderline.WorkerID, leaseEnd, now time.Time) {
 	p.now = now
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
-	if !w.reported {
-		w.reported = true // runs of earlier leaders have expired there as well
-		p.noteEmpty(w, emptyByLease, leaseEnd)
-	}
+	w.reported = w.reported || !w.inherited
 	w.unknownRuns = 0
 	for t := range w.tasks {
 		if t.state == taskStarting {
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -120,9 +120,6 @@
 	if fact.Life != 0 {
 		text += fmt.Sprintf(" life=%d adopted=%d unknown=%d", fact.Life, fact.Adopted, fact.Unknown)
 	}
-	if !fact.LeaseEnd.IsZero() {
-		text += fmt.Sprintf(" expired=%.3f", seconds(s.common.Clock.Now().Sub(fact.LeaseEnd)))
-	}
 	if l := s.links[fact.ID]; l != nil && l.agent != "" {
 		text += " agent=" + string(l.agent)
 	}
