--- a/pkg/plan/note_test.go
+++ b/pkg/plan/note_test.go
@@ -47,6 +47,7 @@
 			c.report("w0")
 		}, func(c *testCell) Loss { return Loss{RequestedAt: c.now} }},
 		{"lease expired", func(c *testCell, _ oleanderline.RunKey) {
+			c.planner.CallFailed("w0", oleanderline.ErrUncertain)
 			c.planner.LeaseExpired("w0", c.now.Add(-time.Millisecond), c.now)
 		}, func(c *testCell) Loss { return Loss{LeaseEnd: c.now.Add(-time.Millisecond)} }},
 	} {
--- a/pkg/plan/service_test.go
+++ b/pkg/plan/service_test.go
@@ -84,3 +84,16 @@
 	require.Len(t, c.runsOf(key), 1)
 	require.Len(t, c.workers[other].running, 1)
 }
+
+// Guards against the release of running tasks by an expiry that was reported before the worker answered over its next link.
+func TestLateExpiryOfAnEarlierLinkReleasesNothing(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+	c.place()
+	run := c.runsOf(taskOf("a", 0, 0))
+	c.reportAll()
+	c.planner.LeaseExpired("w0", c.now, c.now)
+	c.planner.LeaseExpired("w1", c.now, c.now)
+	c.place()
+	require.Equal(t, run, c.runsOf(taskOf("a", 0, 0)))
+}
