Back off from a worker after any failed start

Cause: only refusals for want of room or health let a worker wait. After any other start that certainly did not take effect (not sent, refused as invalid or expired), the next pass, 20 ms later, chose the same worker again: it stays empty, so it stays the best one. Nothing bounded this.

Change: after any failed start but one for its ticket, nothing starts on the worker for 0.2 s, as after a refusal for want of room.

Result: TestFailedStartsGoElsewhere failed on for unavailable, invalid and expired, where the second start went to the same worker, and passes now. go test -race passes on plan, roster, link, agent and node.

--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// noRoomBackoff is the backoff after a worker has refused a start because it has no room.
-	noRoomBackoff = 200 * time.Millisecond
+	// failedStartBackoff is the backoff of a worker after a start there has failed: it was refused, not sent or not answered. It
+	// bounds repeated failures, because a worker on which every start fails stays empty, so that each pass would choose it again.
+	failedStartBackoff = 200 * time.Millisecond
 	// unhealthyBackoff is the backoff after a worker has refused a start because it is unhealthy.
 	unhealthyBackoff = time.Second
 	// servingUtilization is the average share of their declared CPU that long-running tasks use.
--- a/pkg/plan/planner_test.go
+++ b/pkg/plan/planner_test.go
@@ -130,6 +130,36 @@
 	require.Equal(t, 2, runs[0].Run)
 }
 
+// Guards against a worker on which every start fails at once and which each pass chooses again, because it is always empty: the
+// task does not run although another worker has room.
+func TestFailedStartsGoElsewhere(t *testing.T) {
+	type scenario struct {
+		name string
+		err  error
+	}
+	for _, s := range []scenario{
+		{"unavailable", oleanderline.ErrUnavailable},
+		{"invalid", &oleanderline.RefusedError{Reason: oleanderline.RefusedInvalid}},
+		{"expired", &oleanderline.RefusedError{Reason: oleanderline.RefusedExpired}},
+		{"no room", &oleanderline.RefusedError{Reason: oleanderline.RefusedCapacity}},
+		{"unhealthy", &oleanderline.RefusedError{Reason: oleanderline.RefusedUnhealthy}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			orders := c.planner.Orders()
+			require.Len(t, orders, 1)
+			c.planner.HandleResult(Result{Order: orders[0], Err: s.err}, c.now)
+			c.advance(20 * time.Millisecond)
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			next := c.planner.Orders()
+			require.Len(t, next, 1)
+			require.NotEqual(t, orders[0].Worker, next[0].Worker)
+		})
+	}
+}
+
 // Guards against a job that fails before the last attempt of a task, and against one that continues after it.
 func TestJobFailsAfterItsLastAttempt(t *testing.T) {
 	c := newCell(t, 3)
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -234,18 +234,19 @@
 	}
 	w := t.worker
 	var refused *oleanderline.RefusedError
-	if errors.As(result.Err, &refused) && refused.Reason == oleanderline.RefusedCapacity {
-		w.backoffUntil = now.Add(noRoomBackoff)
-	}
-	if refused != nil && refused.Reason == oleanderline.RefusedTicket {
+	switch {
+	case !errors.As(result.Err, &refused):
+		w.backOff(now.Add(failedStartBackoff))
+	case refused.Reason == oleanderline.RefusedTicket:
 		delete(t.group.tickets, w.entry.ID)
+	case refused.Reason == oleanderline.RefusedUnhealthy:
+		w.backOff(now.Add(unhealthyBackoff))
+	default:
+		w.backOff(now.Add(failedStartBackoff))
 	}
 	released := p.certainlyNotStarted(result, refused)
 	failure := &StartFailure{Attempts: result.Attempts, Took: result.Took, Released: released}
 	p.addNote(Note{Kind: NoteStop, Run: t.runKey(), Reason: result.Err.Error(), Failure: failure}, w)
-	if errors.As(result.Err, &refused) && refused.Reason == oleanderline.RefusedUnhealthy {
-		w.backoffUntil = now.Add(unhealthyBackoff)
-	}
 	if released {
 		p.release(t)
 		return
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
@@ -45,7 +46,7 @@
 	adopted          int                                     // runs of earlier leaders that were adopted there
 	unknownRuns      int                                     // reported runs that belong to no known task here
 	unexpectedRuns   map[oleanderline.RunKey]struct{}        // those of them whose stop was ordered
-	backoffUntil     time.Time                               // end of the backoff after a refused start
+	backoffUntil     time.Time                               // end of the backoff after a failed start
 	health           health
 
 	throttle          throttleControl
@@ -235,6 +236,9 @@
 		w.unknownRuns == 0 && !now.Before(w.backoffUntil) && w.health.admits(now)
 }
 
+// backOff lets no task start on the worker until end, or until the end of an earlier backoff that is later.
+func (w *worker) backOff(end time.Time) { w.backoffUntil = common.Later(w.backoffUntil, end) }
+
 // matches reports whether the worker is in the pool of the group's queue and has the label that the step requires.
 func (w *worker) matches(g *group) bool {
 	return w.entry.Pool == g.job.queue.Pool && (g.step.Label == "" || slices.Contains(w.entry.Labels, g.step.Label))
