--- a/pkg/cellfake/checker.go
+++ b/pkg/cellfake/checker.go
@@ -209,6 +209,13 @@
 	}
 }
 
+// RunCount returns the number of active runs of a task.
+func (c *Checker) RunCount(task oleanderline.TaskKey) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.active[task])
+}
+
 // Overcommitted implements Observer.
 func (c *Checker) Overcommitted(oleanderline.WorkerID, oleanderline.RunKey) {}
 
