--- a/pkg/cellfake/store.go
+++ b/pkg/cellfake/store.go
@@ -15,10 +15,18 @@
 
 // Store is an in-memory oleanderline.KeyedLog.
 type Store struct {
-	mu      sync.Mutex
-	streams map[oleanderline.Stream]*stream
+	lastingSequences bool
+	mu               sync.Mutex
+	streams          map[oleanderline.Stream]*stream
 }
 
+// StoreOption changes the behaviour of a Store.
+type StoreOption func(*Store)
+
+// WithLastingSequences makes an append without records set only the term of its writer: the sequence numbers go on from those of the
+// earlier term, and its last appends are still recognized. By default, such an append begins the sequence numbers anew.
+func WithLastingSequences() StoreOption { return func(s *Store) { s.lastingSequences = true } }
+
 type stream struct {
 	records  []oleanderline.KeyedRecord // all retained records, starting at offset first
 	first    oleanderline.Offset
@@ -35,7 +43,13 @@
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{streams: map[oleanderline.Stream]*stream{}} }
+func NewStore(options ...StoreOption) *Store {
+	s := &Store{streams: map[oleanderline.Stream]*stream{}}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
 
 // stream returns the stream with a name, and creates it if it does not exist.
 func (s *Store) stream(name oleanderline.Stream) *stream {
@@ -60,7 +74,7 @@
 		return 0, oleanderline.ErrEndMismatch
 	}
 	if condition.Writer != "" {
-		if offset, done, err := st.checkWriter(condition, len(records) == 0); done {
+		if offset, done, err := st.checkWriter(condition, len(records) == 0, s.lastingSequences); done {
 			return offset, err
 		}
 	}
@@ -74,15 +88,18 @@
 
 // checkWriter checks the term and the sequence number of an append. done means that offset and err are the result of the append
 // and that nothing is to be stored.
-func (s *stream) checkWriter(condition oleanderline.AppendCondition, empty bool) (offset oleanderline.Offset, done bool, err error) {
+func (s *stream) checkWriter(condition oleanderline.AppendCondition, empty, lastingSequences bool) (offset oleanderline.Offset, done bool, err error) {
 	w := s.writers[condition.Writer]
 	if w == nil {
-		w = &writer{}
+		w = &writer{offsets: map[int64]oleanderline.Offset{}}
 		s.writers[condition.Writer] = w
 	}
 	switch {
 	case condition.Term < w.term:
 		return 0, true, oleanderline.ErrFenced
+	case empty && lastingSequences:
+		w.term = condition.Term
+		return s.end(), true, nil
 	case condition.Term > w.term:
 		*w = writer{term: condition.Term, sequence: condition.Sequence - 1, offsets: map[int64]oleanderline.Offset{}}
 	}
@@ -156,6 +173,13 @@
 	return batch, st.appended, nil
 }
 
+// First returns the offset of the oldest record that Read returns.
+func (s *Store) First(name oleanderline.Stream) oleanderline.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream(name).first
+}
+
 // Newest implements oleanderline.KeyedLog.
 func (s *Store) Newest(_ context.Context, name oleanderline.Stream) (oleanderline.KeyedBatch, error) {
 	s.mu.Lock()
