--- a/pkg/cellfake/store.go
+++ b/pkg/cellfake/store.go
@@ -173,6 +173,13 @@
 	return batch, st.appended, nil
 }
 
+// End returns the offset that the next append gets.
+func (s *Store) End(name oleanderline.Stream) oleanderline.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream(name).end()
+}
+
 // First returns the offset of the oldest record that Read returns.
 func (s *Store) First(name oleanderline.Stream) oleanderline.Offset {
 	s.mu.Lock()
