--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -34,6 +34,8 @@
 	stopDelay    = 100 * time.Millisecond // from a stop order to the end of the run
 	tickInterval = 10 * time.Millisecond
 	fullProgress = 100 // percent
+	// maxReportedEnds is the number of ends in one report. Later ones follow once these are acknowledged.
+	maxReportedEnds = 500
 )
 
 // Worker simulates a worker, which runs tasks until a deadline on its own clock. Each incarnation starts without any state of
@@ -49,6 +51,8 @@
 	incarnation oleanderline.WorkerIncarnation
 	startedAt   time.Time
 	down        bool
+	unhealthy   bool
+	longPolls   int // number of renewals that have waited without an end
 	term        oleanderline.Term
 	deadline    oleanderline.WorkerTime
 	used        oleanderline.Size
@@ -106,12 +110,36 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.restart()
+}
+
+// RestartAs starts a new incarnation that is identified by another time of day than the simulated one, for example an earlier one
+// because the time of day of its VM was set back.
+func (w *Worker) RestartAs(incarnation oleanderline.WorkerIncarnation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restart()
+	w.incarnation = incarnation
+}
+
+// restart starts a new incarnation. The caller must hold w.mu.
+func (w *Worker) restart() {
 	w.down = false
 	w.dropRuns()
 	close(w.changed)
 	w.reset()
 }
 
+// SetUnhealthy makes the worker refuse all orders without effect, or accept them again. Its runs go on.
+func (w *Worker) SetUnhealthy(unhealthy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unhealthy = unhealthy
+}
+
+// ID returns the id of the worker, which all its incarnations share.
+func (w *Worker) ID() oleanderline.WorkerID { return w.id }
+
 // RunCount returns how many runs are in progress.
 func (w *Worker) RunCount() int {
 	w.mu.Lock()
@@ -183,11 +211,14 @@
 	w.changed = make(chan struct{})
 }
 
-// checkTerm refuses an order with a stale term, and any order if the worker is down. The caller must hold w.mu.
+// checkTerm refuses an order with a stale term, and any order if the worker is down or unhealthy. The caller must hold w.mu.
 func (w *Worker) checkTerm(term oleanderline.Term) error {
 	if w.down {
 		return oleanderline.ErrUnavailable
 	}
+	if w.unhealthy {
+		return &oleanderline.RefusedError{Reason: oleanderline.RefusedUnhealthy}
+	}
 	if term < w.term {
 		return &oleanderline.RefusedError{Reason: oleanderline.RefusedTerm}
 	}
@@ -211,22 +242,22 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(order.Term); err != nil {
-		return 0, err
+		return w.clock(), err
 	}
 	if order.Deadline <= w.clock() {
-		return 0, &oleanderline.RefusedError{Reason: oleanderline.RefusedExpired}
+		return w.clock(), &oleanderline.RefusedError{Reason: oleanderline.RefusedExpired}
 	}
 	w.extendDeadline(order.Deadline)
 	if w.runs[order.Key] != nil {
 		return w.clock(), nil
 	}
 	if order.Key.Run <= w.highestRun[order.Key.Task] {
-		return 0, &oleanderline.RefusedError{Reason: oleanderline.RefusedStale}
+		return w.clock(), &oleanderline.RefusedError{Reason: oleanderline.RefusedStale}
 	}
 	work := w.observer.Work(order.Key, order.Payload)
 	if !w.used.Add(work.Size).Fits(w.capacity) {
 		w.observer.Overcommitted(w.id, order.Key)
-		return 0, &oleanderline.RefusedError{Reason: oleanderline.RefusedCapacity}
+		return w.clock(), &oleanderline.RefusedError{Reason: oleanderline.RefusedCapacity}
 	}
 	w.used = w.used.Add(work.Size)
 	w.runs[order.Key] = &run{work: work, startedAt: time.Now()}
@@ -239,7 +270,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(order.Term); err != nil {
-		return 0, err
+		return w.clock(), err
 	}
 	if r := w.runs[order.Key]; r != nil {
 		if r.stopRequested.IsZero() {
@@ -259,7 +290,8 @@
 }
 
 // Renew extends the deadline and acknowledges ends. It returns a report as soon as there is an end that has not been
-// acknowledged, or the wait time of the order has passed.
+// acknowledged, or the wait time of the order has passed. In the latter case the report alternately describes the beginning and the
+// end of the wait, because callers must not rely on either.
 func (w *Worker) Renew(ctx context.Context, order oleanderline.RenewRuns) (oleanderline.WorkerReport, error) {
 	timer := time.NewTimer(order.Wait)
 	defer timer.Stop()
@@ -275,29 +307,47 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			return report, nil
+			return w.reportAfterWait(report), nil
 		case <-ctx.Done():
 			return oleanderline.WorkerReport{}, oleanderline.ErrUncertain
 		}
 	}
 }
 
+// reportAfterWait returns the report of a renewal that has waited without an end: alternately the one from the beginning of the wait
+// and a new one.
+func (w *Worker) reportAfterWait(early oleanderline.WorkerReport) oleanderline.WorkerReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.longPolls++
+	if w.longPolls%2 == 0 || w.down || w.incarnation != early.Life {
+		return early
+	}
+	return w.report()
+}
+
 // tryRenew carries out a renewal without waiting. It also returns the channel that is closed at the next change.
 func (w *Worker) tryRenew(order oleanderline.RenewRuns) (oleanderline.WorkerReport, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(order.Term); err != nil {
-		return oleanderline.WorkerReport{}, nil, err
+		return oleanderline.WorkerReport{Clock: w.clock()}, nil, err
 	}
 	if order.Deadline > 0 {
 		w.extendDeadline(order.Deadline)
 	}
 	w.acknowledge(order.Acked)
-	report := oleanderline.WorkerReport{Life: w.incarnation, Clock: w.clock(), Ended: append([]oleanderline.RunEnd(nil), w.ended...)}
+	return w.report(), w.changed, nil
+}
+
+// report describes the runs in progress, and the oldest ends that have not been acknowledged. The caller must hold w.mu.
+func (w *Worker) report() oleanderline.WorkerReport {
+	ended := w.ended[:min(len(w.ended), maxReportedEnds)]
+	report := oleanderline.WorkerReport{Life: w.incarnation, Clock: w.clock(), Ended: append([]oleanderline.RunEnd(nil), ended...)}
 	for key, r := range w.runs {
 		report.Running = append(report.Running, oleanderline.RunStatus{Key: key, Percent: r.percent()})
 	}
-	return report, w.changed, nil
+	return report
 }
 
 // acknowledge discards the ends up to a number.
@@ -325,6 +375,9 @@
 type Runner struct {
 	Worker *Worker
 	Path   *Path
+	// OutlivesWorker makes an order that the path delays reach the next incarnation of the worker. By default, it is lost with the
+	// incarnation to which it was sent.
+	OutlivesWorker bool
 }
 
 // Start implements oleanderline.Runner.
@@ -334,11 +387,11 @@
 }
 
 // order sends an order over the path. If the path delays it, it waits at the worker, so it is lost if the worker crashes in
-// the meantime.
+// the meantime, unless OutlivesWorker is set.
 func (r *Runner) order(ctx context.Context, call func() (oleanderline.WorkerTime, error)) (oleanderline.WorkerTime, error) {
 	incarnation := r.Worker.Incarnation()
 	return callOver(ctx, r.Path, func(context.Context) (oleanderline.WorkerTime, error) {
-		if r.Worker.Incarnation() != incarnation {
+		if !r.OutlivesWorker && r.Worker.Incarnation() != incarnation {
 			return 0, oleanderline.ErrUnavailable
 		}
 		return call()
