Let the planner change its own copy of a job's progress

Cause: the planner changed the maps of the replica's progress records. If a leader could not store an end, another process led for a while, and the first process led again, its second planner took the end for recorded, told the worker to forget it, and stored nothing. The next leader read that the task is not done and started it again.

Change: a planner gets a copy of the progress when a job is added.

TestAnEndIsStoredByTheNextTermOfTheSameProcess and TestRecordedProgressIsNotChanged fail without the change and pass with it.

--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -42,13 +42,13 @@
 	return time.Duration(j.queue.Stretch*float64(j.estimate())) + j.queue.Latency
 }
 
-// AddJob adds a recorded job with its recorded progress. age is the time since its arrival. It does nothing if the job is
-// known.
+// AddJob adds a recorded job with a copy of its recorded progress. age is the time since its arrival. It does nothing if the job
+// is known.
 func (p *Planner) AddJob(spec oleanderline.Job, progress record.Progress, now time.Time, age time.Duration) {
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Policy, progress: progress, arrived: now.Add(-age), startedBefore: progress.Started}
+	j := &job{spec: spec, queue: spec.Policy, progress: progress.Clone(), arrived: now.Add(-age), startedBefore: progress.Started}
 	if queue, ok := p.queues[spec.Queue]; ok {
 		j.queue = queue
 	}
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -62,6 +64,20 @@
 	FailedRuns map[string][]int `json:"f,omitempty"`
 }
 
+// Clone returns a copy of the progress that shares no map or slice with it.
+func (p *Progress) Clone() Progress {
+	clone := *p
+	clone.Done = maps.Clone(p.Done)
+	for number, bitmap := range clone.Done {
+		clone.Done[number] = slices.Clone(bitmap)
+	}
+	clone.FailedRuns = maps.Clone(p.FailedRuns)
+	for key, runs := range clone.FailedRuns {
+		clone.FailedRuns[key] = slices.Clone(runs)
+	}
+	return clone
+}
+
 // Leader identifies the leader, which stores this record repeatedly as a heartbeat.
 type Leader struct {
 	Term       oleanderline.Term `json:"term"`
