Log when a process reads that another one leads

Change: each process logs the first record of a leader that it reads, with its VM and term. A test finds events that no code logs.

--- a/pkg/catalogue/catalogue_test.go
+++ b/pkg/catalogue/catalogue_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -59,3 +60,29 @@
 	require.Contains(t, metrics, "| `oleander_rules_revision` | gauge | `pkg/rules` |")
 	require.Equal(t, 1, strings.Count(metrics, "`oleander_rules_gaps_total`"))
 }
+
+// Guards against an event of the catalogue that operators wait for in vain, because no code logs it.
+func TestEveryEventIsLogged(t *testing.T) {
+	identifier := regexp.MustCompile(`\bEvent\w+`)
+	used, declared := map[string]bool{}, []string{}
+	for _, dir := range []string{"pkg", "cmd", "platform"} {
+		require.NoError(t, filepath.WalkDir(filepath.Join(root, dir), func(path string, _ os.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			for _, name := range identifier.FindAllString(string(source), -1) {
+				if strings.HasPrefix(path, filepath.Join(root, "pkg/common/event")) {
+					declared = append(declared, name)
+				} else {
+					used[name] = true
+				}
+			}
+			return err
+		}))
+	}
+	require.NotEmpty(t, declared)
+	for _, name := range declared {
+		require.True(t, used[name], "no code logs %s", name)
+	}
+}
--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -9,7 +9,7 @@
 	EventLogAvailable     Event = "E6005" // a call to the log service succeeded again after E6004
 	EventLogOutOfSequence Event = "E6006" // the log service expected a different sequence number from the leader than the one sent; the append is retried with the expected number
 	EventRecordMalformed  Event = "E6007" // a record could not be decoded or encoded and is skipped; report it with the error in the line
-	EventLeaderChanged    Event = "E6008" // this process read from the log that another VM is the leader
+	EventLeaderChanged    Event = "E6008" // this process read the first record of a leader from the log; the fields name its VM and term. Compare the times over all nodes to see when each has heard of a change
 	EventClaimed          Event = "E6009" // this process considers the leader lost and claims leadership; the fields name the previous leader and its term, why it counts as lost (reason), for how many seconds no record of it was read (age), and for how many seconds reads have succeeded (readable)
 	EventClaimFailed      Event = "E6010" // a claim of leadership failed, because another process claimed first or the log service failed; this process stays a follower and may claim again
 	EventTermBegins       Event = "E6011" // this process has become the leader. The fields give its VM and the address that agents name as their leader, the number of inherited workers (workers), how many of them are recorded as unreachable with a list of their tasks (listed), and the seconds since the claim was sent (claimed)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -45,6 +45,7 @@
 	// unreadClaim is the number of the newest claim by another process whose leader record has not been read yet.
 	unreadClaim int
 	ownTerm     oleanderline.Term // the term of this process's newest claim
+	loggedTerm  oleanderline.Term // the newest term of a leader whose record was logged
 	recordReads outageLogger
 	metrics     *nodeMetrics
 }
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 	"github.com/oleanderline/oleanderline/pkg/term"
@@ -118,6 +119,7 @@
 	for _, change := range changes {
 		switch change.Kind {
 		case record.KindLeader:
+			n.logLeader(change.Leader)
 			n.observeLeader(change.Leader)
 		case record.KindJob:
 			if entry, ok := n.replica.Job(change.Job); ok && s != nil {
@@ -133,6 +135,15 @@
 	}
 }
 
+// logLeader logs the first record of a leader that this process reads.
+func (n *Node) logLeader(leader record.Leader) {
+	if leader.Term == n.loggedTerm {
+		return
+	}
+	n.loggedTerm = leader.Term
+	n.common.Event(common.EventLeaderChanged).WithField("leader", leader.VM).WithField("term", leader.Term).Info("read that a process leads")
+}
+
 // observeLeader reports a leader record to the failure detector. If the leader was an earlier process of this VM, it is
 // certain to be dead, because this process has taken its place.
 func (n *Node) observeLeader(leader record.Leader) {
