--- a/pkg/cellfake/checker_test.go
+++ b/pkg/cellfake/checker_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// Guards against a checker that expects a process to know of a cancellation while the store does not serve it, and against one that
+// excuses starts long after that.
+func TestStartsAfterACancellationWhileTheStoreIsDisturbed(t *testing.T) {
+	type scenario struct {
+		name      string
+		startedAt time.Duration // after the end of the disturbance
+		violation string
+	}
+	for _, s := range []scenario{{"during", -time.Second, ""}, {"long after", contactTime + time.Second, "is started"}} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := NewChecker(1)
+				c.Submitted(oleanderline.Job{ID: "a", Payload: "1", Steps: []oleanderline.Step{{Count: 1}}})
+				c.Cancelled("a")
+				c.StoreDisturbed(time.Now().Add(time.Minute))
+				time.Sleep(time.Minute + s.startedAt)
+				c.Started("w", oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a"}, Run: 1}, 1, time.Now())
+				if s.violation == "" {
+					require.Empty(t, c.Violations())
+					return
+				}
+				require.Contains(t, c.Violations(), s.violation)
+			})
+		})
+	}
+}
+
 // Guards against a checker that reports a violation when a cancellation that was never answered has taken effect, and against one
 // that accepts the state cancelled of a job for which no cancellation was sent.
 func TestUnansweredCancellations(t *testing.T) {
--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -234,11 +234,11 @@
 
 // Start carries out an order that is sent now.
 func (w *Worker) Start(order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
-	return w.start(order, time.Now())
+	return w.StartSentAt(order, time.Now())
 }
 
-// start carries out an order that was sent at sentAt.
-func (w *Worker) start(order oleanderline.StartRun, sentAt time.Time) (oleanderline.WorkerTime, error) {
+// StartSentAt carries out an order that was sent at sentAt.
+func (w *Worker) StartSentAt(order oleanderline.StartRun, sentAt time.Time) (oleanderline.WorkerTime, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkTerm(order.Term); err != nil {
@@ -383,7 +383,7 @@
 // Start implements oleanderline.Runner.
 func (r *Runner) Start(ctx context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
 	sentAt := time.Now()
-	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.start(order, sentAt) })
+	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.StartSentAt(order, sentAt) })
 }
 
 // order sends an order over the path. If the path delays it, it waits at the worker, so it is lost if the worker crashes in
