--- a/pkg/cellfake/checker.go
+++ b/pkg/cellfake/checker.go
@@ -254,6 +254,19 @@
 	return len(c.active[task])
 }
 
+// ActiveTasks returns the number of tasks in progress, without long-running tasks.
+func (c *Checker) ActiveTasks() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for task, runs := range c.active {
+		if j := c.jobs[task.Job]; len(runs) > 0 && j != nil && !j.job.Steps[task.Step].LongRunning {
+			count++
+		}
+	}
+	return count
+}
+
 // Overcommitted implements Observer.
 func (c *Checker) Overcommitted(oleanderline.WorkerID, oleanderline.RunKey) {}
 
