--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -60,7 +60,7 @@
 
 // runCallers submits jobs while faults occur, and cancels some of them.
 func (c *testCell) runCallers() {
-	for i := range jobsPerRun {
+	for i := range c.jobs {
 		job := cellfake.RandomJob(c.callerRand, testQueue, fmt.Sprintf("%016x", i+1))
 		if c.submit(job) && c.callerRand.IntN(6) == 0 {
 			time.Sleep(500 * time.Millisecond)
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -47,6 +47,8 @@
 	store           *cellfake.Store
 	workers         []*cellfake.Worker
 	checker         *cellfake.Checker
+	limits          capacity.VM     // of each process
+	jobs            int             // number of jobs that callers submit in a schedule
 	fleet           *cellfake.Fleet // nil in tests without maintenance
 	window          oleanderline.MaintenanceWindow
 	failRecordReads atomic.Bool // makes reads of the records fail
@@ -106,6 +108,7 @@
 	c := &testCell{
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 0)), callerRand: rand.New(rand.NewPCG(seed, 1)), commons: commons, ctx: ctx, cancel: cancel,
 		seed: seed, store: cellfake.NewStore(), checker: cellfake.NewChecker(maxAttempts),
+		limits: vmLimits[seed%uint64(len(vmLimits))], jobs: jobsPerRun,
 	}
 	for i := range workerCount {
 		rate := []float64{0.98, 1, 1.02}[i%3]
@@ -147,7 +150,7 @@
 		p.paths[id], byID[id] = c.newPath(), worker
 	}
 	p.node = New(c.commons[index], Settings{
-		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Limits: vmLimits[c.seed%uint64(len(vmLimits))],
+		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Limits: c.limits,
 		MaxLease: maxLease, JobRetention: time.Hour, PeerAddress: strconv.Itoa(index),
 	}, Ports{
 		Agents: &cellfake.PeerClient{Path: p.peers, Find: c.backend},
--- a/pkg/node/unserved_test.go
+++ b/pkg/node/unserved_test.go
@@ -92,9 +92,12 @@
 		for i := range workerCount {
 			c.submitTo(leader, i, oleanderline.Step{Count: 1, Size: fullWorker})
 		}
-		for c.runningCount() < workerCount {
-			time.Sleep(10 * time.Millisecond)
+		for range 20 {
+			if c.runningCount() < workerCount {
+				time.Sleep(10 * time.Millisecond)
+			}
 		}
+		require.Equal(t, workerCount, c.runningCount())
 		c.killAgents()
 		time.Sleep(15 * time.Second)
 		c.requireFinished(leader)
