Wait for every worker whose record lists a task

Cause: the record of an unreachable worker is not written again when its tasks change, so two records may list one task: that of a worker where its start was refused, and that of the worker which runs it. A new leader kept only one of the two, and took the report of the first for an answer about the second.

Change: a task waits for the reports of all workers whose records list it.

Measured: TestTaskListedByTwoUnreachableWorkersStartsAfterBothHaveReported fails without the change (two runs of a.0.0.0) and passes with it. Both were found by reading; no soak showed them.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -33,15 +33,16 @@
 	state      taskState
 	done       bool
 	unreported bool // not reported by any worker in this term, so it may run on one that has not reported yet
-	// inheritedWorker is an unreachable worker on which the task may run, by the record of an earlier leader.
-	inheritedWorker *worker
-	run             int                   // highest known run number
-	adopted         bool                  // an earlier leader has started that run
-	failures        int                   // failed runs that count against the job
-	worker          *worker               // on which it holds room, if any
-	avoidWorker     oleanderline.WorkerID // the worker of the last failed or stuck run
-	checkpoint      string                // newest checkpoint
-	throttle        int                   // last ordered throttle, in percent of full speed; -1 if unknown
+	// inheritedWorkers are the unreachable workers on which the task may run, by the records of an earlier leader. There are several
+	// if the task was started elsewhere after its run on one of them had ended.
+	inheritedWorkers []*worker
+	run              int                   // highest known run number
+	adopted          bool                  // an earlier leader has started that run
+	failures         int                   // failed runs that count against the job
+	worker           *worker               // on which it holds room, if any
+	avoidWorker      oleanderline.WorkerID // the worker of the last failed or stuck run
+	checkpoint       string                // newest checkpoint
+	throttle         int                   // last ordered throttle, in percent of full speed; -1 if unknown
 	// answeredAt is when the worker answered the order that led to the current state. Only reports requested later reflect this
 	// state.
 	answeredAt        time.Time
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -164,7 +164,7 @@
 // mayAlreadyRun reports whether a task may already be running, on a worker that has not reported in this term.
 // unreportedMayRun is the result of Planner.unreportedMayRun.
 func (t *task) mayAlreadyRun(unreportedMayRun bool) bool {
-	if t.inheritedWorker != nil && !t.inheritedWorker.reported {
+	if slices.ContainsFunc(t.inheritedWorkers, (*worker).reportAwaited) {
 		return true
 	}
 	return unreportedMayRun && t.unreported
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -96,7 +96,7 @@
 	w.stored = true
 	for _, key := range rec.Tasks {
 		if t := p.task(key); t != nil {
-			t.inheritedWorker = w
+			t.inheritedWorkers = append(t.inheritedWorkers, w)
 		}
 	}
 	p.noteInherited(w, rec)
