Give each term sequence numbers of its own

If an append without records does not begin the sequence numbers of the log anew, the log answered the first appends of a leader after a term of at most five appends with that term's results, and stored nothing: records of workers in use were lost. The numbers of a term now begin at a value derived from the term, for the fence in the stream of jobs and for both appenders.

TestSuccessorOfAShortTermStoresItsRecords (a store with lasting sequences, a planned stop after 0.2 s) failed before: no leader record of term 2 in the log.

--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -134,7 +134,7 @@
 
 // fence makes the log reject all later appends of earlier leaders.
 func (n *Node) fence(leader record.Leader) error {
-	condition := oleanderline.AppendCondition{Writer: term.WriterID, Term: leader.Term}
+	condition := oleanderline.AppendCondition{Writer: term.WriterID, Term: leader.Term, Sequence: term.FenceSequence(leader.Term)}
 	_, err := n.ports.Log.Append(n.ctx, record.Stream, nil, condition)
 	return err
 }
--- a/pkg/term/appender.go
+++ b/pkg/term/appender.go
@@ -16,9 +16,18 @@
 }
 
 func newAppender(s *Session, stream oleanderline.Stream) appender {
-	return appender{session: s, stream: stream, sequence: 1}
+	return appender{session: s, stream: stream, sequence: FenceSequence(s.settings.Leader.Term) + 1}
 }
 
+// sequenceBits is the distance between the first sequence numbers of successive terms, in bits: a million appends, which take
+// seven hours at flushInterval.
+const sequenceBits = 20
+
+// FenceSequence returns the sequence number of the append that fences the leaders before a term. The numbers of the term's appends
+// follow it. The log answers a repeated number of the last appends with the result of the first, so an append with a number of an
+// earlier term would not be stored if the log kept these results in a new term.
+func FenceSequence(term oleanderline.Term) int64 { return int64(term) << sequenceBits }
+
 // store retries an append until the records are stored or the term has ended, and reports whether they are stored. All tries
 // use the same sequence number, so that an append whose answer was lost is not stored twice. onStored receives the Unix time
 // in nanoseconds at which the successful try was sent.
