Bound leases that a restarted worker cuts only to its longest one

A worker that restarts under its id begins its clock anew. A start with a deadline on the old clock gives the new incarnation the longest lease that it accepts (bounds.maxHoldMs, 6 or 10 s), while the link freed its tasks after 4.1 s. The link now counts on the longest lease where the incarnation may have changed: after a start without an answer until a later report of the same incarnation, after a report of another incarnation, and after a clock that went back or lags by more than 1 s. A lost agent counts so if a start there had no result. Agents get the longest lease with the invitation. The answer of an order that is read after a report of a new incarnation no longer sets the old clock again. A lost worker without such a sign still costs 4.1 s.

Open: a call that is carried out by a new incarnation seconds after its sender gave it up; a worker that restarts, carries out an order that is answered by nothing, and whose agent is lost with the result of that order delivered. The bounds of a take-over (maxRunLease, horizon) still rest on the lease of 4 s and are not changed: there it takes an unanswered start of the earlier leader on a worker that has restarted and that the new leader never reaches.

TestDeadlineOnTheClockOfAnEarlierIncarnation: on the code before, "start not answered" and "restart shown by the clock" failed with runs left at the expiry; with the bound taken out, "restart reported" failed as well. TestStartInFlightOfALostAgentHasTheLongestLease: "start" failed without the change of Worker.Close.

--- a/pkg/agent/messages.go
+++ b/pkg/agent/messages.go
@@ -16,7 +16,9 @@
 	Number  int64         // increases with each invitation of a term
 	Address string        // of the leader
 	Lease   time.Duration // how far ahead of the current time the deadline of a call is
-	Hold    time.Duration // how long a worker may delay its answer to a renew call until a run ends
+	// MaxLease is the longest lease that workers accept.
+	MaxLease time.Duration
+	Hold     time.Duration // how long a worker may delay its answer to a renew call until a run ends
 }
 
 // compare orders invitations by term and number.
--- a/pkg/agent/session.go
+++ b/pkg/agent/session.go
@@ -185,8 +185,8 @@
 func (s *session) openLink(item Item) *runningLink {
 	ctx, cancel := context.WithCancel(s.ctx)
 	settings := link.Settings{
-		Term: s.invitation.Term, Lease: s.invitation.Lease, RenewWait: s.invitation.Hold, Authority: s.authority,
-		Acked: item.Acked,
+		Term: s.invitation.Term, Lease: s.invitation.Lease, MaxLease: s.invitation.MaxLease, RenewWait: s.invitation.Hold,
+		Authority: s.authority, Acked: item.Acked,
 	}
 	if item.LeaseLeft > 0 {
 		settings.LeaseEnd = s.now().Add(item.LeaseLeft)
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -38,6 +38,8 @@
 	Term      oleanderline.Term
 	Lease     time.Duration // how far ahead of the current time the deadline of a call is
 	RenewWait time.Duration // how long the worker may delay its answer to a renew call until a run ends
+	// MaxLease is the longest lease that the worker accepts. A deadline on the clock of an earlier incarnation is cut to it.
+	MaxLease time.Duration
 	// Authority reports whether calls may be sent at a given time.
 	Authority func(now time.Time) bool
 	// LeaseEnd is the latest expiry of leases granted earlier over other links; zero if there were none.
@@ -78,6 +80,7 @@
 	clockReadAt time.Time
 	workerClock oleanderline.WorkerTime // at clockReadAt
 	leaseEnd    time.Time               // the latest expiry of the leases on the worker
+	restart     restartBound
 	incarnation oleanderline.WorkerIncarnation
 	acked       int64 // the highest end that is recorded
 	answeredAck int64 // the highest acknowledgement in a renew call that was answered
@@ -94,7 +97,7 @@
 	return &Link{
 		id: id, runner: runner, clock: clock, settings: settings, events: events,
 		orders: make(chan queuedOrder, queueLength), ackSignal: make(chan struct{}, 1), ready: make(chan struct{}),
-		leaseEnd: settings.LeaseEnd,
+		leaseEnd: settings.LeaseEnd, restart: restartBound{maxLease: settings.MaxLease},
 	}
 }
 
@@ -178,11 +181,14 @@
 		order := l.nextRenewal(now, failing)
 		report, err := l.runner.Renew(ctx, order)
 		failing = err != nil
+		if err != nil && order.Deadline != 0 {
+			l.noteUnanswered(false)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			l.applyReport(report, order.Acked)
+			l.applyReport(report, order.Acked, now)
 			l.events.Report(l.id, report, now)
 			l.waitForAck(ctx)
 			continue
@@ -214,6 +220,7 @@
 	}
 	if l.clockKnown {
 		order.Deadline = l.deadline(now)
+		l.restart.sent(now)
 	}
 	if l.clockKnown && l.acked >= l.lastEnd {
 		order.Wait = l.settings.RenewWait
@@ -238,7 +245,7 @@
 func (l *Link) LeaseEnd() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaseEnd
+	return common.Later(l.leaseEnd, l.restart.leaseEnd())
 }
 
 // expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
@@ -247,13 +254,16 @@
 	return end, !end.IsZero() && now.After(end)
 }
 
-// applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that acknowledged
-// ends up to ackSent. An acknowledgement is not repeated once it is answered: a new incarnation of the worker numbers its ends
+// applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that was sent at sent
+// and acknowledged ends up to ackSent. An acknowledgement is not repeated once it is answered: a new incarnation of the worker numbers its ends
 // anew, so that the acknowledgement would cover ends that were never read.
-func (l *Link) applyReport(report oleanderline.WorkerReport, ackSent int64) {
+func (l *Link) applyReport(report oleanderline.WorkerReport, ackSent int64, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answeredAck = max(l.answeredAck, ackSent)
+	restarted := report.Life != l.incarnation && l.incarnation != 0
+	l.updateClock(report.Clock)
+	l.restart.reported(sent, restarted)
 	if report.Life != l.incarnation {
 		l.incarnation, l.acked, l.lastEnd, l.answeredAck = report.Life, 0, 0, 0
 		if inherited := l.settings.Acked; inherited.Life == report.Life {
@@ -263,7 +273,6 @@
 	for _, end := range report.Ended {
 		l.lastEnd = max(l.lastEnd, end.Number)
 	}
-	l.updateClock(report.Clock)
 }
 
 func (l *Link) updateClock(clock oleanderline.WorkerTime) {
@@ -273,6 +282,8 @@
 		// lease from now.
 		l.leaseEnd = common.Later(l.leaseEnd, now.Add(ExpiryBound(l.settings.Lease)))
 		close(l.ready)
+	} else if isBehind(time.Duration(clock-l.workerClock)*time.Millisecond, now.Sub(l.clockReadAt)) {
+		l.restart.extend()
 	}
 	l.clockKnown, l.clockReadAt, l.workerClock = true, now, clock
 }
@@ -331,7 +342,7 @@
 		return result, false
 	}
 	l.mu.Lock()
-	deadline := l.deadline(now)
+	deadline, incarnation := l.deadline(now), l.incarnation
 	l.mu.Unlock()
 	maxAttempts := otherAttempts
 	if next.order.Kind == plan.OrderStart {
@@ -342,12 +353,13 @@
 			break
 		}
 		result.Attempts++
+		if next.order.Kind == plan.OrderStart {
+			l.noteSent(now)
+		}
 		clock, err := l.call(ctx, next.order, deadline)
 		result.Err = err
 		if err == nil {
-			l.mu.Lock()
-			l.updateClock(clock)
-			l.mu.Unlock()
+			l.applyAnswer(clock, incarnation)
 			return result, false
 		}
 		if isFenced(err) {
@@ -356,6 +368,9 @@
 		if errors.As(err, new(*oleanderline.RefusedError)) {
 			return result, false
 		}
+		if next.order.Kind == plan.OrderStart && !errors.Is(err, oleanderline.ErrUnavailable) {
+			l.noteUnanswered(true)
+		}
 		if errors.Is(err, oleanderline.ErrUnavailable) {
 			l.sleep(ctx, retryDelay)
 		}
@@ -363,6 +378,33 @@
 	return result, false
 }
 
+// applyAnswer updates the worker's clock from the answer to an order for an incarnation. If a later incarnation has reported since,
+// the answer may be of either one: its clock is not used, and the order may have carried a deadline on the earlier clock.
+func (l *Link) applyAnswer(clock oleanderline.WorkerTime, incarnation oleanderline.WorkerIncarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.incarnation == incarnation {
+		l.updateClock(clock)
+		return
+	}
+	l.restart.sent(l.clock.Now())
+	l.restart.extend()
+}
+
+// noteSent records that a call with a deadline is about to be sent.
+func (l *Link) noteSent(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restart.sent(now)
+}
+
+// noteUnanswered records that a call with a deadline has ended without an answer. start is whether it was a start.
+func (l *Link) noteUnanswered(start bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restart.unanswered(l.clock.Now(), start)
+}
+
 func (l *Link) call(ctx context.Context, order plan.Order, deadline oleanderline.WorkerTime) (oleanderline.WorkerTime, error) {
 	switch order.Kind {
 	case plan.OrderStart:
--- /dev/null
+++ b/pkg/link/restart_test.go
@@ -0,0 +1,180 @@
+package link_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/cellfake"
+	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/link"
+	"github.com/oleanderline/oleanderline/pkg/plan"
+)
+
+// restartedRunner forwards calls to a worker. While it is cut, a start is still carried out, but nothing is answered.
+type restartedRunner struct {
+	worker           *cellfake.Worker
+	cut, renewalsCut atomic.Bool
+}
+
+func (r *restartedRunner) Start(_ context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	clock, err := r.worker.Start(order)
+	if r.cut.Load() {
+		return 0, oleanderline.ErrUncertain
+	}
+	return clock, err
+}
+
+func (r *restartedRunner) Stop(context.Context, oleanderline.StopRun) (oleanderline.WorkerTime, error) {
+	return 0, oleanderline.ErrUncertain
+}
+
+func (r *restartedRunner) Throttle(context.Context, oleanderline.ThrottleRun) (oleanderline.WorkerTime, error) {
+	return 0, oleanderline.ErrUncertain
+}
+
+func (r *restartedRunner) Renew(ctx context.Context, order oleanderline.RenewRuns) (oleanderline.WorkerReport, error) {
+	if r.cut.Load() || r.renewalsCut.Load() {
+		return oleanderline.WorkerReport{}, oleanderline.ErrUncertain
+	}
+	report, err := r.worker.Renew(ctx, order)
+	if r.cut.Load() || r.renewalsCut.Load() {
+		return oleanderline.WorkerReport{}, oleanderline.ErrUncertain
+	}
+	return report, err
+}
+
+func (r *restartedRunner) Close() {}
+
+// expiryRecorder records the results of orders and the expiry of leases.
+type expiryRecorder struct {
+	expired chan struct{}
+	results chan plan.Result
+}
+
+func (r *expiryRecorder) Report(oleanderline.WorkerID, oleanderline.WorkerReport, time.Time) {}
+func (r *expiryRecorder) Result(result plan.Result)                                          { r.results <- result }
+func (r *expiryRecorder) CallFailed(oleanderline.WorkerID, error)                            {}
+func (r *expiryRecorder) Fenced(oleanderline.WorkerID)                                       {}
+func (r *expiryRecorder) LeaseExpired(oleanderline.WorkerID, time.Time) {
+	select {
+	case r.expired <- struct{}{}:
+	default:
+	}
+}
+
+// longWork makes every run last until its lease expires.
+type longWork struct{ cellfake.Observer }
+
+func (longWork) Work(oleanderline.RunKey, string) cellfake.Work { return cellfake.Work{} }
+func (longWork) Started(oleanderline.WorkerID, oleanderline.RunKey, oleanderline.Term, time.Time) {
+}
+func (longWork) Ended(oleanderline.WorkerID, oleanderline.RunKey, oleanderline.EndKind) {}
+
+const (
+	lease    = 4 * time.Second
+	maxLease = 6 * time.Second
+)
+
+// Guards against a lease that counts as expired while the run goes on: a worker that restarts under its id begins its clock anew, so a
+// deadline on the clock of before is shortened only to the longest lease that the worker accepts. Without a sign of a restart, a lost
+// worker must not cost more than the lease.
+func TestDeadlineOnTheClockOfAnEarlierIncarnation(t *testing.T) {
+	type scenario struct {
+		name  string
+		steps func(c *restartCase) // ends with the cut of the worker
+		runs  int                  // after the steps
+		most  time.Duration        // from the cut until the leases count as expired
+	}
+	for _, s := range []scenario{
+		{"start not answered", func(c *restartCase) {
+			c.runner.cut.Store(true)
+			c.worker.Restart()
+			c.start()
+		}, 1, link.ExpiryBound(maxLease) + 2*time.Second},
+		{"restart reported", func(c *restartCase) {
+			c.runner.cut.Store(true)
+			c.worker.Restart()
+			c.start()
+			c.runner.cut.Store(false)
+			time.Sleep(300 * time.Millisecond) // for a report
+			c.runner.cut.Store(true)
+		}, 1, link.ExpiryBound(maxLease) + 2*time.Second},
+		{"restart shown by the clock", func(c *restartCase) {
+			c.runner.renewalsCut.Store(true)
+			c.worker.Restart()
+			c.start()
+			c.start()
+			c.runner.cut.Store(true)
+		}, 2, link.ExpiryBound(maxLease) + 2*time.Second},
+		{"no restart", func(c *restartCase) {
+			c.start()
+			time.Sleep(time.Second)
+			c.runner.cut.Store(true)
+		}, 1, link.ExpiryBound(lease) + time.Second},
+		{"start not answered, but a later renewal", func(c *restartCase) {
+			c.runner.cut.Store(true)
+			c.start()
+			c.runner.cut.Store(false)
+			time.Sleep(2 * time.Second)
+			c.runner.cut.Store(true)
+		}, 1, link.ExpiryBound(lease) + time.Second},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRestartCase()
+				time.Sleep(10 * time.Second)
+				s.steps(c)
+				cutAt := time.Now()
+				started := c.worker.RunCount()
+				<-c.events.expired
+				running, took := c.worker.RunCount(), time.Since(cutAt)
+				c.cancel()
+				c.wg.Wait()
+				require.Equal(t, s.runs, started)
+				require.Zero(t, running)
+				require.LessOrEqual(t, took, s.most)
+			})
+		})
+	}
+}
+
+// restartCase is a link to a worker.
+type restartCase struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	worker *cellfake.Worker
+	runner *restartedRunner
+	events *expiryRecorder
+	link   *link.Link
+	starts int
+}
+
+func newRestartCase() *restartCase {
+	ctx, cancel := context.WithCancel(context.Background())
+	worker := cellfake.NewWorker("w", oleanderline.Size{}, maxLease, 1, longWork{})
+	c := &restartCase{
+		cancel: cancel, worker: worker, runner: &restartedRunner{worker: worker},
+		events: &expiryRecorder{expired: make(chan struct{}, 1), results: make(chan plan.Result, 1)},
+	}
+	c.link = link.New("w", c.runner, common.NewSystemClock(), link.Settings{
+		Term: 1, Lease: lease, MaxLease: maxLease, RenewWait: 600 * time.Millisecond, Authority: func(time.Time) bool { return true },
+	}, c.events)
+	c.wg.Go(func() { worker.Run(ctx) })
+	c.wg.Go(func() { c.link.Run(ctx) })
+	return c
+}
+
+// start orders the start of another run and waits for the result.
+func (c *restartCase) start() {
+	c.starts++
+	key := oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a", Index: c.starts}, Run: 1}
+	c.link.Order(plan.Order{Kind: plan.OrderStart, Worker: "w", Key: key})
+	<-c.events.results
+}
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -60,6 +60,7 @@
 			Lease:    maxRunLease,
 		},
 		Lease:         min(runLease, n.settings.MaxLease),
+		MaxLease:      n.settings.MaxLease,
 		RenewWait:     renewWait,
 		MaxLogOutage:  maxLogOutage,
 		MinClaimDelay: leaderTimeout,
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -29,6 +29,8 @@
 type Settings struct {
 	Term  oleanderline.Term
 	Lease time.Duration
+	// MaxLease is the longest lease that workers accept.
+	MaxLease time.Duration
 	// AuthorityEnd returns until when the leader may send orders, as far as is known now.
 	AuthorityEnd func(now time.Time) time.Time
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	testTerm  oleanderline.Term = 7
-	testLease                   = 4 * time.Second
-	testAgent oleanderline.VMID = "vm1"
+	testTerm     oleanderline.Term = 7
+	testLease                      = 4 * time.Second
+	testMaxLease                   = 6 * time.Second
+	testAgent    oleanderline.VMID = "vm1"
 )
 
 // recorder is a link.Events that records results and when reports were requested, and counts expired leases.
@@ -47,7 +48,7 @@
 // newTestRoster returns a roster whose leader always has one more second of authority.
 func newTestRoster(events *recorder) *Roster {
 	return New(common.NewSystemClock(), Settings{
-		Term: testTerm, Lease: testLease,
+		Term: testTerm, Lease: testLease, MaxLease: testMaxLease,
 		AuthorityEnd: func(now time.Time) time.Time { return now.Add(time.Second) },
 	}, events)
 }
@@ -133,6 +134,36 @@
 	})
 }
 
+// Guards against a run that goes on after its lease counts as expired: a lost agent may have started it on a worker that has restarted,
+// which accepts its longest lease. A worker without a start in flight must not cost more than the lease.
+func TestStartInFlightOfALostAgentHasTheLongestLease(t *testing.T) {
+	for _, s := range []struct {
+		name  string
+		order plan.Order
+		lease time.Duration
+	}{
+		{"start", startOf("j", 0), testMaxLease},
+		{"stop", plan.Order{Kind: plan.OrderStop, Worker: "w"}, testLease},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRoster(&recorder{})
+				number := r.AddInvited(testAgent)
+				w := r.Assign(testAgent, "w", "addr", time.Time{}, plan.Acked{})
+				w.Order(s.order)
+				pull(r, number, 0)
+				granted := time.Now().Add(time.Second)
+				time.Sleep(agentTimeout)
+				require.Equal(t, []oleanderline.WorkerID{"w"}, r.RemoveLost(time.Now()))
+				end := w.Close()
+				synctest.Wait()
+				require.False(t, end.Before(granted.Add(s.lease)))
+				require.True(t, end.Before(time.Now().Add(s.lease+time.Second)))
+			})
+		})
+	}
+}
+
 // Guards against tasks that are released too early after two agents of a worker were lost in a row: the first may have granted
 // leases that last longer than all that the second can have granted.
 func TestEarlierLeasesOutliveALaterAgent(t *testing.T) {
--- a/pkg/roster/worker.go
+++ b/pkg/roster/worker.go
@@ -88,7 +88,8 @@
 }
 
 // Close removes the worker from the agent, and gives pending orders an uncertain result. It returns the latest expiry of leases
-// that the agent has granted or may still grant, and of those granted before it served the worker.
+// that the agent has granted or may still grant, and of those granted before it served the worker. A start without a result may reach a
+// later incarnation of the worker, which cuts a deadline on the clock of the earlier one only to the longest lease that it accepts.
 func (w *Worker) Close() time.Time {
 	r := w.roster
 	r.mu.Lock()
@@ -104,10 +105,14 @@
 		end = now
 	}
 	r.mu.Unlock()
+	lease := r.settings.Lease
 	for _, order := range orders {
+		if order.Kind == plan.OrderStart {
+			lease = max(lease, r.settings.MaxLease)
+		}
 		go r.events.Result(plan.Result{
 			Order: order, Attempts: uncertainAttempts, Err: fmt.Errorf("%w: %w", errUnassigned, oleanderline.ErrUncertain),
 		})
 	}
-	return common.Later(w.leaseEnd, end.Add(link.ExpiryBound(r.settings.Lease)))
+	return common.Later(w.leaseEnd, end.Add(link.ExpiryBound(lease)))
 }
--- a/pkg/term/agent_pool.go
+++ b/pkg/term/agent_pool.go
@@ -207,7 +207,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, inviteTimeout)
 	defer cancel()
 	err := s.ports.Invite(ctx, to.address, agent.Invitation{
-		Term: s.settings.Leader.Term, Number: number, Address: s.settings.Address, Lease: s.settings.Lease, Hold: s.settings.RenewWait,
+		Term: s.settings.Leader.Term, Number: number, Address: s.settings.Address,
+		Lease: s.settings.Lease, MaxLease: s.settings.MaxLease, Hold: s.settings.RenewWait,
 	})
 	s.post(inviteAnswered{to.vm, err})
 }
--- a/pkg/term/connection.go
+++ b/pkg/term/connection.go
@@ -93,8 +93,8 @@
 func (s *Session) openLocalLink(id oleanderline.WorkerID, address string, leaseEnd time.Time) *connection {
 	ctx, cancel := context.WithCancel(s.ctx)
 	settings := link.Settings{
-		Term: s.settings.Leader.Term, Lease: s.settings.Lease, RenewWait: s.settings.RenewWait, Authority: s.Authority,
-		LeaseEnd: leaseEnd, Acked: s.planner.Acked(id),
+		Term: s.settings.Leader.Term, Lease: s.settings.Lease, MaxLease: s.settings.MaxLease, RenewWait: s.settings.RenewWait,
+		Authority: s.Authority, LeaseEnd: leaseEnd, Acked: s.planner.Acked(id),
 	}
 	l := link.New(id, s.ports.Dial(id, address), s.common.Clock, settings, s)
 	s.wg.Go(func() { l.Run(ctx) })
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -65,7 +65,7 @@
 	}
 	s.lastAppendSent.Store(claimSentAt.UnixNano())
 	s.roster = roster.New(c.Clock, roster.Settings{
-		Term: settings.Leader.Term, Lease: settings.Lease, AuthorityEnd: s.authorityEnd,
+		Term: settings.Leader.Term, Lease: settings.Lease, MaxLease: settings.MaxLease, AuthorityEnd: s.authorityEnd,
 	}, s)
 	s.agents = newAgentPool(s)
 	s.startWindow = startwindow.New()
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -16,6 +16,7 @@
 	Leader    record.Leader
 	Plan      plan.Settings
 	Lease     time.Duration // how long the runs on a worker continue without a renewal
+	MaxLease  time.Duration // the longest lease that workers accept
 	RenewWait time.Duration // how long a worker may delay its answer to a renew call (lease renewal) until a run ends
 	// MaxLogOutage is how long the leader may go on sending orders without an answer from the log.
 	MaxLogOutage time.Duration
