Stop a run on the next incarnation if a call of its start had no answer

A start that was answered on its second attempt, or not at all, leaves a call that may still be carried out. When the worker restarted, the run was missing in its report and the task started elsewhere, while nothing on the new incarnation refused that call. Such a run is now stopped there first: the worker refuses it from then on. The task is released when a report that was requested after the answer lacks the run. Starts that were answered at once are released as before.

Open: a call that is carried out by an incarnation that starts after the task was released; runs whose start an earlier leader ordered.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -36,13 +36,16 @@
 	// inheritedWorkers are the unreachable workers on which the task may run, by the records of an earlier leader. There are several
 	// if the task was started elsewhere after its run on one of them had ended.
 	inheritedWorkers []*worker
-	run              int                   // highest known run number
-	adopted          bool                  // an earlier leader has started that run
-	failures         int                   // failed runs that count against the job
-	worker           *worker               // on which it holds room, if any
-	avoidWorker      oleanderline.WorkerID // the worker of the last failed or stuck run
-	checkpoint       string                // newest checkpoint
-	throttle         int                   // last ordered throttle, in percent of full speed; -1 if unknown
+	run              int     // highest known run number
+	adopted          bool    // an earlier leader has started that run
+	failures         int     // failed runs that count against the job
+	worker           *worker // on which it holds room, if any
+	// startUnanswered is whether a call of the start of that run had no answer, so that the worker may still carry it out.
+	// stopFirst is whether the worker has restarted since, so that only a stop makes it refuse that call.
+	startUnanswered, stopFirst bool
+	avoidWorker                oleanderline.WorkerID // the worker of the last failed or stuck run
+	checkpoint                 string                // newest checkpoint
+	throttle                   int                   // last ordered throttle, in percent of full speed; -1 if unknown
 	// answeredAt is when the worker answered the order that led to the current state. Only reports requested later reflect this
 	// state.
 	answeredAt        time.Time
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"errors"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
@@ -37,3 +38,8 @@
 	// Took is the time from the turn of the order until its result, as measured by the process that sent it; 0 if unknown.
 	Took time.Duration
 }
+
+// startUnanswered reports whether a call of a start had no answer, so that it may still be carried out.
+func (r Result) startUnanswered() bool {
+	return r.Attempts > 1 || errors.Is(r.Err, oleanderline.ErrUncertain)
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -53,6 +53,9 @@
 	}
 	w.incarnation, w.processed, w.acked = incarnation, 0, 0
 	w.health = health{}
+	for t := range w.tasks {
+		t.stopFirst = t.startUnanswered
+	}
 }
 
 // handleEnds processes the ended runs in a worker's report that have not been processed yet.
@@ -130,6 +133,11 @@
 		if t.answeredAt.IsZero() || !sent.After(t.answeredAt) {
 			continue
 		}
+		if t.stopFirst {
+			p.note(NoteStop, t.runKey(), w, "run is gone after a restart of its worker, but a call of its start may still be carried out")
+			p.orderStop(t, now)
+			continue
+		}
 		if t.state == taskRunning || t.state == taskStopping {
 			p.noteLost(t, "run is missing from the report of its worker", Loss{RequestedAt: sent})
 			p.release(t)
@@ -170,6 +178,7 @@
 	p.dequeue(t)
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
 	t.throttle, t.adopted = -1, true // the throttle is unknown
+	t.startUnanswered, t.stopFirst = false, false
 	w.adopted++
 	p.charge(t, w)
 	p.recordStart(t)
@@ -197,7 +206,7 @@
 }
 
 func (p *Planner) orderStop(t *task, now time.Time) {
-	t.state, t.answeredAt, t.stopOrderedAt = taskStopping, time.Time{}, now
+	t.state, t.answeredAt, t.stopOrderedAt, t.stopFirst = taskStopping, time.Time{}, now, false
 	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: t.worker.entry.ID, Life: t.worker.incarnation, Key: t.runKey()})
 }
 
@@ -224,6 +233,9 @@
 }
 
 func (p *Planner) handleStartResult(t *task, result Result, now time.Time) {
+	if result.startUnanswered() {
+		t.startUnanswered, t.stopFirst = true, t.stopFirst || result.Order.Life != t.worker.incarnation
+	}
 	if t.state != taskStarting {
 		return
 	}
--- /dev/null
+++ b/pkg/plan/restart_test.go
@@ -0,0 +1,85 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// Guards against a second run of a task while an unanswered call of its start may still be carried out by the next incarnation of the
+// worker, which has seen no order that would refuse it. Once that incarnation has answered a stop, the task starts again.
+func TestRepeatedStartIsStoppedOnTheNextIncarnation(t *testing.T) {
+	type scenario struct {
+		name  string
+		steps func(c *testCell, start Order)
+	}
+	running := func(start Order) oleanderline.WorkerReport {
+		return oleanderline.WorkerReport{Life: testIncarnation, Running: []oleanderline.RunStatus{{Key: start.Key}}}
+	}
+	restarted := oleanderline.WorkerReport{Life: testIncarnation + 1}
+	for _, s := range []scenario{
+		{"answered before the restart", func(c *testCell, start Order) {
+			c.planner.HandleResult(Result{Order: start, Attempts: 2}, c.now)
+			c.advance(time.Second)
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+		}},
+		{"reported before the answer", func(c *testCell, start Order) {
+			c.planner.Report(start.Worker, running(start), c.now, c.now)
+			c.planner.HandleResult(Result{Order: start, Attempts: 2}, c.now)
+			c.advance(time.Second)
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+		}},
+		{"result after the report of the restart", func(c *testCell, start Order) {
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+			c.planner.HandleResult(Result{Order: start, Attempts: 2}, c.now)
+			c.advance(time.Second)
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+		}},
+		{"stopped before the restart", func(c *testCell, start Order) {
+			c.planner.HandleResult(Result{Order: start, Attempts: 1, Err: oleanderline.ErrUncertain}, c.now)
+			c.planner.HandleResult(Result{Order: c.planner.Orders()[0], Attempts: 1}, c.now)
+			c.advance(time.Second)
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			start := c.planner.Orders()[0]
+			s.steps(c, start)
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			orders := c.planner.Orders()
+			require.NotEmpty(t, orders)
+			require.Equal(t, OrderStop, orders[0].Kind)
+			require.Equal(t, start.Key, orders[0].Key)
+			c.planner.HandleResult(Result{Order: orders[0], Attempts: 1}, c.now)
+			c.advance(time.Second)
+			c.planner.Report(start.Worker, restarted, c.now, c.now)
+			c.advance(rerankInterval)
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			orders = c.planner.Orders()
+			require.NotEmpty(t, orders)
+			require.Equal(t, OrderStart, orders[0].Kind)
+			require.Greater(t, orders[0].Key.Run, start.Key.Run)
+		})
+	}
+}
+
+// Guards against work that waits for a stop after each restart of a worker: a start that was answered at once leaves no call behind.
+func TestAnsweredStartIsReleasedOnTheNextIncarnation(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+	c.planner.Place(c.now, c.now, maxStartsPerPass)
+	start := c.planner.Orders()[0]
+	c.planner.HandleResult(Result{Order: start, Attempts: 1}, c.now)
+	c.advance(time.Second)
+	c.planner.Report(start.Worker, oleanderline.WorkerReport{Life: testIncarnation + 1}, c.now, c.now)
+	c.planner.Place(c.now, c.now, maxStartsPerPass)
+	orders := c.planner.Orders()
+	require.NotEmpty(t, orders)
+	require.Equal(t, OrderStart, orders[0].Kind)
+}
