Read the reports of a worker that restarted with an earlier time of day

The incarnation is the time of day of the worker's start. If that was set back, every report of the new incarnation counted as late for good, while its leases were renewed: its ends were never read and its tasks stayed assigned. A report of another incarnation is now late by the time of its request: one with a lower incarnation unless it was requested after the newest report, one with a higher incarnation if it was requested before.

TestRestartWithAnEarlierTimeOfDayIsRead failed before, and the case "time of day was set back" of TestLateReportOfAnEarlierIncarnationIsIgnored as well, whose other case guards the rule as it was.

--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -21,8 +21,8 @@
 	if w == nil {
 		return
 	}
-	if report.Life < w.incarnation {
-		return // late answer of an earlier incarnation
+	if w.isLate(report, sent) {
+		return
 	}
 	if report.Life != w.incarnation {
 		p.newIncarnation(w, report.Life)
@@ -45,6 +45,15 @@
 	p.controlBestEffort(w, now)
 }
 
+// isLate reports whether a report comes from an earlier incarnation and is read after one of its successor. The incarnation is the time
+// of day of the worker's start, so a lower one is not necessarily the earlier: the time of day may have been set back.
+func (w *worker) isLate(report oleanderline.WorkerReport, sent time.Time) bool {
+	if report.Life < w.incarnation {
+		return !sent.After(w.callSentAt)
+	}
+	return report.Life != w.incarnation && sent.Before(w.callSentAt)
+}
+
 // newIncarnation records a new incarnation of a worker. It keeps the worker's tasks, and the worker's reports decide which
 // of them are lost: a start that was ordered from the earlier incarnation may have been carried out by the new one.
 func (p *Planner) newIncarnation(w *worker, incarnation oleanderline.WorkerIncarnation) {
--- a/pkg/plan/restart_test.go
+++ b/pkg/plan/restart_test.go
@@ -83,3 +83,41 @@
 	require.NotEmpty(t, orders)
 	require.Equal(t, OrderStart, orders[0].Kind)
 }
+
+// Guards against a worker whose reports are ignored for ever because its time of day was set back before it restarted.
+func TestRestartWithAnEarlierTimeOfDayIsRead(t *testing.T) {
+	c := newCell(t, 1)
+	c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+	c.place()
+	key := c.runsOf(taskOf("a", 0, 0))[0]
+	c.advance(time.Second)
+	c.planner.Report("w0", oleanderline.WorkerReport{
+		Life: testIncarnation - 1, Ended: []oleanderline.RunEnd{{Number: 1, Key: key, How: oleanderline.EndDone}},
+	}, c.now, c.now)
+	require.Equal(t, oleanderline.JobCompleted, c.planner.jobs["a"].state())
+}
+
+// Guards against tasks that count as lost because a report of an earlier incarnation was read after one of its successor, on another
+// link.
+func TestLateReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	for _, s := range []struct {
+		name    string
+		earlier oleanderline.WorkerIncarnation
+	}{
+		{"time of day went on", testIncarnation - 1},
+		{"time of day was set back", testIncarnation + 1},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+			c.place()
+			requested := c.now
+			c.advance(time.Second)
+			c.report("w0")
+			c.planner.Report("w0", oleanderline.WorkerReport{Life: s.earlier}, requested, c.now)
+			c.report("w0")
+			require.Equal(t, taskRunning, c.planner.task(taskOf("a", 0, 0)).state)
+			require.Equal(t, testIncarnation, c.planner.workers["w0"].incarnation)
+		})
+	}
+}
