Say what a successor relies on instead of a minimum delay of claims

A claim comes at once after a resignation or by a restarted process, and up to 0.4 s early otherwise, since appends without the leader's own record prolong the authority too. A successor relies on the fence in the log and on the majority that refuses the earlier leader. MinClaimDelay is now AppendValidity, which must not exceed the validity of a majority; the value stays 1.5 s.

--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -66,6 +66,8 @@
 	// majorityValidity is how long an accepted call of a worker counts towards the majority that a leader needs for its orders.
 	// It covers renewWait, the time until the answer arrives and a slow process.
 	majorityValidity = 1500 * time.Millisecond
+	// appendValidity is how long a confirmed append entitles a leader to orders. It must not exceed majorityValidity.
+	appendValidity = majorityValidity
 	// renewWait is how long a worker may delay its answer to a renew call until a run ends.
 	renewWait = 600 * time.Millisecond
 	// settleTime is how long a new leader waits for the reports of workers before it starts tasks.
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -107,22 +107,20 @@
 // Authority reports whether the leader may send orders at a given time.
 func (s *Session) Authority(now time.Time) bool { return now.Before(s.authorityEnd(now)) }
 
-// authorityEnd returns until when the leader may send orders, as far as is known now. Later leaders rely on this bound: a process
-// claims leadership no sooner than MinClaimDelay after the newest record that it has read, and most workers refuse the calls of this
-// term from then on.
+// authorityEnd returns until when the leader may send orders, as far as is known now. It may lie after the claim of a successor, who
+// relies on the following instead. No append of this term succeeds once the successor has begun its term, so authority ends at most
+// MaxLogOutage later. Once most workers have accepted the successor's calls, they refuse those of this term, so authority ends at most
+// Plan.Majority later: by then, no append counts any more (AppendValidity), and no answers of a majority do.
 func (s *Session) authorityEnd(now time.Time) time.Time {
 	if s.ended.Load() {
 		return now
 	}
 	lastAppend, majorityEnd := time.Unix(0, s.lastAppendSent.Load()), time.Unix(0, s.majorityUntil.Load())
-	claimEnd, outageEnd := lastAppend.Add(s.settings.MinClaimDelay), lastAppend.Add(s.settings.MaxLogOutage)
+	appendEnd, outageEnd := lastAppend.Add(s.settings.AppendValidity), lastAppend.Add(s.settings.MaxLogOutage)
 	if majorityEnd.After(outageEnd) {
 		majorityEnd = outageEnd
 	}
-	if majorityEnd.After(claimEnd) {
-		return majorityEnd
-	}
-	return claimEnd
+	return common.Later(appendEnd, majorityEnd)
 }
 
 // Stop ends the term. If resign is set, it first stores the leader's resignation, so that another process can take over at
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -20,9 +20,10 @@
 	RenewWait time.Duration // how long a worker may delay its answer to a renew call (lease renewal) until a run ends
 	// MaxLogOutage is how long the leader may go on sending orders without an answer from the log.
 	MaxLogOutage time.Duration
-	// MinClaimDelay is how long after the sending of a confirmed append no other process can have claimed leadership.
-	MinClaimDelay time.Duration
-	JobRetention  time.Duration // retention of finished jobs
+	// AppendValidity is how long after the sending of a confirmed append the leader may send orders without a majority of workers. A
+	// successor relies on its being no longer than Plan.Majority.
+	AppendValidity time.Duration
+	JobRetention   time.Duration // retention of finished jobs
 	// VM identifies this process, also to the platform's VM service.
 	VM oleanderline.VMID
 	// Limits bound how many workers this process serves itself. Address is where agents reach it.
