Let the majorities of two leaders have a worker in common

The earlier leader counted its majority over the workers that are recorded or listed, the later one over those that it has inherited. With 3 recorded workers and 4 that were listed or handed out for recording while the log did not answer, an earlier leader held 5 of 7 and a later one 2 of 3, and the later took workers for empty whose leases the earlier one renewed. The same followed from deletions of records that were not stored, and from workers that a leader between the two had recorded.

Both now count the workers with a record in the log. A leader needs a majority with and without the changes that are not confirmed; a removed worker is kept until its deletion is confirmed. The record of a worker that is first recorded within the horizon of a term names the claim (since), and a later leader needs a majority of the workers up to each such claim. After the horizon, the record is stored once more without it.

Open: a worker that restarts after it has reported to the later leader, and that only the earlier one reaches, counts for both.

--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -38,6 +38,7 @@
 	termStart      time.Time // start of the term
 	now            time.Time // time of the newest event
 	runBase        int       // run numbers of this term are higher
+	claims         int       // number of claims of leadership, that of this term included
 	config         *oleanderline.CellConfig
 	queues         map[oleanderline.QueueID]oleanderline.Queue
 	jobs           map[oleanderline.JobID]*job
@@ -75,6 +76,7 @@
 		termStart:  now,
 		now:        now,
 		runBase:    (claims - 1) * runsPerClaim,
+		claims:     claims,
 		firstTerm:  claims == 1,
 		config:     &oleanderline.CellConfig{},
 		queues:     map[oleanderline.QueueID]oleanderline.Queue{},
@@ -187,34 +189,3 @@
 	}
 	return !p.majorityAt.IsZero() && now.Sub(p.majorityAt) >= p.settings.Majority+p.settings.Lease
 }
-
-// majorityReported reports whether a majority of the inherited workers has reported in this term.
-func (p *Planner) majorityReported() bool {
-	reported, all := 0, 0
-	for _, w := range p.workers {
-		if w.inherited {
-			all++
-			if w.incarnation != 0 {
-				reported++
-			}
-		}
-	}
-	return 2*reported > all
-}
-
-// MajorityUntil returns the time until which a majority of workers supports this leader. An answer counts for
-// Settings.Majority from the time when its call was sent. Before the returned time, no later leader can have reached a majority.
-// It returns the zero time if there are no workers.
-func (p *Planner) MajorityUntil() time.Time {
-	sentAt := make([]time.Time, 0, len(p.workers))
-	for _, w := range p.workers {
-		if w.stored || w.inDirectory {
-			sentAt = append(sentAt, w.callSentAt)
-		}
-	}
-	if len(sentAt) == 0 {
-		return time.Time{}
-	}
-	slices.SortFunc(sentAt, func(a, b time.Time) int { return b.Compare(a) })
-	return sentAt[len(sentAt)/2].Add(p.settings.Majority)
-}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -21,6 +21,8 @@
 	// stored is whether a record may exist in the log. written is whether a record was handed out in this term, and
 	// writtenUnreachable whether that record says that the worker is unreachable.
 	stored, written, writtenUnreachable bool
+	inLog                               bool // a record is in the log, unless one that was handed out since deletes it
+	since                               int  // as in record.Worker
 
 	reported      bool      // it has reported in this term, or its earlier runs are known to have expired
 	reportedAt    time.Time // time of its newest report
@@ -93,7 +95,7 @@
 		w.entry.Address = rec.Address
 	}
 	w.inherited, w.tasksKnown, w.useRecorded = true, rec.Unreachable, !rec.Unreachable
-	w.stored = true
+	w.stored, w.inLog, w.since = true, true, rec.Since
 	for _, key := range rec.Tasks {
 		if t := p.task(key); t != nil {
 			t.inheritedWorkers = append(t.inheritedWorkers, w)
--- a/pkg/plan/worker_record.go
+++ b/pkg/plan/worker_record.go
@@ -5,8 +5,8 @@
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
-// removable reports whether the worker is no longer in the directory and no run can exist on it.
-func (w *worker) removable() bool { return !w.inDirectory && w.unused() }
+// removable reports whether the worker is no longer in the directory, no run can exist on it and no record of it is in the log.
+func (w *worker) removable() bool { return !w.inDirectory && w.unused() && !w.stored && !w.inLog }
 
 // unused reports whether the worker is unreachable and no run can exist on it.
 func (w *worker) unused() bool { return w.unreachable && w.reported && w.empty() }
@@ -22,7 +22,7 @@
 func (w *worker) reportAwaited() bool { return w.inherited && !w.reported }
 
 // Records returns the records of workers that have changed, and the ids of the workers for which the caller calls
-// WorkerRecorded once they are stored. It removes workers that are gone.
+// WorkerRecorded once they are stored, before the next call of Records. It removes workers that are gone.
 func (p *Planner) Records() (records []oleanderline.KeyedRecord, ids []oleanderline.WorkerID, err error) {
 	for id, w := range p.workers {
 		if w.removable() {
@@ -32,6 +32,7 @@
 			if w.stored {
 				w.stored, w.written, w.useRecorded = false, false, false
 				records = append(records, record.DropWorker(id))
+				ids = append(ids, id)
 				p.noteDrop(w)
 			}
 			continue
@@ -39,12 +40,14 @@
 		if w.reportAwaited() {
 			continue // the record of the earlier leader knows more than this leader
 		}
-		if w.written && w.writtenUnreachable == w.listsTasks() {
+		since := p.sinceOf(w)
+		if w.written && w.writtenUnreachable == w.listsTasks() && w.since == since {
 			continue
 		}
 		if w.unreachable && !w.stored && w.empty() {
 			continue // no task can have been started there
 		}
+		w.since = since
 		value := w.record()
 		rec, err := record.ForWorker(value)
 		if err != nil {
@@ -61,7 +64,7 @@
 
 // record returns the worker's record.
 func (w *worker) record() record.Worker {
-	rec := record.Worker{ID: w.entry.ID, Address: w.entry.Address, Unreachable: w.listsTasks()}
+	rec := record.Worker{ID: w.entry.ID, Address: w.entry.Address, Unreachable: w.listsTasks(), Since: w.since}
 	if rec.Unreachable {
 		for t := range w.tasks {
 			rec.Tasks = append(rec.Tasks, t.key())
@@ -70,10 +73,15 @@
 	return rec
 }
 
-// WorkerRecorded marks the newest record of a worker as stored. Unless the record says that the worker is unreachable, tasks
-// may be placed there from then on.
+// WorkerRecorded marks the newest record of a worker, or its deletion, as stored. Unless the record says that the worker is unreachable,
+// tasks may be placed there from then on.
 func (p *Planner) WorkerRecorded(id oleanderline.WorkerID) {
-	if w := p.workers[id]; w != nil && w.written && !w.writtenUnreachable {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	w.inLog = w.stored
+	if w.written && !w.writtenUnreachable {
 		w.useRecorded = true
 	}
 }
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -94,6 +94,9 @@
 	// on it before a newer record clears Unreachable.
 	Unreachable bool                   `json:"silent,omitempty"`
 	Tasks       []oleanderline.TaskKey `json:"tasks,omitempty"`
+	// Since is the number of claims of leadership at the first record of the worker while leaders before that claim may still give
+	// orders, who do not know of the worker; 0 once they do not.
+	Since int `json:"since,omitempty"`
 }
 
 // ParseKey parses the key of a record and returns the kind of the record and the id of its object.
