Wait until a stop is over before its task starts again

A run that was being stopped counted as ended as soon as a report after the stop's answer lacked it. The task is now released when the end is listed, when the worker has restarted, or when a report lacks the run that was requested more than stopGraceMs after the answer (bounds.stopGraceMs, 1 s if it is missing, 2% and 50 ms more for the worker's clock). The usual stop does not wait longer, because its end is listed. A start without an answer that did not take effect costs its task the grace time and up to one renewal more.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -79,9 +79,9 @@
 	}
 	n := node.New(c, node.Settings{
 		VM: settings.VM, Limits: settings.Limits, MaxLease: settings.MaxLease,
-		JobRetention: settings.JobRetention,
-		Maintenance:  term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
-		PeerAddress:  net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention,
+		Maintenance: term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
+		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
 		Ports: term.Ports{
 			Log: store, Workers: platform.StreamWorkers, DecodeWorker: platform.DecodeWorker,
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/lead"
+	"github.com/oleanderline/oleanderline/pkg/link"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/term"
@@ -54,10 +55,11 @@
 	settings := term.Settings{
 		Leader: leader,
 		Plan: plan.Settings{
-			Settle:   settleTime,
-			Horizon:  horizon,
-			Majority: majorityValidity,
-			Lease:    maxRunLease,
+			Settle:    settleTime,
+			Horizon:   horizon,
+			Majority:  majorityValidity,
+			Lease:     maxRunLease,
+			StopGrace: link.ExpiryBound(n.settings.StopGrace),
 		},
 		Lease:          min(runLease, n.settings.MaxLease),
 		MaxLease:       n.settings.MaxLease,
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -29,6 +29,7 @@
 	workerCount   = 6
 	maxAttempts   = 3
 	maxLease      = 6 * time.Second
+	stopGrace     = 200 * time.Millisecond
 	streamConfig  = oleanderline.Stream("op")
 	streamWorkers = oleanderline.Stream("servers")
 	streamStatus  = oleanderline.Stream("status")
@@ -151,7 +152,7 @@
 	}
 	p.node = New(c.commons[index], Settings{
 		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Limits: c.limits,
-		MaxLease: maxLease, JobRetention: time.Hour, PeerAddress: strconv.Itoa(index),
+		MaxLease: maxLease, StopGrace: stopGrace, JobRetention: time.Hour, PeerAddress: strconv.Itoa(index),
 	}, Ports{
 		Agents: &cellfake.PeerClient{Path: p.peers, Find: c.backend},
 		Ports: term.Ports{
--- a/pkg/plan/cell_test.go
+++ b/pkg/plan/cell_test.go
@@ -38,7 +38,7 @@
 )
 
 func testSettings() Settings {
-	return Settings{Settle: 500 * time.Millisecond, Horizon: 10 * time.Second, Majority: time.Second, Lease: 4 * time.Second}
+	return Settings{Settle: 500 * time.Millisecond, Horizon: 10 * time.Second, Majority: time.Second, Lease: 4 * time.Second, StopGrace: 500 * time.Millisecond}
 }
 
 func newCell(t *testing.T, workers int) *testCell {
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -49,13 +49,14 @@
 	// answeredAt is when the worker answered the order that led to the current state. Only reports requested later reflect this
 	// state.
 	answeredAt        time.Time
-	readyAt           time.Time // when it became ready
-	startedAt         time.Time // when the start was decided
-	throttleOrderedAt time.Time // when the throttle was last ordered
-	percent           int       // reported progress
-	progressAt        time.Time // when percent last changed
-	gauge             int       // reported tail latency or CPU use, see RunStatus
-	stopOrderedAt     time.Time // when the stop was last ordered
+	readyAt           time.Time                      // when it became ready
+	startedAt         time.Time                      // when the start was decided
+	throttleOrderedAt time.Time                      // when the throttle was last ordered
+	percent           int                            // reported progress
+	progressAt        time.Time                      // when percent last changed
+	gauge             int                            // reported tail latency or CPU use, see RunStatus
+	stopOrderedAt     time.Time                      // when the stop was last ordered
+	stoppedOn         oleanderline.WorkerIncarnation // the one that answered the stop
 }
 
 type taskState int
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -30,6 +30,8 @@
 	Majority time.Duration
 	// Lease is how long a run may continue after the last order to its worker.
 	Lease time.Duration
+	// StopGrace is how long after the answer to a stop its run may continue.
+	StopGrace time.Duration
 }
 
 // Planner holds the jobs, tasks and workers of one leader's term.
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -147,6 +147,9 @@
 			p.orderStop(t, now)
 			continue
 		}
+		if t.state == taskStopping && t.stoppedOn == w.incarnation && !sent.After(t.answeredAt.Add(p.settings.StopGrace)) {
+			continue // a run that is being stopped may be missing before its end is listed
+		}
 		if t.state == taskRunning || t.state == taskStopping {
 			p.noteLost(t, "run is missing from the report of its worker", Loss{RequestedAt: sent})
 			p.release(t)
@@ -288,6 +291,6 @@
 
 func (p *Planner) handleStopResult(t *task, result Result, now time.Time) {
 	if t.state == taskStopping && result.Err == nil {
-		t.answeredAt = now
+		t.answeredAt, t.stoppedOn = now, t.worker.incarnation
 	}
 }
