Release no run while ends of its worker are not processed

A report lists at most 500 ends, and ends behind that of a run of an unread job wait until the job is read. A run whose end was among the others was missing from the list of runs, counted as lost and started again, although it may have ended as done. Its task is now released only by a report with all ends. After a change of leader, a worker counts as reported only by such a report.

--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -11,6 +11,9 @@
 // the log before this one.
 const unreadJobTimeout = 3 * time.Second
 
+// maxEndsPerReport is the highest number of ends in a report. The others follow once these are acknowledged.
+const maxEndsPerReport = 500
+
 // stopRepeatInterval is the interval at which a stop is ordered again while the run continues.
 const stopRepeatInterval = time.Second
 
@@ -32,10 +35,11 @@
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "worker is reachable again")
 	}
 	w.confirmService()
-	p.handleEnds(w, report.Ended, now)
-	p.handleRunning(w, report.Running, sent, now)
+	allEnds := p.handleEnds(w, report.Ended, now)
+	listed := p.handleRunning(w, report.Running, now)
+	p.handleMissing(w, listed, allEnds, sent, now)
 	first := w.reportedAt.IsZero()
-	w.reported, w.reportedAt = true, now
+	w.reported, w.reportedAt = w.reported || allEnds, now
 	if first {
 		p.noteFirstReport(w)
 	}
@@ -67,20 +71,22 @@
 	}
 }
 
-// handleEnds processes the ended runs in a worker's report that have not been processed yet.
-func (p *Planner) handleEnds(w *worker, ends []oleanderline.RunEnd, now time.Time) {
+// handleEnds processes the ended runs in a worker's report that have not been processed yet. It reports whether these are all ends on
+// the worker.
+func (p *Planner) handleEnds(w *worker, ends []oleanderline.RunEnd, now time.Time) (all bool) {
 	for _, end := range ends {
 		if end.Number <= w.processed {
 			continue
 		}
 		if p.isUnread(end.Key, w) {
-			return // the ends after it wait as well, because acknowledging a later end would cover this one
+			return false // the ends after it wait as well, because acknowledging a later end would cover this one
 		}
 		w.processed = end.Number
 		if t := p.task(end.Key.Task); t != nil {
 			p.handleEnd(w, t, end, now)
 		}
 	}
+	return len(ends) < maxEndsPerReport
 }
 
 func (p *Planner) handleEnd(w *worker, t *task, end oleanderline.RunEnd, now time.Time) {
@@ -111,9 +117,8 @@
 	}
 }
 
-// handleRunning processes the running runs in a worker's report. It stops runs that should not exist, and releases tasks whose
-// run is missing from the report.
-func (p *Planner) handleRunning(w *worker, running []oleanderline.RunStatus, sent, now time.Time) {
+// handleRunning processes the running runs in a worker's report. It stops runs that should not exist, and returns the tasks of the others.
+func (p *Planner) handleRunning(w *worker, running []oleanderline.RunStatus, now time.Time) map[*task]struct{} {
 	listed := make(map[*task]struct{}, len(running))
 	w.unknownRuns = 0
 	notedBefore := w.unexpectedRuns
@@ -131,6 +136,12 @@
 		}
 		listed[t] = struct{}{}
 	}
+	return listed
+}
+
+// handleMissing releases the tasks of a worker whose run is missing from a report, and orders stops again that have not succeeded. It
+// releases nothing unless the report had all ends, because the run may have ended as done.
+func (p *Planner) handleMissing(w *worker, listed map[*task]struct{}, allEnds bool, sent, now time.Time) {
 	for t := range w.tasks {
 		if _, ok := listed[t]; ok {
 			continue
@@ -139,7 +150,7 @@
 			p.orderStop(t, now) // the last stop has not succeeded
 			continue
 		}
-		if t.answeredAt.IsZero() || !sent.After(t.answeredAt) {
+		if !allEnds || t.answeredAt.IsZero() || !sent.After(t.answeredAt) {
 			continue
 		}
 		if t.stopFirst {
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -24,7 +24,7 @@
 	inLog                               bool // a record is in the log, unless one that was handed out since deletes it
 	since                               int  // as in record.Worker
 
-	reported      bool      // it has reported in this term, or its earlier runs are known to have expired
+	reported      bool      // it has reported with all its ends in this term, or its earlier runs are known to have expired
 	reportedAt    time.Time // time of its newest report
 	callSentAt    time.Time // when the newest answered call was sent
 	unreachable   bool      // its last call failed
