Guard against the clock of an earlier incarnation by a test

TestLateAnswerDoesNotSetTheEarlierClock fails without the check of the incarnation in link.applyAnswer: a start after the restart carries a deadline of 14 s on the new clock instead of 6.5 s at most.

--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -21,10 +21,14 @@
 type restartedRunner struct {
 	worker           *cellfake.Worker
 	cut, renewalsCut atomic.Bool
+	startDelay       atomic.Int64 // of the answer to a start, in nanoseconds
+	deadline         atomic.Int64 // of the newest start, on the worker's clock
 }
 
 func (r *restartedRunner) Start(_ context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	r.deadline.Store(int64(order.Deadline))
 	clock, err := r.worker.Start(order)
+	time.Sleep(time.Duration(r.startDelay.Load()))
 	if r.cut.Load() {
 		return 0, oleanderline.ErrUncertain
 	}
@@ -178,3 +182,26 @@
 	c.link.Order(plan.Order{Kind: plan.OrderStart, Worker: "w", Key: key})
 	<-c.events.results
 }
+
+// Guards against deadlines on the clock of an earlier incarnation after a later one has reported, because the answer of an order from
+// before the restart was read last.
+func TestLateAnswerDoesNotSetTheEarlierClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestartCase()
+		time.Sleep(10 * time.Second)
+		c.runner.startDelay.Store(int64(2 * time.Second))
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			c.worker.Restart()
+		}()
+		restartedAt := time.Now().Add(500 * time.Millisecond)
+		c.start()
+		c.runner.startDelay.Store(0)
+		c.start()
+		deadline, age := time.Duration(c.runner.deadline.Load())*time.Millisecond, time.Since(restartedAt)
+		c.cancel()
+		c.wg.Wait()
+		require.Positive(t, deadline)
+		require.Less(t, deadline, age+lease+time.Second)
+	})
+}
