Test hand-overs of the planner against a model of the cell

Cause: the users saw tasks run twice after changes of leader. No test of the planner plays several changes in a row, earlier leaders and agents that are still at work, or workers that restart with their time of day set back.

Result: tests only, on unchanged code.

--- /dev/null
+++ b/pkg/plan/handover_cases_test.go
@@ -0,0 +1,205 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// newHandoverWithRun returns a cell in which the first leader has started one task on w0, which has recorded its workers.
+func newHandoverWithRun(t tester, workers int) *handover {
+	m := newHandover(t, workers)
+	m.submit(testJob("a"))
+	m.work(m.leader())
+	require.Len(t, m.worker("w0").running, 1)
+	return m
+}
+
+// end ends the term of the current leader: it resigns, or crashes and is missed after modelClaimDelay.
+func (m *handover) endTerm(resigns bool) {
+	if resigns {
+		m.resign(m.leader())
+		return
+	}
+	m.leader().deciding = false
+	m.advance(modelClaimDelay)
+}
+
+// cut makes workers unreachable for a leader and its agents.
+func (m *handover) cut(l *modelLeader, ids ...oleanderline.WorkerID) {
+	for _, id := range ids {
+		l.links[id].down = true
+	}
+}
+
+// modelPause is the time between the passes of a leader in these tests.
+const modelPause = 100 * time.Millisecond
+
+// workFor lets leaders work side by side.
+func (m *handover) workFor(d time.Duration, leaders ...*modelLeader) {
+	for end := m.now.Add(d); m.now.Before(end); m.advance(modelPause) {
+		for _, l := range leaders {
+			m.work(l)
+		}
+	}
+}
+
+// claimBeside begins the next term while the current leader, whose appends are not answered, continues by its majority.
+func (m *handover) claimBeside() (first, second *modelLeader) {
+	first = m.leader()
+	first.cutFromLog = true
+	m.workFor(modelClaimDelay, first)
+	m.claim()
+	return first, m.leader()
+}
+
+// Guards against a leader that stores a worker as unreachable and without tasks before the worker has reported to it, so that its
+// successor starts the tasks that run there a second time.
+func TestSuccessorDoesNotForgetRunsOfUnreportedWorkers(t *testing.T) {
+	type scenario struct {
+		name     string
+		resigns  []bool // whether each of the first two leaders resigns or crashes
+		recorded bool   // whether the first leader stored that the worker is unreachable, with its task
+	}
+	for _, s := range []scenario{
+		{"both resign", []bool{true, true}, false},
+		{"both crash", []bool{false, false}, false},
+		{"resignation, then crash", []bool{true, false}, false},
+		{"crash, then resignation", []bool{false, true}, false},
+		{"both resign, worker stored as unreachable", []bool{true, true}, true},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			m := newHandoverWithRun(t, 3)
+			if s.recorded {
+				m.cut(m.leader(), "w0")
+				m.work(m.leader())
+			}
+			m.endTerm(s.resigns[0])
+			m.claim()
+			m.cut(m.leader(), "w0")
+			m.work(m.leader())
+			m.endTerm(s.resigns[1])
+			m.claim()
+			m.cut(m.leader(), "w0")
+			m.workFor(8*time.Second, m.leader())
+			require.NotZero(t, len(m.worker("w1").running)+len(m.worker("w2").running), "LOST: the lease has expired, but the task does not run again")
+		})
+	}
+}
+
+// Guards against a worker whose record is dropped although it has reported a run of a job that the leader has not read yet.
+func TestUnreadRunKeepsItsWorkerRecorded(t *testing.T) {
+	m := newHandover(t, 3)
+	m.work(m.leader())
+	first, second := m.claimBeside()
+	m.submit(testJob("a"))
+	m.work(first)
+	require.Len(t, m.worker("w0").running, 1)
+	m.renew(second, "w0", callAnswered)
+	m.renew(second, "w0", callLost)
+	m.resign(second)
+	m.claim()
+	m.cut(m.leader(), "w0")
+	m.workFor(time.Second, m.leader())
+}
+
+func testJob(id oleanderline.JobID) oleanderline.Job {
+	return oleanderline.Job{ID: id, Queue: "q", Policy: testQueue, Steps: []oleanderline.Step{{Count: 1, Size: testSize}}}
+}
+
+// Guards against a worker that is never heard again because it has restarted while its time of day was set back.
+func TestWorkerRestartsWithAnEarlierTimeOfDay(t *testing.T) {
+	m := newHandoverWithRun(t, 2)
+	m.crash(m.worker("w0"))
+	m.restart(m.worker("w0"), -3000)
+	m.recover()
+}
+
+// Guards against a lease that the leader regards as expired although the worker, which has restarted, measures the deadline of the
+// renewal on its new clock.
+func TestRestartedWorkerKeepsALongerLease(t *testing.T) {
+	m := newHandover(t, 2)
+	l := m.leader()
+	m.work(l)
+	m.crash(m.worker("w0"))
+	m.restart(m.worker("w0"), 1000)
+	m.submit(testJob("a"))
+	m.work(l)
+	require.Len(t, m.worker("w0").running, 1)
+	m.cut(l, "w0")
+	m.workFor(8*time.Second, l)
+}
+
+// Guards against two leaders that both count a majority because they count different workers: the second one then regards runs as
+// expired which the first one still extends.
+func TestMajoritiesOfTwoLeadersOverlap(t *testing.T) {
+	type scenario struct {
+		name    string
+		workers int // of which the directory lists the first three at first
+		change  func(m *handover, first *modelLeader)
+	}
+	for _, s := range []scenario{
+		{"workers that the first leader has not stored", 5, func(m *handover, first *modelLeader) {
+			m.listed["w3"], m.listed["w4"] = true, true
+			m.readDirectory(first)
+		}},
+		{"workers that the first leader has dropped without storing it", 3, func(m *handover, first *modelLeader) {
+			m.listed["w1"], m.listed["w2"] = false, false
+			m.readDirectory(first)
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			m := newHandover(t, s.workers)
+			for _, w := range m.workers[3:] {
+				m.listed[w.id] = false
+			}
+			m.leaders = nil
+			m.claim()
+			m.submit(testJob("a"))
+			m.work(m.leader())
+			require.Len(t, m.worker("w0").running, 1)
+			s.change(m, m.leader())
+			m.cut(m.leader(), "w1", "w2")
+			first, second := m.claimBeside()
+			for _, w := range m.workers {
+				m.listed[w.id] = true
+			}
+			m.readDirectory(second) // the first leader is cut off and reads no changes
+			for _, w := range m.workers {
+				second.links[w.id].down = w.id != "w1" && w.id != "w2"
+			}
+			m.workFor(10*time.Second, first, second)
+		})
+	}
+}
+
+// Guards against leases of an earlier leader that count as expired because a link was replaced that has never reached the worker.
+func TestReplacedLinkDoesNotExpireLeasesOfEarlierLeaders(t *testing.T) {
+	m := newHandoverWithRun(t, 3)
+	first, second := m.claimBeside()
+	m.cut(first, "w2")
+	m.cut(second, "w0", "w1")
+	m.work(second)
+	m.relink(second, "w0")
+	m.relink(second, "w1")
+	m.workFor(9*time.Second, first, second)
+}
+
+// Guards against runs that the agents of a resigned leader extend beyond the time that its successor waits for them.
+func TestAgentsOfAResignedLeader(t *testing.T) {
+	m := newHandoverWithRun(t, 3)
+	first := m.leader()
+	m.endTerm(true)
+	m.claim()
+	second := m.leader()
+	m.cut(second, "w0")
+	for range 90 {
+		m.advance(100 * time.Millisecond)
+		m.renew(first, "w0", callAnswered)
+		m.work(second)
+	}
+	require.NotZero(t, len(m.worker("w1").running)+len(m.worker("w2").running))
+}
