--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -50,6 +50,7 @@
 	mu          sync.Mutex
 	incarnation oleanderline.WorkerIncarnation
 	startedAt   time.Time
+	timeOfDay   time.Duration // by which the worker's time of day differs from the true one
 	down        bool
 	unhealthy   bool
 	longPolls   int // number of renewals that have waited without an end
@@ -80,7 +81,7 @@
 // reset starts a new incarnation.
 func (w *Worker) reset() {
 	w.startedAt = time.Now()
-	w.incarnation = oleanderline.WorkerIncarnation(w.startedAt.UnixMilli())
+	w.incarnation = oleanderline.WorkerIncarnation(w.startedAt.Add(w.timeOfDay).UnixMilli())
 	w.term, w.deadline, w.used, w.lastEnd, w.expiredUpTo = 0, 0, oleanderline.Size{}, 0, 0
 	w.runs = map[oleanderline.RunKey]*run{}
 	w.highestRun = map[oleanderline.TaskKey]int{}
@@ -140,6 +141,13 @@
 // ID returns the id of the worker, which all its incarnations share.
 func (w *Worker) ID() oleanderline.WorkerID { return w.id }
 
+// StepTimeOfDay changes the worker's time of day, of which its next incarnation takes its number. Its deadlines do not depend on it.
+func (w *Worker) StepTimeOfDay(step time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timeOfDay += step
+}
+
 // RunCount returns how many runs are in progress.
 func (w *Worker) RunCount() int {
 	w.mu.Lock()
--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -113,7 +113,7 @@
 }
 
 func (c *testCell) killLeader(duration time.Duration) {
-	for i := range processCount {
+	for i := range c.commons {
 		if p := c.process(i); p != nil && p.node.session.Load() != nil {
 			c.killProcess(i, duration)
 			return
--- a/pkg/node/takeover_log_test.go
+++ b/pkg/node/takeover_log_test.go
@@ -72,7 +72,7 @@
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			log := &logBuffer{}
-			commons := newLoggingCommons(log, logrus.InfoLevel)
+			commons := newLoggingCommons(log, logrus.InfoLevel, systemClocks())
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestCell(t, s.seed, commons)
 				defer c.close()
@@ -171,7 +171,7 @@
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			log := &logBuffer{}
-			commons := newLoggingCommons(log, logrus.InfoLevel)
+			commons := newLoggingCommons(log, logrus.InfoLevel, systemClocks())
 			synctest.Test(t, func(t *testing.T) {
 				c := newTestCell(t, 1, commons)
 				defer c.close()
--- a/pkg/node/takeover_test.go
+++ b/pkg/node/takeover_test.go
@@ -12,7 +12,7 @@
 
 // leaderIndex returns the index of the leader process, or -1.
 func (c *testCell) leaderIndex() int {
-	for i := range processCount {
+	for i := range c.commons {
 		if p := c.process(i); p != nil && p.node.isLeader() == 1 {
 			return i
 		}
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,10 @@
 	fleet           *cellfake.Fleet // nil in tests without maintenance
 	window          oleanderline.MaintenanceWindow
 	failRecordReads atomic.Bool // makes reads of the records fail
+	// wrapRunner changes the client that a process uses for a worker. It is nil if there is nothing to change.
+	wrapRunner func(process int, id oleanderline.WorkerID, runner oleanderline.Runner) oleanderline.Runner
+	// wall returns the time of day of a process.
+	wall func(process int) time.Time
 
 	mu        sync.Mutex
 	seed      uint64
@@ -84,20 +89,30 @@
 // vmLimits makes the leader serve all workers itself, or need agents that serve one or two workers each.
 var vmLimits = []capacity.VM{{Cores: 1}, {Cores: 0.0035}, {Cores: 0.0065}}
 
-// newCommons creates the Common of each process, outside the synctest bubble. OLEANDER_LOG makes the processes log to stdout.
+// newCommons creates the Common of each process, outside the synctest bubble.
 func newCommons() []*common.Common {
+	return newCommonsOn(systemClocks())
+}
+
+// systemClocks returns a clock for each process.
+func systemClocks() []oleanderline.Clock {
+	return slices.Repeat([]oleanderline.Clock{common.NewSystemClock()}, processCount)
+}
+
+// newCommonsOn creates the Common of one process for each clock. OLEANDER_LOG makes the processes log to stdout.
+func newCommonsOn(clocks []oleanderline.Clock) []*common.Common {
 	if os.Getenv("OLEANDER_LOG") != "" {
-		return newLoggingCommons(os.Stdout, logrus.InfoLevel)
+		return newLoggingCommons(os.Stdout, logrus.InfoLevel, clocks)
 	}
-	return newLoggingCommons(io.Discard, logrus.PanicLevel)
+	return newLoggingCommons(io.Discard, logrus.PanicLevel, clocks)
 }
 
-func newLoggingCommons(out io.Writer, level logrus.Level) []*common.Common {
-	commons := make([]*common.Common, processCount)
+func newLoggingCommons(out io.Writer, level logrus.Level, clocks []oleanderline.Clock) []*common.Common {
+	commons := make([]*common.Common, len(clocks))
 	for i := range commons {
 		logger := common.NewLogger(out, level)
 		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
-		commons[i] = common.New(fmt.Sprintf("n%d", i), common.WithLogger(logger), common.WithClock(common.NewSystemClock()))
+		commons[i] = common.New(fmt.Sprintf("n%d", i), common.WithLogger(logger), common.WithClock(clocks[i]))
 		commons[i].Actors()
 	}
 	return commons
@@ -110,26 +125,33 @@
 		t: t, faultRand: rand.New(rand.NewPCG(seed, 0)), callerRand: rand.New(rand.NewPCG(seed, 1)), commons: commons, ctx: ctx, cancel: cancel,
 		seed: seed, store: cellfake.NewStore(), checker: cellfake.NewChecker(maxAttempts),
 		limits: vmLimits[seed%uint64(len(vmLimits))], jobs: jobsPerRun,
+		wall: func(int) time.Time { return time.Now() },
 	}
-	for i := range workerCount {
-		rate := []float64{0.98, 1, 1.02}[i%3]
-		id := oleanderline.WorkerID(fmt.Sprintf("w%d", i))
-		worker := cellfake.NewWorker(id, oleanderline.Size{CPU: 4000, Memory: 4000}, maxLease, rate, c.checker)
-		c.workers = append(c.workers, worker)
-		c.wg.Go(func() { worker.Run(ctx) })
-		c.listWorker(id)
+	for range workerCount {
+		c.listWorker(c.addWorker())
 	}
 	c.appendRecord(streamConfig, "config", "1")
 	for _, option := range options {
 		option(c)
 	}
-	c.processes = make([]*process, processCount)
-	for i := range processCount {
+	c.processes = make([]*process, len(commons))
+	for i := range commons {
 		c.restart(i)
 	}
 	return c
 }
 
+// addWorker starts a worker that is not in the directory yet.
+func (c *testCell) addWorker() oleanderline.WorkerID {
+	i := len(c.workers)
+	rate := []float64{0.98, 1, 1.02}[i%3]
+	id := oleanderline.WorkerID(fmt.Sprintf("w%d", i))
+	worker := cellfake.NewWorker(id, oleanderline.Size{CPU: 4000, Memory: 4000}, maxLease, rate, c.checker)
+	c.workers = append(c.workers, worker)
+	c.wg.Go(func() { worker.Run(c.ctx) })
+	return id
+}
+
 func (c *testCell) appendRecord(stream oleanderline.Stream, key, value string) {
 	_, err := c.store.Append(c.ctx, stream, []oleanderline.KeyedRecord{{Key: key, Value: []byte(value)}}, oleanderline.AppendCondition{})
 	require.NoError(c.t, err)
@@ -158,9 +180,13 @@
 		Ports: term.Ports{
 			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
-				return &cellfake.Runner{Worker: byID[id], Path: p.paths[id]}
+				runner := &cellfake.Runner{Worker: byID[id], Path: p.paths[id]}
+				if c.wrapRunner == nil {
+					return runner
+				}
+				return c.wrapRunner(index, id, runner)
 			},
-			Wall: time.Now,
+			Wall: func() time.Time { return c.wall(index) },
 		},
 		Config: streamConfig, ConfigKey: "config",
 		DecodeConfig: func([]byte) (*oleanderline.CellConfig, error) { return testConfig, nil },
@@ -220,7 +246,7 @@
 
 // clearFaults restarts all processes and clears the faults of their paths.
 func (c *testCell) clearFaults() {
-	for i := range processCount {
+	for i := range c.commons {
 		c.restart(i)
 		p := c.process(i)
 		p.store.SetFault(cellfake.FaultNone)
@@ -241,7 +267,7 @@
 }
 
 func (c *testCell) close() {
-	for i := range processCount {
+	for i := range c.commons {
 		if p := c.process(i); p != nil {
 			p.node.Stop()
 			p.wait()
@@ -264,7 +290,7 @@
 func (c *testCell) submit(job oleanderline.Job) bool {
 	c.checker.Submitted(job)
 	for attempt := range 6 {
-		p := c.process(c.callerRand.IntN(processCount))
+		p := c.process(c.callerRand.IntN(len(c.commons)))
 		if p != nil {
 			ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
 			err := p.node.Submit(ctx, job)
@@ -281,7 +307,7 @@
 
 func (c *testCell) cancelJob(id oleanderline.JobID) {
 	for range 20 {
-		if p := c.process(c.callerRand.IntN(processCount)); p != nil {
+		if p := c.process(c.callerRand.IntN(len(c.commons))); p != nil {
 			ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
 			err := p.node.Cancel(ctx, "q", id)
 			cancel()
