End agents and cut leaders off from the log in the hand-over schedules

Cause: TestHandovers ended leaders only, and cut the leader off from the log in one of five store faults.

Change: planned stops and kills of any node, and store faults of the leader in half of the cases.

Result: tests only.

--- a/pkg/node/handover_test.go
+++ b/pkg/node/handover_test.go
@@ -116,7 +116,7 @@
 func (c *handoverCell) injectHandoverFault() {
 	duration := 300*time.Millisecond + time.Duration(c.faultRand.Int64N(int64(maxFault-300*time.Millisecond)))
 	worker := c.faultRand.IntN(workerCount)
-	switch c.faultRand.IntN(12) {
+	switch c.faultRand.IntN(14) {
 	case 0, 1, 2, 3:
 		c.cutWorkers(duration)
 		c.endLeaders(2 + c.faultRand.IntN(3))
@@ -132,8 +132,21 @@
 		c.restartWorker(worker, duration/5)
 	case 10:
 		fault := []cellfake.Fault{cellfake.FaultRefuse, cellfake.FaultBlackhole, cellfake.FaultAnswerLost, cellfake.FaultLate}[c.faultRand.IntN(4)]
-		c.setStoreFault(c.faultRand.IntN(len(c.commons)), fault, duration)
+		c.setStoreFault(c.leaderOrAny(), fault, duration)
 	case 11:
 		c.stepTimeOfDay(c.faultRand.IntN(len(c.commons)))
+	case 12:
+		c.drainProcess(c.faultRand.IntN(len(c.commons)), duration/2)
+	case 13:
+		c.killProcess(c.faultRand.IntN(len(c.commons)), duration/2)
 	}
 }
+
+// leaderOrAny draws the leader, or any process.
+func (c *handoverCell) leaderOrAny() int {
+	index := c.faultRand.IntN(len(c.commons))
+	if leader := c.leaderIndex(); leader >= 0 && c.faultRand.IntN(2) == 0 {
+		return leader
+	}
+	return index
+}
