Expire leases in the model no sooner than a link regards them as expired

Cause: in the model a lease of a crashed worker expired at once, so that TestWorkerRestartsWithAnEarlierTimeOfDay passed since: its task was released before the worker was ignored.

Change: a link waits for the end of the leases that were given over it.

Result: tests only.

--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -58,6 +58,7 @@
 	}
 	if m.authority(l) && m.now.Sub(next.at) <= modelOrderAge {
 		w := m.worker(id)
+		link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
 		result = m.send(l, lateStart{next.order, l.term, w.life, m.now.Add(link.lease(w))}, outcome)
 	}
 	m.advance(modelCallTime)
@@ -130,6 +131,9 @@
 	sent := m.now
 	m.advance(modelCallTime)
 	extends := link.clockKnown && !link.failing
+	if extends {
+		link.leaseEnd = common.Later(link.leaseEnd, sent.Add(modelLeaseBound))
+	}
 	if !w.up || link.down || outcome >= callLost {
 		m.callFailed(l, id)
 		return
@@ -156,6 +160,9 @@
 		m.callFailed(l, id)
 		return
 	}
+	if !link.clockKnown {
+		link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
+	}
 	link.clockKnown, link.failing = true, false
 	if link.life != w.life {
 		link.life, link.acked = w.life, 0
@@ -197,14 +204,14 @@
 }
 
 // leaseExpired reports whether the link of a leader regards the lease of a worker as expired. If it has reached the worker, which
-// refuses earlier leaders since then, the lease has in fact expired and no start is under way.
+// refuses earlier leaders since then, the lease must in fact have expired and no start may be under way.
 func (m *handover) leaseExpired(l *modelLeader, id oleanderline.WorkerID) bool {
 	w, link := m.worker(id), l.links[id]
-	if !link.clockKnown {
-		return !link.leaseEnd.IsZero() && m.now.After(link.leaseEnd)
+	if link.leaseEnd.IsZero() || !m.now.After(link.leaseEnd) {
+		return false
 	}
 	underWay := slices.ContainsFunc(m.late, func(call lateStart) bool { return call.order.Worker == id && call.deadline.After(m.now) })
-	return !underWay && m.now.After(link.leaseEnd) && (!w.up || m.now.After(w.deadline))
+	return !link.clockKnown || (!underWay && (!w.up || m.now.After(w.deadline)))
 }
 
 // handleReports passes all reports on their way to the leader.
--- a/pkg/plan/handover_model_test.go
+++ b/pkg/plan/handover_model_test.go
@@ -98,7 +98,7 @@
 	down       bool // calls are lost
 	clockKnown bool
 	failing    bool
-	// leaseEnd is until when leases may last that were given over an earlier link to the worker; zero if there was none.
+	// leaseEnd is until when leases may last that were given over this link or an earlier one to the worker; zero if there were none.
 	leaseEnd time.Time
 	life     oleanderline.WorkerIncarnation
 	acked    int64
