Adapt the model of hand-overs to served workers and the grace of stops

Cause: the model was written on; since then the planner has to be told which workers are served, a lease expiry carries its time, and a stop has a grace time. Change: the model does so.

--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -179,6 +179,8 @@
 	old := l.links[id]
 	end := common.Later(m.authorityEnd(l), m.now).Add(modelLeaseBound)
 	l.links[id] = &modelLink{down: old.down, leaseEnd: common.Later(old.leaseEnd, end)}
+	l.planner.SetServed(id, false)
+	l.planner.SetServed(id, true)
 	for i := 0; i < len(l.orders); i++ {
 		if next := l.orders[i]; next.order.Worker == id {
 			l.orders = slices.Delete(l.orders, i, i+1)
@@ -198,7 +200,7 @@
 		l.planner.CallFailed(id, oleanderline.ErrUncertain)
 	}
 	if l.deciding && m.leaseExpired(l, id) {
-		l.planner.LeaseExpired(id, m.now)
+		l.planner.LeaseExpired(id, link.leaseEnd, m.now)
 		m.takeOrders(l)
 	}
 }
--- a/pkg/plan/handover_model_test.go
+++ b/pkg/plan/handover_model_test.go
@@ -21,6 +21,7 @@
 	modelLeaseBound = 4150 * time.Millisecond // from a renewal to the time at which the leader regards it as expired
 	modelMaxLease   = 6 * time.Second         // to which a worker shortens a longer lease
 	modelOrderAge   = time.Second             // highest age of an order when it is sent
+	modelStopGrace  = 500 * time.Millisecond  // bound of the time that a worker takes to stop a run
 	modelCallTime   = time.Millisecond        // duration of each action
 	modelBorn       = 1_000_000               // first incarnation of each worker
 )
@@ -28,6 +29,7 @@
 func modelSettings() Settings {
 	return Settings{
 		Settle: 700 * time.Millisecond, Horizon: modelLogOutage + 4400*time.Millisecond, Majority: modelClaimDelay, Lease: 4400 * time.Millisecond,
+		StopGrace: modelStopGrace,
 	}
 }
 
@@ -216,6 +218,7 @@
 	l.planner.EachWorker(func(id oleanderline.WorkerID, _ string) {
 		if l.links[id] == nil {
 			l.links[id] = &modelLink{}
+			l.planner.SetServed(id, true)
 		}
 	})
 }
