Resign if a stop was requested during the claim

Cause: a process that got SIGTERM while its claim of leadership was under way found no session to end. It then led on without serving callers until it was killed, and the next leader waited for the timeout. Change: a process that is stopping resigns as soon as its term begins. Found by reading; series of planned stops make it likely.

--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -74,6 +74,9 @@
 	n.session.Store(s)
 	s.SetConfig(n.config.Load()) // followConfig may have applied a version before n.session was set
 	n.windows.each(s.AddWindow)
+	if n.stopping.Load() {
+		n.resign(s) // Drain has found no session if it was called during the claim
+	}
 }
 
 // logClaim logs a claim of leadership, with the previous leader.
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -160,6 +160,11 @@
 	if s == nil || s.Ended() || n.settings.Limits.Cores >= minCoreShare*n.replica.MaxCores() {
 		return
 	}
+	n.resign(s)
+}
+
+// resign ends a session in the background, so that another process can take over at once.
+func (n *Node) resign(s *term.Session) {
 	n.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(n.ctx, resignTimeout)
 		defer cancel()
--- a/pkg/node/takeover_test.go
+++ b/pkg/node/takeover_test.go
@@ -63,6 +63,28 @@
 	})
 }
 
+// Guards against a process that becomes the leader after it was told to stop, because its claim was under way, and that leads on
+// until it is killed.
+func TestStopDuringAClaimPassesLeadershipOn(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		var c *testCell
+		stopped := -1
+		c = newTestCell(t, 0, commons, func(cell *testCell) {
+			cell.onClaim = func(index int) {
+				if stopped < 0 {
+					stopped = index
+					c.process(index).node.Drain(c.ctx)
+				}
+			}
+		})
+		defer c.close()
+		time.Sleep(4 * time.Second)
+		require.GreaterOrEqual(t, stopped, 0)
+		require.NotContains(t, []int{-1, stopped}, c.leaderIndex())
+	})
+}
+
 // runningCount returns the number of runs on all workers.
 func (c *testCell) runningCount() int {
 	count := 0
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -54,6 +54,8 @@
 	fleet           *cellfake.Fleet // nil in tests without maintenance
 	window          oleanderline.MaintenanceWindow
 	failRecordReads atomic.Bool // makes reads of the records fail
+	// onClaim, if set, is called by a process that has stored a claim of leadership, before it leads.
+	onClaim func(index int)
 	// wrapRunner changes the client that a process uses for a worker. It is nil if there is nothing to change.
 	wrapRunner func(process int, id oleanderline.WorkerID, runner oleanderline.Runner) oleanderline.Runner
 	// wall returns the time of day of a process.
@@ -178,7 +180,7 @@
 	}, Ports{
 		Agents: &cellfake.PeerClient{Path: p.peers, Find: c.backend},
 		Ports: term.Ports{
-			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
+			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads, onClaim: func() { c.claimed(index) }}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
 				runner := &cellfake.Runner{Worker: byID[id], Path: p.paths[id]}
 				if c.wrapRunner == nil {
@@ -204,10 +206,25 @@
 	return p
 }
 
-// failingLog is a log whose reads of the records fail on demand.
+func (c *testCell) claimed(index int) {
+	if c.onClaim != nil {
+		c.onClaim(index)
+	}
+}
+
+// failingLog is a log whose reads of the records fail on demand, and which tells of claims.
 type failingLog struct {
 	*cellfake.Log
 	failRecordReads *atomic.Bool
+	onClaim         func()
+}
+
+func (l *failingLog) Append(ctx context.Context, stream oleanderline.Stream, records []oleanderline.KeyedRecord, condition oleanderline.AppendCondition) (oleanderline.Offset, error) {
+	offset, err := l.Log.Append(ctx, stream, records, condition)
+	if stream == record.StreamClaims && err == nil {
+		l.onClaim()
+	}
+	return offset, err
 }
 
 func (l *failingLog) Read(ctx context.Context, stream oleanderline.Stream, from oleanderline.Offset, wait time.Duration) (oleanderline.KeyedBatch, error) {
