Wait for the last message of a term before its calls

Cause: Session.Stop waited for the goroutines of the term while the event loop could still open a link, which the race detector reports as a wait group that grows during the wait. The link outlived the term unnoticed. A term that ends right after its begin, as in a stop during the claim, makes it likely. Change: Stop first waits until the message in hand is done; later messages have no effect once the term has ended. Callers of Stop that come second wait on a channel.

--- a/pkg/node/takeover_test.go
+++ b/pkg/node/takeover_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,20 +69,20 @@
 func TestStopDuringAClaimPassesLeadershipOn(t *testing.T) {
 	commons := newCommons()
 	synctest.Test(t, func(t *testing.T) {
-		var c *testCell
-		stopped := -1
-		c = newTestCell(t, 0, commons, func(cell *testCell) {
-			cell.onClaim = func(index int) {
-				if stopped < 0 {
-					stopped = index
+		const none = -1
+		var stopped atomic.Int64
+		stopped.Store(none)
+		c := newTestCell(t, 0, commons, func(c *testCell) {
+			c.onClaim = func(index int) {
+				if stopped.CompareAndSwap(none, int64(index)) {
 					c.process(index).node.Drain(c.ctx)
 				}
 			}
 		})
 		defer c.close()
 		time.Sleep(4 * time.Second)
-		require.GreaterOrEqual(t, stopped, 0)
-		require.NotContains(t, []int{-1, stopped}, c.leaderIndex())
+		require.NotEqual(t, int64(none), stopped.Load())
+		require.NotContains(t, []int{none, int(stopped.Load())}, c.leaderIndex())
 	})
 }
 
--- a/pkg/term/end.go
+++ b/pkg/term/end.go
@@ -31,6 +31,8 @@
 // close ends the event loop after all calls of the term have returned, and logs the remaining notes and the runs whose orders have
 // no result.
 func (s *Session) close() {
+	s.awaitHandler()
+	s.wg.Wait()
 	if err := s.loop.Stop(); err != nil {
 		s.common.Log.WithError(err).Warn("event loop of the planner did not stop")
 		return
@@ -52,6 +54,15 @@
 	s.common.Event(common.EventTermClosed).WithFields(fields).Info("the last call of the term has returned")
 }
 
+// awaitHandler waits until the message that was being handled when the term ended is done, since it may open links.
+func (s *Session) awaitHandler() {
+	done := make(chan struct{})
+	for !s.loop.Post(handlerAwaited{done}) {
+		time.Sleep(postRetryDelay)
+	}
+	<-done
+}
+
 // runTexts returns the first maxLoggedRuns of the runs as TASK/RUN.
 func runTexts(runs []oleanderline.RunKey) []string {
 	texts := make([]string, min(len(runs), maxLoggedRuns))
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -11,6 +11,10 @@
 
 // handle processes one message in the event loop, which owns the planner.
 func (s *Session) handle(message any) {
+	if m, ok := message.(handlerAwaited); ok {
+		close(m.done)
+		return
+	}
 	if s.ctx.Err() != nil {
 		return
 	}
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -49,6 +49,7 @@
 		err   error
 	}
 	flushRequested struct{ reply chan<- flush }
+	handlerAwaited struct{ done chan<- struct{} }
 	flushStored    struct {
 		ends    plan.EndNumbers
 		workers []oleanderline.WorkerID
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -27,7 +27,8 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	wg              sync.WaitGroup
-	closeOnce       sync.Once
+	closing         atomic.Bool
+	closed          chan struct{} // closed once all calls of the term have returned
 	planner         *plan.Planner // used only by the event loop
 	loop            *eventloop.Loop
 	links           map[oleanderline.WorkerID]*connection // used only by the event loop
@@ -62,6 +63,7 @@
 		maintenance:  maintenance.New(settings.Maintenance.Duration),
 		startedAt:    c.Clock.Now(),
 		windowStates: make(chan windowState, windowStateQueueSize),
+		closed:       make(chan struct{}),
 	}
 	s.lastAppendSent.Store(claimSentAt.UnixNano())
 	s.roster = roster.New(c.Clock, roster.Settings{
@@ -130,8 +132,11 @@
 		s.writer.resign(ctx)
 	}
 	s.end("stopped")
-	s.wg.Wait()
-	s.closeOnce.Do(s.close)
+	if !s.closing.Swap(true) {
+		s.close()
+		close(s.closed)
+	}
+	<-s.closed
 }
 
 // post sends a message to the event loop. It blocks while the mailbox is full, and drops the message if the term ends meanwhile.
