--- a/pkg/maintenance/absent_test.go
+++ b/pkg/maintenance/listing_test.go
@@ -10,7 +10,7 @@
 	"github.com/oleanderline/oleanderline"
 )
 
-// Guards against a VM whose maintenance is recorded as done because one list lacks it, while an order for it is outstanding.
+// Guards against a VM whose maintenance is recorded as done because one list lacks it.
 func TestVMMissingFromOneListIsNotFinished(t *testing.T) {
 	f, c := newFleet(2), New(testVMDuration)
 	c.Add(oleanderline.MaintenanceWindow{ID: 1, VMs: f.vms, Duration: 20 * time.Second, MaxDown: 1})
@@ -21,8 +21,7 @@
 	require.True(t, f.maintained["m1"], "the window is complete without the maintenance of m1")
 }
 
-// Guards against a VM that is taken down under a protected worker: the worker on it has started anew under another id since the VM
-// is being vacated, and the old id counts as empty.
+// Guards against a VM that is taken down under protected tasks of a worker that has started there since vacating began.
 func TestVacatedVMWithANewWorkerIsNotTakenDown(t *testing.T) {
 	f, c := newFleet(1), New(testVMDuration)
 	c.Add(oleanderline.MaintenanceWindow{ID: 1, VMs: f.vms, Duration: 20 * time.Second, MaxDown: 1})
--- a/pkg/plan/partialknowledge_test.go
+++ b/pkg/plan/partial_takeover_test.go
@@ -9,8 +9,7 @@
 	"github.com/oleanderline/oleanderline"
 )
 
-// Guards against a second run of a gang's task: a leader that has heard of a running member must not start the whole gang again because
-// another member does not run.
+// Guards against a whole gang that a new leader starts again beside the members that run already.
 func TestGangWithAMissingMemberIsNotStartedBesideTheOthers(t *testing.T) {
 	c := newCell(t, 3)
 	c.add("a", oleanderline.Step{Count: 2, Size: testSize, Gang: true, MaxPerWorker: 1})
@@ -32,8 +31,7 @@
 	require.Len(t, c.runsOf(first), 1)
 }
 
-// Guards against a second run of a task that the records of two unreachable workers list: it may run on each of them. The first
-// worker's record is stored while starts are queued for it, which are not sent and go elsewhere.
+// Guards against a second run of a task that two unreachable workers list, of which only one reports to the next leader.
 func TestTaskInTwoWorkerRecordsWaitsForBothWorkers(t *testing.T) {
 	for range 20 { // the records are inherited in any order
 		c := newCell(t, 1)
