Queue no task of a gang while a run of another one was adopted

Cause: a new leader queues a whole gang and adopts the runs that workers report. Only their tasks left the queue; if one was missing, because its start had not been sent or its worker had restarted, the others were started again beside their runs. Change: an adopted run takes all tasks of its gang out of the queue. They are queued again once all are idle, as after any other end.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -204,6 +204,12 @@
 	}
 }
 
+func (p *Planner) dequeueGang(g *group) {
+	for i := range g.tasks {
+		p.dequeue(&g.tasks[i])
+	}
+}
+
 // complete marks a task as done, whichever of its runs has succeeded. All tasks of a gang are done together. If this
 // completes the step, it queues the steps that depend on it or completes the job.
 func (p *Planner) complete(t *task) {
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -199,6 +199,9 @@
 // adopt takes over a run that an earlier leader has started.
 func (p *Planner) adopt(w *worker, t *task, run int, now time.Time) {
 	p.dequeue(t)
+	if t.group.step.Gang {
+		p.dequeueGang(t.group) // its tasks start together, once all of them are idle
+	}
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
 	t.throttle, t.adopted = -1, true // the throttle is unknown
 	t.startUnanswered, t.stopFirst = false, false
--- a/pkg/plan/takeover_model_test.go
+++ b/pkg/plan/takeover_model_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	modelWorkers = 4
+	takeoverWorkers = 4
 	modelStep    = 100 * time.Millisecond
 	modelSteps   = 300
 )
@@ -31,8 +31,8 @@
 }
 
 func (m *takeoverModel) ids() []oleanderline.WorkerID {
-	ids := make([]oleanderline.WorkerID, 0, modelWorkers)
-	for i := range modelWorkers {
+	ids := make([]oleanderline.WorkerID, 0, takeoverWorkers)
+	for i := range takeoverWorkers {
 		ids = append(ids, oleanderline.WorkerID(fmt.Sprintf("w%d", i)))
 	}
 	return ids
@@ -128,7 +128,7 @@
 
 func runTakeoverModel(t *testing.T, seed uint64, gangs bool) {
 	m := &takeoverModel{
-		testCell: newCell(t, modelWorkers), random: rand.New(rand.NewPCG(seed, 7)), claims: 1, silent: map[oleanderline.WorkerID]bool{},
+		testCell: newCell(t, takeoverWorkers), random: rand.New(rand.NewPCG(seed, 7)), claims: 1, silent: map[oleanderline.WorkerID]bool{},
 		deadline: map[oleanderline.WorkerID]time.Time{}, granted: map[oleanderline.WorkerID]time.Time{},
 	}
 	for range modelSteps {
