Do not take a VM for maintained because one list lacks it

Cause: a VM of a maintenance window that one list of VMs lacked counted as removed and was recorded as done. A VM that was being vacated was judged by the worker that it had before, so a worker that started anew there was taken down with its tasks. Change: a VM counts as removed once the lists have lacked it for 3 s, and a new worker on a VM is vacated in its turn.

--- a/pkg/maintenance/coordinator.go
+++ b/pkg/maintenance/coordinator.go
@@ -19,6 +19,8 @@
 	maxVacateTime = 6 * time.Second
 	// returnSlack is the time beyond the duration of the maintenance after which a VM that is listed as up counts as back.
 	returnSlack = 200 * time.Millisecond
+	// goneAfter is how long lists must lack a VM until it counts as removed, because a single list may be incomplete.
+	goneAfter = 3 * time.Second
 	// vacateAhead times MaxDown is the maximum number of VMs that are vacated or down at once, so that the next VMs become empty
 	// while others are down.
 	vacateAhead = 2
@@ -71,6 +73,8 @@
 	phase  phase
 	since  time.Time             // when the phase began, or the order was last sent
 	worker oleanderline.WorkerID // the worker on the VM when vacating began
+	// missingSince is since when the lists of VMs lack it; zero if the newest one has it.
+	missingSince time.Time
 }
 
 // window is a maintenance window with its progress.
@@ -216,6 +220,9 @@
 		}
 		switch v.phase {
 		case vacating:
+			if listed.Worker != "" && v.worker != listed.Worker {
+				v.worker, v.since = listed.Worker, now // a new worker has started on the VM
+			}
 			d.Vacate = append(d.Vacate, v.worker)
 			if down < w.MaxDown && c.mayGoDown(w, v, cell, now) {
 				v.phase = intended
@@ -253,7 +260,7 @@
 		v := w.vms[id]
 		listed, exists := known[id]
 		switch {
-		case !exists && v.phase != finished:
+		case v.goneAt(exists, now) && v.phase != finished:
 			v.phase = finished
 			c.dirty[w.ID] = true
 		case v.phase == accepted && listed.State == oleanderline.FleetUp && now.Sub(v.since) >= c.vmDuration+returnSlack:
@@ -272,6 +279,17 @@
 	return down, vacatingCount, unfinished
 }
 
+// goneAt records whether the newest list has the VM, and reports whether the VM no longer exists: lists have lacked it for goneAfter.
+func (v *vm) goneAt(listed bool, now time.Time) bool {
+	switch {
+	case listed:
+		v.missingSince = time.Time{}
+	case v.missingSince.IsZero():
+		v.missingSince = now
+	}
+	return !listed && now.Sub(v.missingSince) >= goneAfter
+}
+
 // mayGoDown reports whether a VM may be taken down: it is empty, or its time to vacate has passed and all its tasks may be
 // ended.
 func (c *Coordinator) mayGoDown(w *window, v *vm, cell Cell, now time.Time) bool {
