Remove a worker that never answered once it has left the directory

Cause: such a worker kept its link, a place in the capacity of the processes and its record until the end of the term, because no report and no lease showed that nothing runs there. Change: a worker that no earlier leader has used counts as unused while it is unreachable and this leader has started nothing there.

--- a/pkg/plan/takeover_model_test.go
+++ b/pkg/plan/takeover_model_test.go
@@ -14,8 +14,8 @@
 
 const (
 	takeoverWorkers = 4
-	modelStep    = 100 * time.Millisecond
-	modelSteps   = 300
+	modelStep       = 100 * time.Millisecond
+	modelSteps      = 300
 )
 
 // takeoverModel is a cell in which calls fail, orders are carried out without an answer, flushes are lost and leaders change at random.
--- a/pkg/plan/worker_record.go
+++ b/pkg/plan/worker_record.go
@@ -9,7 +9,7 @@
 func (w *worker) removable() bool { return !w.inDirectory && w.unused() && !w.stored && !w.inLog }
 
 // unused reports whether the worker is unreachable and no run can exist on it.
-func (w *worker) unused() bool { return w.unreachable && w.reported && w.empty() }
+func (w *worker) unused() bool { return w.unreachable && (w.reported || !w.inherited) && w.empty() }
 
 // empty reports whether this leader knows of no run on the worker.
 func (w *worker) empty() bool { return len(w.tasks) == 0 && w.unknownRuns == 0 }
