Resign only to a larger VM that registers now

Cause: the registration of a VM that has left is kept. If it had more cores than the leader's, the leader resigned at each registration of any process, so a series of restarts became a series of short terms. Change: the leader compares itself with the process that has registered.

--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -126,7 +126,7 @@
 				s.AddJob(entry)
 			}
 		case record.KindNode:
-			n.resignToLargerVM(s)
+			n.resignToLargerVM(s, change.Node)
 		case record.KindCancel:
 			if s != nil {
 				s.CancelJob(change.Job)
@@ -155,9 +155,10 @@
 	n.detector.ObserveLeader(leader.Resigned, now)
 }
 
-// resignToLargerVM resigns if a process has registered whose VM has so many more cores that this one is below minCoreShare.
-func (n *Node) resignToLargerVM(s *term.Session) {
-	if s == nil || s.Ended() || n.settings.Limits.Cores >= minCoreShare*n.replica.MaxCores() {
+// resignToLargerVM resigns if the process that has just registered has so many more cores that this one is below minCoreShare. VMs
+// that registered earlier do not count, because they may have left.
+func (n *Node) resignToLargerVM(s *term.Session, registered record.Node) {
+	if s == nil || s.Ended() || n.settings.Limits.Cores >= minCoreShare*registered.Cores {
 		return
 	}
 	n.resign(s)
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -35,7 +35,11 @@
 	case record.KindPairs:
 		r.pairs, err = record.Decode[[]pairs.Evidence](rec)
 	}
-	return Change{Kind: kind, Job: job, Leader: r.leader}, err
+	change := Change{Kind: kind, Job: job, Leader: r.leader}
+	if kind == record.KindNode {
+		change.Node = r.nodes[oleanderline.VMID(id)]
+	}
+	return change, err
 }
 
 // ensureEntry returns the entry of a job and creates it if there is none, since a progress record may be read before the
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -42,6 +42,7 @@
 	Kind   record.Kind
 	Job    oleanderline.JobID
 	Leader record.Leader // the newest leader, for KindLeader
+	Node   record.Node   // the process that has registered, for KindNode
 }
 
 // Replica is the state of a cell as this process has read it. It is safe for concurrent use.
