Close the links of removed workers in the model of hand-overs

Cause: the model opened one link to a worker and kept it when the planner removed the worker, so that the planner was never told that the worker is served once the directory listed it again, and started no task there. A session can't do this: collectRecords and directoryRead call connectWorkers, which closes the links of removed workers and opens one to each worker that has none.

Change: the model opens and closes links where a session does, with the ends that are recorded already. Paths that are cut stay cut on a new link. LOST lists the unfinished tasks and the workers. The check and its bounds of time are unchanged. TestRemovedWorkerIsServedAgain is the shortest sequence; it fails with the old model of links.

--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -31,7 +31,7 @@
 // cut makes workers unreachable for a leader and its agents.
 func (m *handover) cut(l *modelLeader, ids ...oleanderline.WorkerID) {
 	for _, id := range ids {
-		l.links[id].down = true
+		l.down[id] = true
 	}
 }
 
@@ -154,7 +154,7 @@
 			}
 			m.readDirectory(second) // the first leader is cut off and reads no changes
 			for _, w := range m.workers {
-				second.links[w.id].down = w.id != "w1" && w.id != "w2"
+				second.down[w.id] = w.id != "w1" && w.id != "w2"
 			}
 			m.workFor(10*time.Second, first, second)
 		})
@@ -189,6 +189,19 @@
 	require.NotZero(t, len(m.worker("w1").running)+len(m.worker("w2").running))
 }
 
+// Guards against a worker on which no task starts any more because it was removed and then listed again.
+func TestRemovedWorkerIsServedAgain(t *testing.T) {
+	m := newHandover(t, 1)
+	m.work(m.leader())
+	m.crash(m.worker("w0"))
+	m.listed["w0"] = false
+	m.readDirectory(m.leader())
+	m.workFor(2*modelLeaseBound, m.leader())
+	require.False(t, m.leader().planner.HasWorker("w0"))
+	m.submit(testJob("a"))
+	m.recover()
+}
+
 // Guards against an order of an ended leader that its agent sends to a worker which has restarted, and so no longer refuses it,
 // after the next leader has started the task elsewhere.
 func TestAgentOfAnEndedLeaderReachesARestartedWorker(t *testing.T) {
--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -24,6 +24,10 @@
 // takeOrders queues what the planner has decided.
 func (m *handover) takeOrders(l *modelLeader) {
 	for _, order := range l.planner.Orders() {
+		if l.links[order.Worker] == nil {
+			m.answer(l, Result{Order: order, Err: oleanderline.ErrUnavailable}, true)
+			continue
+		}
 		l.orders = append(l.orders, decidedOrder{order, m.now})
 	}
 	l.planner.Notes()
@@ -53,7 +57,7 @@
 	l.orders = slices.Delete(l.orders, i, i+1)
 	m.advance(modelCallTime)
 	result := Result{Order: next.order, Err: oleanderline.ErrUnavailable}
-	if link.down {
+	if l.down[id] {
 		outcome = max(outcome, callLost)
 	}
 	if m.authority(l) && m.now.Sub(next.at) <= modelOrderAge {
@@ -134,7 +138,7 @@
 	if extends {
 		link.leaseEnd = common.Later(link.leaseEnd, sent.Add(modelLeaseBound))
 	}
-	if !w.up || link.down || outcome >= callLost {
+	if !w.up || l.down[id] || outcome >= callLost {
 		m.callFailed(l, id)
 		return
 	}
@@ -166,6 +170,9 @@
 	link.clockKnown, link.failing = true, false
 	if link.life != w.life {
 		link.life, link.acked = w.life, 0
+		if link.inherited.Life == w.life {
+			link.acked = link.inherited.Number
+		}
 	}
 	l.reports = append(l.reports, delayedReport{id, report, sent})
 	if outcome == callAnswered {
@@ -178,9 +185,31 @@
 func (m *handover) relink(l *modelLeader, id oleanderline.WorkerID) {
 	old := l.links[id]
 	end := common.Later(m.authorityEnd(l), m.now).Add(modelLeaseBound)
-	l.links[id] = &modelLink{down: old.down, leaseEnd: common.Later(old.leaseEnd, end)}
+	l.links[id] = &modelLink{inherited: l.planner.Acked(id), leaseEnd: common.Later(old.leaseEnd, end)}
 	l.planner.SetServed(id, false)
 	l.planner.SetServed(id, true)
+	m.dropOrders(l, id)
+}
+
+// connect opens a link to each worker that has none, and closes the links of workers that the planner has removed, as
+// term.Session.connectWorkers does. A removed worker that is listed again is a new one to the planner and gets a new link.
+func (m *handover) connect(l *modelLeader) {
+	for _, w := range m.workers {
+		link := l.links[w.id]
+		switch known := l.planner.HasWorker(w.id); {
+		case known && link == nil:
+			l.links[w.id] = &modelLink{inherited: l.planner.Acked(w.id)}
+			l.planner.SetServed(w.id, true)
+		case !known && link != nil:
+			l.planner.SetServed(w.id, false)
+			delete(l.links, w.id)
+			m.dropOrders(l, w.id)
+		}
+	}
+}
+
+// dropOrders gives the orders for a worker whose link is closed an uncertain result.
+func (m *handover) dropOrders(l *modelLeader, id oleanderline.WorkerID) {
 	for i := 0; i < len(l.orders); i++ {
 		if next := l.orders[i]; next.order.Worker == id {
 			l.orders = slices.Delete(l.orders, i, i+1)
@@ -278,6 +307,7 @@
 	require.NoError(m.t, err)
 	workers, ids, err := l.planner.Records()
 	require.NoError(m.t, err)
+	m.connect(l)
 	return &pendingAppend{records: append(records, workers...), ends: ends, workers: ids}
 }
 
--- a/pkg/plan/handover_model_test.go
+++ b/pkg/plan/handover_model_test.go
@@ -87,6 +87,7 @@
 	results       []Result // on their way to the leader
 	reports       []delayedReport
 	links         map[oleanderline.WorkerID]*modelLink
+	down          map[oleanderline.WorkerID]bool // workers whose calls are lost, over any link
 }
 
 // pendingAppend holds records that the planner has handed out, and what it learns once they are stored.
@@ -97,13 +98,14 @@
 }
 
 type modelLink struct {
-	down       bool // calls are lost
 	clockKnown bool
 	failing    bool
 	// leaseEnd is until when leases may last that were given over this link or an earlier one to the worker; zero if there were none.
 	leaseEnd time.Time
 	life     oleanderline.WorkerIncarnation
 	acked    int64
+	// inherited is the newest recorded end when the link was opened.
+	inherited Acked
 }
 
 type decidedOrder struct {
@@ -163,7 +165,7 @@
 func (m *handover) claim() {
 	l := &modelLeader{
 		term: len(m.leaders) + 1, deciding: true, lastAppend: m.now, jobsRead: len(m.jobs),
-		links: map[oleanderline.WorkerID]*modelLink{},
+		links: map[oleanderline.WorkerID]*modelLink{}, down: map[oleanderline.WorkerID]bool{},
 	}
 	l.planner = New(modelSettings(), l.term, m.now)
 	l.planner.SetConfig(testConfig)
@@ -215,12 +217,7 @@
 		}
 	}
 	l.planner.SetWorkers(entries, m.now)
-	l.planner.EachWorker(func(id oleanderline.WorkerID, _ string) {
-		if l.links[id] == nil {
-			l.links[id] = &modelLink{}
-			l.planner.SetServed(id, true)
-		}
-	})
+	m.connect(l)
 }
 
 // mayClaim reports whether a process may claim: the leader has resigned, or has stored no record for modelClaimDelay.
--- a/pkg/plan/handover_property_test.go
+++ b/pkg/plan/handover_property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,9 +200,7 @@
 func (m *handover) drawPaths(t *rapid.T, l *modelLeader) {
 	down := rapid.IntRange(0, 1<<len(m.workers)-1).Draw(t, "workers that cannot be reached")
 	for i, w := range m.workers {
-		if link := l.links[w.id]; link != nil {
-			link.down = down>>i&1 == 1
-		}
+		l.down[w.id] = down>>i&1 == 1
 	}
 }
 
@@ -277,9 +276,7 @@
 	}
 	l := m.leader()
 	m.readDirectory(l)
-	for _, link := range l.links {
-		link.down = false
-	}
+	clear(l.down)
 	l.cutFromLog, l.cutFromJobs = false, false
 	m.handleReports(l)
 	m.handleResults(l)
@@ -291,7 +288,37 @@
 			}
 		}
 	}
-	require.True(m.t, m.finished(l), "LOST: a job is not completed")
+	require.True(m.t, m.finished(l), "LOST: a job is not completed%s", m.unfinished(l))
+}
+
+// unfinished describes the tasks that are not done and the workers as a leader sees them.
+func (m *handover) unfinished(l *modelLeader) string {
+	var b strings.Builder
+	for _, job := range m.jobs {
+		j := l.planner.jobs[job.ID]
+		if j == nil {
+			fmt.Fprintf(&b, "\njob %s: not read", job.ID)
+			continue
+		}
+		for _, g := range j.groups {
+			for i := range g.tasks {
+				if t := &g.tasks[i]; !t.done {
+					fmt.Fprintf(&b, "\ntask %s: state %d, run %d, placed %t, unreported %t, stop first %t", t.key(), t.state, t.run, t.worker != nil, t.unreported, t.stopFirst)
+				}
+			}
+		}
+	}
+	for _, w := range m.workers {
+		link := l.links[w.id]
+		known := l.planner.workers[w.id]
+		if known == nil || link == nil {
+			fmt.Fprintf(&b, "\nworker %s: known %t, linked %t", w.id, known != nil, link != nil)
+			continue
+		}
+		fmt.Fprintf(&b, "\nworker %s: incarnation %d of %d, service %d, reported %t, use recorded %t, unreachable %t, unknown runs %d, running %v, ended %v, processed %d, acknowledged %d, term %d of %d",
+			w.id, known.incarnation, w.life, known.service, known.reported, known.useRecorded, known.unreachable, known.unknownRuns, w.running, w.ended, known.processed, link.acked, w.term, l.term)
+	}
+	return b.String()
 }
 
 func (m *handover) finished(l *modelLeader) bool {
