Send no start that was decided for an earlier incarnation of its worker

Cause: a restarted worker has forgotten which leaders and runs it refused. An agent of an ended leader, which has up to 1.5 s of authority left, sent it an order of up to 1 s although the link had read a report of the new incarnation, and the next leader had started the task elsewhere.

Change: a link returns a start for another incarnation than the one that has reported last as not sent (no attempts, ErrUnavailable), and doesn't send it again if the restart is reported between two attempts. The planner releases the task after the first and stops the run first after the second, as before; no change was needed there (TestStartNotSentAfterARestartIsPlacedAgain). A start for incarnation 0 is sent to any.

Open: a restart that the link has not read a report of yet, because a start names no incarnation that the worker checks. TestAgentOfAnEndedLeaderKnowsOfARestart is the same sequence with the report.

Measured: without the check, TestStartForAnEarlierIncarnationIsNotSent fails in two of three cases (1 and 2 attempts instead of 0 and 1), and TestAgentOfAnEndedLeaderKnowsOfARestart with TWICE; both pass now.

--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	expiryRepeatInterval = time.Second
 )
 
+// errRestarted is the result of a start that was not sent because its worker has restarted since it was decided.
+var errRestarted = fmt.Errorf("the worker has restarted: %w", oleanderline.ErrUnavailable)
+
 // Settings of a Link.
 type Settings struct {
 	Term      oleanderline.Term
@@ -334,6 +338,15 @@
 	}
 }
 
+// isForEarlierIncarnation reports whether an order is a start for an incarnation of the worker other than the one that has reported last.
+// Such a start is not sent: the new incarnation does not know which leaders and which runs the earlier one refused, so it would carry
+// out a start of a leader whose successor has started the task elsewhere.
+func (l *Link) isForEarlierIncarnation(order plan.Order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return order.Kind == plan.OrderStart && order.Life != 0 && order.Life != l.incarnation
+}
+
 // execute sends an order until it is answered, up to a number of attempts. All attempts of a start carry the same deadline.
 func (l *Link) execute(ctx context.Context, next queuedOrder) (result plan.Result, fenced bool) {
 	result = plan.Result{Order: next.order, Err: oleanderline.ErrUnavailable}
@@ -341,6 +354,10 @@
 	if now.Sub(next.decidedAt) > maxOrderAge {
 		return result, false
 	}
+	if l.isForEarlierIncarnation(next.order) {
+		result.Err = errRestarted
+		return result, false
+	}
 	l.mu.Lock()
 	deadline, incarnation := l.deadline(now), l.incarnation
 	l.mu.Unlock()
@@ -352,6 +369,9 @@
 		if now := l.clock.Now(); !l.settings.Authority(now) || now.Sub(next.decidedAt) > maxOrderAge {
 			break
 		}
+		if l.isForEarlierIncarnation(next.order) {
+			break
+		}
 		result.Attempts++
 		if next.order.Kind == plan.OrderStart {
 			l.noteSent(now)
--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -21,12 +21,17 @@
 type restartedRunner struct {
 	worker           *cellfake.Worker
 	cut, renewalsCut atomic.Bool
+	startsLost       atomic.Bool  // starts are neither carried out nor answered
 	startDelay       atomic.Int64 // of the answer to a start, in nanoseconds
 	deadline         atomic.Int64 // of the newest start, on the worker's clock
 }
 
 func (r *restartedRunner) Start(_ context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
 	r.deadline.Store(int64(order.Deadline))
+	if r.startsLost.Load() {
+		time.Sleep(time.Duration(r.startDelay.Load()))
+		return 0, oleanderline.ErrUncertain
+	}
 	clock, err := r.worker.Start(order)
 	time.Sleep(time.Duration(r.startDelay.Load()))
 	if r.cut.Load() {
@@ -205,3 +210,62 @@
 		require.Less(t, deadline, age+lease+time.Second)
 	})
 }
+
+// Guards against a second run of a task: a start that was decided for an earlier incarnation of the worker is carried out by a later one,
+// which refuses neither earlier leaders nor earlier runs.
+func TestStartForAnEarlierIncarnationIsNotSent(t *testing.T) {
+	type scenario struct {
+		name     string
+		steps    func(c *restartCase) plan.Result
+		attempts int
+		runs     int
+		err      error
+	}
+	for _, s := range []scenario{
+		{"decided before the restart", func(c *restartCase) plan.Result {
+			earlier := c.worker.Incarnation()
+			c.worker.Restart()
+			time.Sleep(2 * time.Second) // for a report
+			return c.startOn(earlier)
+		}, 0, 0, oleanderline.ErrUnavailable},
+		{"restart between two attempts", func(c *restartCase) plan.Result {
+			earlier := c.worker.Incarnation()
+			c.runner.startsLost.Store(true)
+			c.runner.startDelay.Store(int64(900 * time.Millisecond))
+			go func() {
+				time.Sleep(100 * time.Millisecond)
+				c.worker.Restart()
+				time.Sleep(700 * time.Millisecond) // for a report
+				c.runner.startsLost.Store(false)
+			}()
+			return c.startOn(earlier)
+		}, 1, 0, oleanderline.ErrUncertain},
+		{"decided after the restart", func(c *restartCase) plan.Result {
+			c.worker.Restart()
+			time.Sleep(2 * time.Second)
+			return c.startOn(c.worker.Incarnation())
+		}, 1, 1, nil},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRestartCase()
+				time.Sleep(10 * time.Second)
+				result := s.steps(c)
+				runs := c.worker.RunCount()
+				c.cancel()
+				c.wg.Wait()
+				require.Equal(t, s.attempts, result.Attempts)
+				require.ErrorIs(t, result.Err, s.err)
+				require.Equal(t, s.runs, runs)
+			})
+		})
+	}
+}
+
+// startOn orders the start of another run on one incarnation of the worker and returns the result.
+func (c *restartCase) startOn(incarnation oleanderline.WorkerIncarnation) plan.Result {
+	c.starts++
+	key := oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a", Index: c.starts}, Run: 1}
+	c.link.Order(plan.Order{Kind: plan.OrderStart, Worker: "w", Life: incarnation, Key: key})
+	return <-c.events.results
+}
--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -205,14 +205,30 @@
 // Guards against an order of an ended leader that its agent sends to a worker which has restarted, and so no longer refuses it,
 // after the next leader has started the task elsewhere.
 func TestAgentOfAnEndedLeaderReachesARestartedWorker(t *testing.T) {
-	m := newHandover(t, 3)
-	first := m.leader()
+	m, first := newHandoverWithLateOrder(t)
+	m.deliver(first, "w2", callAnswered)
+}
+
+// Guards against the same failure once the agent has read a report of the new incarnation of the worker.
+func TestAgentOfAnEndedLeaderKnowsOfARestart(t *testing.T) {
+	m, first := newHandoverWithLateOrder(t)
+	m.renew(first, "w2", callAnswered)
+	m.deliver(first, "w2", callAnswered)
+	require.Empty(t, m.worker("w2").running)
+	m.recover()
+}
+
+// newHandoverWithLateOrder returns a cell in which an agent of the first leader, which has ended, has not yet sent the order to start a
+// task on w2. The next leader has started the task on w0, and then w2 has restarted.
+func newHandoverWithLateOrder(t tester) (m *handover, first *modelLeader) {
+	m = newHandover(t, 3)
+	first = m.leader()
 	m.work(first)
 	m.listed["w0"], m.listed["w1"] = false, false
 	m.readDirectory(first)
 	m.submit(testJob("a"))
 	m.readJobs(first)
-	m.place(first) // on w2; its agent has not sent the order yet
+	m.place(first)
 	m.listed["w0"], m.listed["w1"] = true, true
 	m.endTerm(true)
 	m.claim()
@@ -220,5 +236,5 @@
 	require.Len(t, m.worker("w0").running, 1)
 	m.crash(m.worker("w2"))
 	m.restart(m.worker("w2"), 1000)
-	m.deliver(first, "w2", callAnswered)
+	return m, first
 }
--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -60,7 +60,8 @@
 	if l.down[id] {
 		outcome = max(outcome, callLost)
 	}
-	if m.authority(l) && m.now.Sub(next.at) <= modelOrderAge {
+	restarted := next.order.Kind == OrderStart && link.clockKnown && next.order.Life != link.life
+	if m.authority(l) && m.now.Sub(next.at) <= modelOrderAge && !restarted {
 		w := m.worker(id)
 		link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
 		result = m.send(l, lateStart{next.order, l.term, w.life, m.now.Add(link.lease(w))}, outcome)
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -21,7 +21,7 @@
 type Order struct {
 	Kind       OrderKind
 	Worker     oleanderline.WorkerID
-	Life       oleanderline.WorkerIncarnation
+	Life       oleanderline.WorkerIncarnation // zero for any
 	Key        oleanderline.RunKey
 	Payload    string
 	Checkpoint string // of an earlier run, from which the new run resumes
--- a/pkg/plan/restart_test.go
+++ b/pkg/plan/restart_test.go
@@ -121,3 +121,36 @@
 		})
 	}
 }
+
+// Guards against a task that waits for a stop, or for ever, although its start was not sent because the worker had restarted.
+func TestStartNotSentAfterARestartIsPlacedAgain(t *testing.T) {
+	for _, s := range []struct {
+		name        string
+		resultFirst bool // the result is read before the report of the new incarnation
+	}{
+		{"result before the report", true},
+		{"report before the result", false},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize})
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			start := c.planner.Orders()[0]
+			notSent := Result{Order: start, Err: oleanderline.ErrUnavailable}
+			if s.resultFirst {
+				c.planner.HandleResult(notSent, c.now)
+			}
+			c.planner.Report(start.Worker, oleanderline.WorkerReport{Life: testIncarnation + 1}, c.now, c.now)
+			if !s.resultFirst {
+				c.planner.HandleResult(notSent, c.now)
+			}
+			require.Empty(t, c.planner.Orders())
+			c.advance(max(failedStartBackoff, rerankInterval))
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			orders := c.planner.Orders()
+			require.Len(t, orders, 1)
+			require.Equal(t, OrderStart, orders[0].Kind)
+			require.Equal(t, testIncarnation+1, orders[0].Life)
+		})
+	}
+}
