Count a task as unreported again once its adopted run is over

Cause: a leader adopted a run on the only worker that it reached. The worker restarted and no longer refused the earlier leader, which continued by its majority, saw that the run was gone and started the task on a worker that the new leader did not reach. The new leader saw it as well and started the task again, because a task that was once reported waits for no unreported worker.

Change: when an adopted run is over, its task waits again until all inherited workers have reported or the runs of earlier leaders must have expired.

--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -32,7 +32,7 @@
 	index      int
 	state      taskState
 	done       bool
-	unreported bool // not reported by any worker in this term, so it may run on one that has not reported yet
+	unreported bool // no run was reported in this term, or one that has ended: another may exist on a worker that has not reported yet
 	// inheritedWorkers are the unreachable workers on which the task may run, by the records of an earlier leader. There are several
 	// if the task was started elsewhere after its run on one of them had ended.
 	inheritedWorkers []*worker
--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -173,6 +174,25 @@
 	m.workFor(9*time.Second, first, second)
 }
 
+// Guards against a second run of an adopted task whose worker has restarted: an earlier leader, which the new incarnation no longer
+// refuses, has seen that the run is gone and has started the task on a worker that the new leader does not reach.
+func TestAdoptedRunGoneAfterARestart(t *testing.T) {
+	m := newHandoverWithRun(t, 3)
+	first, second := m.claimBeside()
+	m.cut(second, "w1", "w2")
+	m.renew(second, "w0", callAnswered)
+	m.crash(m.worker("w0"))
+	m.restart(m.worker("w0"), 1000)
+	m.renew(first, "w0", callAnswered)
+	m.cut(first, "w0")
+	m.renew(first, "w0", callAnswered)
+	m.place(first)
+	m.sendAll(first)
+	require.Len(t, slices.Concat(m.worker("w1").running, m.worker("w2").running), 1)
+	m.workFor(8*time.Second, first, second)
+	m.recover()
+}
+
 // Guards against runs that the agents of a resigned leader extend beyond the time that its successor waits for them.
 func TestAgentsOfAResignedLeader(t *testing.T) {
 	m := newHandoverWithRun(t, 3)
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -227,6 +227,10 @@
 		w.longRunningCPU -= size.CPU
 	}
 	w.used = w.used.Sub(size)
+	if t.adopted {
+		// An earlier leader may have seen the end of the run as well, if the worker has restarted, and have started the task elsewhere.
+		t.adopted, t.unreported = false, true
+	}
 	t.state = taskIdle
 	t.percent, t.gauge = 0, 0
 	p.enqueue(t)
