Adopt the newer run of a task on a worker that has restarted

Cause: a worker with an adopted run restarted, and an earlier leader, which the new incarnation did not refuse, started the task there again. The next report to the new leader listed the newer run and not the adopted one. The new leader ordered to stop the former, released the task at once and started it on another worker before the stop was carried out.

Change: a leader adopts a newer run in place of an adopted one on the same worker.

Measured: TestAdoptedRunIsReplacedOnItsWorker fails without the change (TWICE).

Open: the same with the newer run on another worker that has restarted too, if the loss of the adopted run is read first.

--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -193,6 +193,28 @@
 	m.recover()
 }
 
+// Guards against a second run of an adopted task that an earlier leader has started again on the same worker, which had restarted: the
+// new leader orders to stop the run that it does not expect, and starts the task elsewhere before that is done.
+func TestAdoptedRunIsReplacedOnItsWorker(t *testing.T) {
+	m := newHandoverWithRun(t, 3)
+	first, second := m.claimBeside()
+	m.work(second)
+	m.cut(first, "w1", "w2")
+	m.crash(m.worker("w0"))
+	m.restart(m.worker("w0"), 1000)
+	for _, w := range m.workers {
+		m.renew(first, w.id, callAnswered)
+	}
+	m.place(first)
+	m.sendAll(first)
+	require.Len(t, m.worker("w0").running, 1)
+	m.renew(second, "w0", callAnswered)
+	m.place(second)
+	m.deliver(second, "w1", callAnswered)
+	m.deliver(second, "w2", callAnswered)
+	m.recover()
+}
+
 // Guards against runs that the agents of a resigned leader extend beyond the time that its successor waits for them.
 func TestAgentsOfAResignedLeader(t *testing.T) {
 	m := newHandoverWithRun(t, 3)
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -170,6 +170,11 @@
 
 // handleStatus processes the status of a run of a known task. It returns false if the run should be stopped.
 func (p *Planner) handleStatus(w *worker, t *task, status oleanderline.RunStatus, now time.Time) bool {
+	if t.worker == w && t.adopted && status.Key.Run > t.run {
+		// The worker has restarted, and an earlier leader has started the task there again.
+		p.noteLost(t, "an earlier leader has replaced the run", Loss{})
+		p.release(t)
+	}
 	if t.worker == nil && !t.done && t.group.job.active() && status.Key.Run >= t.run {
 		p.adopt(w, t, status.Key.Run, now)
 	}
