Release expired runs only if no later leader can have extended them

Cause: a leader that the log does not answer goes on for up to 10 s by its majority. It regarded the leases of a worker that it did not reach as expired after 4.15 s and started the tasks elsewhere, while the next leader, which reached that worker, extended their runs.

Change: a session passes the expiry of leases to the planner only once an append is stored that was sent after it, so that no later leader had begun its term by then. That costs up to 0.4 s, the interval of heartbeats, of the 4.1 s after which the tasks of a lost worker start again; while the log does not answer, they do not start again.

Open: a run that is missing from the report of a restarted worker is still released without an append.

--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -215,6 +215,18 @@
 	m.recover()
 }
 
+// Guards against a second run of a task whose worker an earlier leader does not reach any more: the leases that it has given have
+// expired, but the new leader extends the run.
+func TestLeasesThatTheNextLeaderExtends(t *testing.T) {
+	m := newHandoverWithRun(t, 3)
+	first, second := m.claimBeside()
+	m.cut(first, "w0")
+	m.cut(second, "w1", "w2")
+	m.workFor(9*time.Second, first, second)
+	require.Len(t, m.worker("w0").running, 1)
+	m.recover()
+}
+
 // Guards against runs that the agents of a resigned leader extend beyond the time that its successor waits for them.
 func TestAgentsOfAResignedLeader(t *testing.T) {
 	m := newHandoverWithRun(t, 3)
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -145,8 +145,9 @@
 }
 
 // LeaseExpired releases all tasks of an unreachable worker on which the leases that this term has granted have expired at leaseEnd,
-// by which time the worker has stopped their runs. Runs of earlier leaders on a worker that has not reported in this term may
-// continue: see expireUnreported. If the worker has answered since, the expiry was reported by an earlier link and has no effect.
+// by which time the worker has stopped their runs. The caller makes sure that no later leader had begun its term by then, which could
+// have extended them. Runs of earlier leaders on a worker that has not reported in this term may continue: see expireUnreported. If the
+// worker has answered since, the expiry was reported by an earlier link and has no effect.
 func (p *Planner) LeaseExpired(id oleanderline.WorkerID, leaseEnd, now time.Time) {
 	p.now = now
 	w := p.workers[id]
--- a/pkg/term/agent_pool.go
+++ b/pkg/term/agent_pool.go
@@ -97,7 +97,7 @@
 		switch {
 		case !planner.HasWorker(id):
 			delete(p.leaseEnds, id)
-		case !end.IsZero() && now.After(end):
+		case !end.IsZero() && now.After(end) && p.session.ledAt(end):
 			planner.CallFailed(id, errUnserved)
 			planner.LeaseExpired(id, end, now)
 		}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -31,6 +31,7 @@
 		s.connectWorkers()
 	case reportReceived:
 		s.metrics.reportAge.Update(now.Sub(m.sent).Seconds())
+		delete(s.expiries, m.id) // the worker's leases may have been renewed since
 		s.planner.Report(m.id, m.report, m.sent, now)
 	case orderAnswered:
 		s.observeStart(m.result, now)
@@ -40,11 +41,12 @@
 	case inviteAnswered:
 		s.agents.handleInviteAnswer(m.vm, m.err, now)
 	case leaseExpired:
-		s.planner.LeaseExpired(m.id, m.leaseEnd, now)
+		s.handleLeaseExpired(m.id, m.leaseEnd, now)
 	case ticked:
 		if until := s.planner.MajorityUntil(); !until.IsZero() {
 			s.majorityUntil.Store(until.UnixNano())
 		}
+		s.checkExpiries(now)
 		s.agents.check(now)
 		s.planner.Place(now, s.ports.Wall(), s.startWindow.Room(now))
 	case adviceReceived:
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -20,18 +20,20 @@
 
 // Session is one term of a leader.
 type Session struct {
-	common          *common.Common
-	settings        Settings
-	ports           Ports
-	replica         *replica.Replica
-	ctx             context.Context
-	cancel          context.CancelFunc
-	wg              sync.WaitGroup
-	closing         atomic.Bool
-	closed          chan struct{} // closed once all calls of the term have returned
-	planner         *plan.Planner // used only by the event loop
-	loop            *eventloop.Loop
-	links           map[oleanderline.WorkerID]*connection // used only by the event loop
+	common   *common.Common
+	settings Settings
+	ports    Ports
+	replica  *replica.Replica
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	closing  atomic.Bool
+	closed   chan struct{} // closed once all calls of the term have returned
+	planner  *plan.Planner // used only by the event loop
+	loop     *eventloop.Loop
+	links    map[oleanderline.WorkerID]*connection // used only by the event loop
+	// expiries holds, by worker, the expiry of leases that waits for an append (handleLeaseExpired). It is used only by the event loop.
+	expiries        map[oleanderline.WorkerID]time.Time
 	roster          *roster.Roster
 	agents          *agentPool               // used only by the event loop
 	startWindow     *startwindow.Window      // used only by the event loop
@@ -60,6 +62,7 @@
 		common: c, settings: settings, ports: ports, replica: jobs, ctx: ctx, cancel: cancel,
 		planner:      plan.New(settings.Plan, settings.Leader.ClaimCount, c.Clock.Now()),
 		links:        map[oleanderline.WorkerID]*connection{},
+		expiries:     map[oleanderline.WorkerID]time.Time{},
 		maintenance:  maintenance.New(settings.Maintenance.Duration),
 		startedAt:    c.Clock.Now(),
 		windowStates: make(chan windowState, windowStateQueueSize),
