Start no task while a report lists an unexpected run of it

Cause: a leader released a task because its run was gone after a restart of the worker, although the same report listed an older run of it that an earlier leader had started there since. It ordered to stop that run, and started the task on another worker before the stop was carried out.

Change: a task waits until no worker's newest report lists a run of it that is to be stopped, or the leases of that worker have expired.

Open: a stopped run of this kind that is missing from a report before its end is listed, as the grace of stops covers only runs that the leader expects.

--- a/pkg/plan/gang.go
+++ b/pkg/plan/gang.go
@@ -14,7 +14,7 @@
 	checkpoint := ""
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if t.mayAlreadyRun(unreportedMayRun) {
+		if p.mayAlreadyRun(t, unreportedMayRun) {
 			return 0
 		}
 		run = max(run, t.run)
--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -227,6 +227,38 @@
 	m.recover()
 }
 
+// Guards against a second run of a task whose run is gone after a restart of its worker, while the worker lists a run that an earlier
+// leader has started there since, and that is not stopped yet.
+func TestTaskWaitsForTheStopOfAnUnexpectedRun(t *testing.T) {
+	m := newHandover(t, 3)
+	m.work(m.leader())
+	first, second := m.claimBeside()
+	m.submit(testJob("a"))
+	m.readJobs(first)
+	m.work(second)
+	i := slices.IndexFunc(m.workers, func(w *modelWorker) bool { return len(w.running) == 1 })
+	holder := m.workers[i]
+	m.crash(holder)
+	m.restart(holder, 1000)
+	for _, w := range m.workers {
+		if w != holder {
+			m.cut(first, w.id)
+		}
+		m.renew(first, w.id, callAnswered)
+	}
+	m.place(first)
+	m.sendAll(first)
+	require.Len(t, holder.running, 1)
+	m.renew(second, holder.id, callAnswered)
+	m.place(second)
+	for _, w := range m.workers {
+		if w != holder {
+			m.deliver(second, w.id, callAnswered)
+		}
+	}
+	m.recover()
+}
+
 // Guards against runs that the agents of a resigned leader extend beyond the time that its successor waits for them.
 func TestAgentsOfAResignedLeader(t *testing.T) {
 	m := newHandoverWithRun(t, 3)
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -130,13 +130,16 @@
 	p.addNote(Note{Kind: NoteLost, Run: t.runKey(), Reason: reason, Loss: &loss}, t.worker)
 }
 
-// noteUnexpected notes the stop of a run that a worker reports and the leader does not expect there, unless the worker's previous
+// noteUnexpected records and notes the stop of a run that a worker reports and the leader does not expect there, unless the worker's previous
 // report caused the same note. t is nil if the task is unknown.
 func (p *Planner) noteUnexpected(w *worker, key oleanderline.RunKey, t *task, notedBefore map[oleanderline.RunKey]struct{}) {
 	if w.unexpectedRuns == nil {
 		w.unexpectedRuns = map[oleanderline.RunKey]struct{}{}
 	}
-	w.unexpectedRuns[key] = struct{}{}
+	if _, listed := w.unexpectedRuns[key]; !listed {
+		w.unexpectedRuns[key] = struct{}{}
+		p.unexpected[key.Task]++
+	}
 	if _, noted := notedBefore[key]; noted {
 		return
 	}
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -64,7 +64,7 @@
 		if t == nil {
 			return started
 		}
-		if t.mayAlreadyRun(unreportedMayRun) {
+		if p.mayAlreadyRun(t, unreportedMayRun) {
 			g.nextIndex++
 			continue
 		}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -49,6 +49,7 @@
 	notDue         map[*group]struct{}               // groups that wait for their due time
 	dirty          map[*job]struct{}                 // jobs with progress that is not recorded yet
 	unreadRuns     map[oleanderline.RunKey]unreadRun // reported runs of jobs that have not been read yet
+	unexpected     map[oleanderline.TaskKey]int      // by task, the number of unexpected runs in the newest reports of all workers
 	pairs          *pairs.Learner
 	levels         map[oleanderline.QueueID]*ServiceLevel
 	headroom       map[oleanderline.PoolID]*headroom
@@ -88,6 +89,7 @@
 		notDue:     map[*group]struct{}{},
 		dirty:      map[*job]struct{}{},
 		unreadRuns: map[oleanderline.RunKey]unreadRun{},
+		unexpected: map[oleanderline.TaskKey]int{},
 		pairs:      pairs.New(),
 		levels:     map[oleanderline.QueueID]*ServiceLevel{},
 		headroom:   map[oleanderline.PoolID]*headroom{},
@@ -165,9 +167,12 @@
 	}
 }
 
-// mayAlreadyRun reports whether a task may already be running, on a worker that has not reported in this term.
+// mayAlreadyRun reports whether a task may already be running, on a worker that has not reported in this term or lists an unexpected run.
 // unreportedMayRun is the result of Planner.unreportedMayRun.
-func (t *task) mayAlreadyRun(unreportedMayRun bool) bool {
+func (p *Planner) mayAlreadyRun(t *task, unreportedMayRun bool) bool {
+	if len(p.unexpected) > 0 && p.unexpected[t.key()] > 0 {
+		return true
+	}
 	if slices.ContainsFunc(t.inheritedWorkers, (*worker).reportAwaited) {
 		return true
 	}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -122,7 +122,7 @@
 	listed := make(map[*task]struct{}, len(running))
 	w.unknownRuns = 0
 	notedBefore := w.unexpectedRuns
-	w.unexpectedRuns = nil
+	p.forgetUnexpected(w)
 	for _, status := range running {
 		t := p.task(status.Key.Task)
 		if t == nil || !p.handleStatus(w, t, status, now) {
@@ -139,6 +139,17 @@
 	return listed
 }
 
+// forgetUnexpected forgets the unexpected runs in a worker's newest report.
+func (p *Planner) forgetUnexpected(w *worker) {
+	for key := range w.unexpectedRuns {
+		p.unexpected[key.Task]--
+		if p.unexpected[key.Task] == 0 {
+			delete(p.unexpected, key.Task)
+		}
+	}
+	w.unexpectedRuns = nil
+}
+
 // handleMissing releases the tasks of a worker whose run is missing from a report, and orders stops again that have not succeeded. It
 // releases nothing unless the report had all ends, because the run may have ended as done.
 func (p *Planner) handleMissing(w *worker, listed map[*task]struct{}, allEnds bool, sent, now time.Time) {
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -156,6 +156,7 @@
 	}
 	w.reported = w.reported || !w.inherited
 	w.unknownRuns = 0
+	p.forgetUnexpected(w)
 	for t := range w.tasks {
 		if t.state == taskStarting {
 			continue // the result of the start decides
