Refuse jobs that the leader cannot start in time

Change: pkg/intake measures the starts a second while the start window holds starts up, and compares the tasks that wait for a start with it, by priority. The verdict is in the leader's record, and each node refuses by it with 503, a Retry-After that follows the backlog, and a text that says that the job was not stored. A new leader inherits a refusal until it has caught up.

--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -386,10 +386,15 @@
 	// OutlivesWorker makes an order that the path delays reach the next incarnation of the worker. By default, it is lost with the
 	// incarnation to which it was sent.
 	OutlivesWorker bool
+	// Starts bounds the starts a second; nil sets no bound.
+	Starts *Pace
 }
 
 // Start implements oleanderline.Runner.
 func (r *Runner) Start(ctx context.Context, order oleanderline.StartRun) (oleanderline.WorkerTime, error) {
+	if r.Starts != nil {
+		r.Starts.wait(ctx)
+	}
 	sentAt := time.Now()
 	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.StartSentAt(order, sentAt) })
 }
--- /dev/null
+++ b/pkg/node/intake.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+// maxIntakeAge is how long the leader's verdict on new jobs holds after it was read. The leader renews it every 0.4 s. It is the time
+// for which a leader goes on without the log, and covers the change to another one. From then on jobs are accepted again, so that no
+// process refuses them for a leader that is gone. The cell does not accept without bound then: a process that reads no leader record
+// for so long claims leadership, and cannot store jobs either if the log is down.
+const maxIntakeAge = maxLogOutage
+
+// refuses reports whether a new job of a queue with a priority is refused because the leader could not start its tasks in time. A
+// refusal says that the job was not stored, so there is none while the records that this process has read are too old to tell.
+func (n *Node) refuses(priority int) bool {
+	now := n.common.Clock.Now()
+	verdict, age := n.replica.Intake(now)
+	readAge, loaded := n.replica.ReadAge(now)
+	return verdict.Refuses(priority) && age < maxIntakeAge && loaded && readAge <= maxReadWait+freshReadMargin
+}
+
+// backlogDelay returns after what time the leader is expected to accept jobs again, or 0 if it accepts them.
+func (n *Node) backlogDelay() time.Duration {
+	verdict, age := n.replica.Intake(n.common.Clock.Now())
+	if !verdict.Refuse || age >= maxIntakeAge {
+		return 0
+	}
+	return time.Duration(verdict.RetryMS) * time.Millisecond
+}
+
+// waitForRecords waits until this process has read the records once, but no longer than loadTimeout. Until then it does not know the
+// leader's verdict on new jobs, which it needs most after a restart of all processes.
+func (n *Node) waitForRecords(ctx context.Context) {
+	updated := n.replica.Updated()
+	if _, loaded := n.replica.ReadAge(n.common.Clock.Now()); loaded {
+		return
+	}
+	timer := n.common.Clock.NewTimer(loadTimeout)
+	defer timer.Stop()
+	select {
+	case <-updated:
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -14,6 +14,7 @@
 	unavailable *metrics.Counter
 	uncertain   *metrics.Counter
 	relayed     *metrics.Counter
+	overloaded  *metrics.Counter
 	conflicts   *metrics.Counter
 	unknown     *metrics.Counter
 	notReady    *metrics.Counter
@@ -32,6 +33,7 @@
 		unavailable: set.GetOrCreateCounter("oleander_cell_not_stored_total"),    // submissions and cancellations that were certainly not stored
 		uncertain:   set.GetOrCreateCounter("oleander_cell_maybe_stored_total"),  // submissions and cancellations that may have been stored
 		relayed:     set.GetOrCreateCounter("oleander_cell_relayed_total"),       // calls that were relayed to a peer
+		overloaded:  set.GetOrCreateCounter("oleander_cell_overloaded_total"),    // submissions that were refused because their tasks could not be started in time
 		conflicts:   set.GetOrCreateCounter("oleander_cell_conflicts_total"),     // submissions whose id is already used by a different job
 		unknown:     set.GetOrCreateCounter("oleander_cell_unknown_jobs_total"),  // calls for unknown jobs
 		notReady:    set.GetOrCreateCounter("oleander_cell_not_ready_total"),     // calls that this process could not answer because its records were missing or stale
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -99,6 +99,12 @@
 	if age, loaded := n.replica.ReadAge(n.common.Clock.Now()); !loaded || age < recentReadAge || age > followerReadPause {
 		return // nothing was read yet, the last read is recent, or a read is already waiting for records
 	}
+	n.awaitRead(ctx)
+}
+
+// awaitRead requests a read and waits for the end of the next one for at most refreshTimeout. A read that waits for records ends as
+// soon as there are any.
+func (n *Node) awaitRead(ctx context.Context) {
 	read := n.replica.Updated()
 	select {
 	case n.readRequests <- struct{}{}:
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -17,6 +17,8 @@
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = 3 * time.Second
+	// maxBacklogDelay bounds the part that follows the backlog of starts. The backlog is estimated anew several times a second.
+	maxBacklogDelay = 10 * time.Second
 )
 
 // Queue implements oleanderline.JobService.
@@ -39,12 +41,18 @@
 
 // Submit implements oleanderline.JobService.
 func (n *Node) Submit(ctx context.Context, job oleanderline.Job) error {
+	n.waitForRecords(ctx)
 	if entry, ok := n.replica.Job(job.ID); ok {
-		if !sameJob(entry.Job, job) {
-			n.metrics.conflicts.Inc()
-			return oleanderline.ErrConflict
+		return n.repeated(entry, job)
+	}
+	if n.refuses(job.Policy.Priority) {
+		n.awaitRead(ctx) // another process may just have accepted the job
+		if entry, ok := n.replica.Job(job.ID); ok {
+			return n.repeated(entry, job)
 		}
-		return nil
+		n.metrics.overloaded.Inc()
+		n.logRefusal(callSubmit, job.ID, oleanderline.ErrOverloaded)
+		return oleanderline.ErrOverloaded
 	}
 	job.Submitted = n.ports.Wall()
 	rec, err := record.ForJob(&job)
@@ -59,6 +67,15 @@
 	return nil
 }
 
+// repeated returns the result of a submission whose id is stored already.
+func (n *Node) repeated(entry replica.Entry, job oleanderline.Job) error {
+	if !sameJob(entry.Job, job) {
+		n.metrics.conflicts.Inc()
+		return oleanderline.ErrConflict
+	}
+	return nil
+}
+
 // sameJob reports whether two submissions are equal, apart from the fields that the cell fills in.
 func sameJob(a, b oleanderline.Job) bool {
 	a.Submitted, b.Submitted = time.Time{}, time.Time{}
@@ -182,9 +199,9 @@
 }
 
 // RetryAfter implements oleanderline.JobService. It grows with the outage of the log, which is expected to last about as long
-// again as it has lasted so far.
+// again as it has lasted so far, and with the tasks that wait for a start.
 func (n *Node) RetryAfter() time.Duration {
-	return min(max(n.batcher.outage(), minRetryAfter), maxRetryAfter)
+	return max(minRetryAfter, min(n.batcher.outage(), maxRetryAfter), min(n.backlogDelay(), maxBacklogDelay))
 }
 
 // MaxBody implements oleanderline.JobService.
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -80,6 +80,7 @@
 	followerReadPause = 300 * time.Millisecond  // between the reads of a follower
 	recentReadAge     = 40 * time.Millisecond   // up to this age, callers are answered without another read
 	refreshTimeout    = 100 * time.Millisecond  // how long a caller waits for another read
+	loadTimeout       = time.Second             // how long a submission to a new process waits for the first read
 	resignTimeout     = 2 * time.Second         // for the resignation to a larger VM
 	leaderReadPause   = 10 * time.Millisecond   // between the reads of the leader
 	staleReadAge      = 1500 * time.Millisecond // age of the last read above which a peer is asked
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -59,7 +59,8 @@
 	// wrapRunner changes the client that a process uses for a worker. It is nil if there is nothing to change.
 	wrapRunner func(process int, id oleanderline.WorkerID, runner oleanderline.Runner) oleanderline.Runner
 	// wall returns the time of day of a process.
-	wall func(process int) time.Time
+	wall   func(process int) time.Time
+	starts *cellfake.Pace // bounds the starts a second; nil sets no bound
 
 	mu        sync.Mutex
 	seed      uint64
@@ -182,7 +183,7 @@
 		Ports: term.Ports{
 			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads, onClaim: func() { c.claimed(index) }}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
-				runner := &cellfake.Runner{Worker: byID[id], Path: p.paths[id]}
+				runner := &cellfake.Runner{Worker: byID[id], Path: p.paths[id], Starts: c.starts}
 				if c.wrapRunner == nil {
 					return runner
 				}
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -24,9 +24,11 @@
 	p.now = now
 	p.pass++
 	p.emitDue(now)
+	p.startState = StartsForbidden
 	if !p.mayStart(now) {
 		return
 	}
+	p.startState = StartsFree
 	p.noteStartsAllowed(now)
 	p.expireUnreported(now)
 	p.noteUnreportedAllowed(now)
@@ -42,7 +44,11 @@
 		if now.Before(g.retryAt) {
 			continue
 		}
-		if started >= maxStarts || groups >= maxRankedPerPass {
+		if started >= maxStarts {
+			p.startState = StartsHeld
+			return // the next pass continues
+		}
+		if groups >= maxRankedPerPass {
 			return // the next pass continues
 		}
 		groups++
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -67,6 +67,7 @@
 	majorityAt     time.Time // when a majority of the inherited workers had reported in this term
 	firstTerm      bool      // this is the first term, so nothing was started before
 	batches        []*noteBatch
+	startState     StartState // of the last pass
 	// startsNoted and unreportedNoted are whether noteStartsAllowed and noteUnreportedAllowed have done their part.
 	startsNoted, unreportedNoted bool
 }
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -84,8 +84,21 @@
 	VM         oleanderline.VMID `json:"vm"`
 	ClaimCount int               `json:"n"` // the number of claims so far, including this one
 	Resigned   bool              `json:"gone,omitempty"`
+	Intake     *Intake           `json:"intake,omitempty"` // absent until the rate of starts is known
 }
 
+// Intake is the leader's verdict on new jobs, by the tasks that wait for a start and the rate at which it starts tasks.
+type Intake struct {
+	Rate   float64 `json:"rate,omitempty"`   // starts per second while tasks waited for nothing else; 0 if not measured
+	Refuse bool    `json:"refuse,omitempty"` // new jobs of queues with priority From and all later priorities are refused
+	From   int     `json:"from,omitempty"`
+	// RetryMS is the time in milliseconds after which the tasks that wait would be few enough if no others came.
+	RetryMS int64 `json:"retryMs,omitempty"`
+}
+
+// Refuses reports whether new jobs of a queue with a priority are refused.
+func (i Intake) Refuses(priority int) bool { return i.Refuse && priority >= i.From }
+
 // Worker is a worker on which tasks may run.
 type Worker struct {
 	ID      oleanderline.WorkerID `json:"-"`
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -31,7 +31,7 @@
 	case record.KindWindow:
 		err = r.applyWindow(id, rec)
 	case record.KindLeader:
-		err = r.applyLeader(rec)
+		err = r.applyLeader(rec, now)
 	case record.KindPairs:
 		r.pairs, err = record.Decode[[]pairs.Evidence](rec)
 	}
@@ -146,13 +146,13 @@
 	return nil
 }
 
-func (r *Replica) applyLeader(rec oleanderline.KeyedRecord) error {
+func (r *Replica) applyLeader(rec oleanderline.KeyedRecord, now time.Time) error {
 	leader, err := record.Decode[record.Leader](rec)
 	if err != nil {
 		return err
 	}
 	if leader.Term >= r.leader.Term {
-		r.leader = leader
+		r.leader, r.leaderAt = leader, now
 	}
 	return nil
 }
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -61,6 +61,16 @@
 	return r.leader
 }
 
+// Intake returns the newest leader's verdict on new jobs and how long ago it was read. Without a verdict, no job is refused.
+func (r *Replica) Intake(now time.Time) (record.Intake, time.Duration) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.leader.Intake == nil {
+		return record.Intake{}, 0
+	}
+	return *r.leader.Intake, now.Sub(r.leaderAt)
+}
+
 // MaxCores returns the largest number of cores of a VM whose process has registered.
 func (r *Replica) MaxCores() float64 {
 	r.mu.RLock()
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -51,6 +51,7 @@
 	jobs        map[oleanderline.JobID]*Entry
 	workers     map[oleanderline.WorkerID]record.Worker
 	leader      record.Leader
+	leaderAt    time.Time // when the newest leader record was read
 	pairs       []pairs.Evidence
 	nodes       map[oleanderline.VMID]record.Node
 	windows     map[oleanderline.WindowID]maintenance.Progress
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -49,6 +49,7 @@
 		s.checkExpiries(now)
 		s.agents.check(now)
 		s.planner.Place(now, s.ports.Wall(), s.startWindow.Room(now))
+		s.updateIntake(now)
 	case adviceReceived:
 		s.planner.HandleAdvice(m.request, m.advice, m.err, m.askedAt)
 	case windowRequested:
@@ -108,6 +109,7 @@
 	case result.Order.Kind != plan.OrderStart:
 	case result.Err == nil:
 		s.startWindow.Answered(result.Order.Key, now)
+		s.intake.Answered()
 	case result.Attempts == 0:
 		s.startWindow.Expired(result.Order.Key, now)
 	default:
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -11,8 +11,10 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/eventloop"
+	"github.com/oleanderline/oleanderline/pkg/intake"
 	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/plan"
+	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/replica"
 	"github.com/oleanderline/oleanderline/pkg/roster"
 	"github.com/oleanderline/oleanderline/pkg/startwindow"
@@ -38,6 +40,9 @@
 	agents          *agentPool               // used only by the event loop
 	startWindow     *startwindow.Window      // used only by the event loop
 	maintenance     *maintenance.Coordinator // used only by the event loop
+	intake          *intake.Limiter          // used only by the event loop
+	intakeAt        time.Time                // when the verdict on new jobs was last updated; used only by the event loop
+	intakeVerdict   atomic.Pointer[record.Intake]
 	startedAt       time.Time
 	maintenanceOpen atomic.Bool      // whether a maintenance window is open
 	windowStates    chan windowState // states of maintenance windows to publish
@@ -74,6 +79,9 @@
 	}, s)
 	s.agents = newAgentPool(s)
 	s.startWindow = startwindow.New()
+	inheritedIntake, _ := jobs.Intake(s.startedAt)
+	s.intake = intake.New(inheritedIntake, s.startedAt)
+	s.intakeVerdict.Store(&inheritedIntake)
 	s.writer = newWriter(s)
 	s.metrics = newTermMetrics(c.Metrics)
 	s.metrics.terms.Inc()
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -19,6 +19,7 @@
 	resignations  chan chan struct{}
 	appender      appender
 	lastHeartbeat time.Time // when the leader's own record was last stored
+	storedIntake  record.Intake
 }
 
 func newWriter(s *Session) *writer {
@@ -73,10 +74,11 @@
 func (w *writer) flush(resign bool) bool {
 	s := w.session
 	now := s.common.Clock.Now()
-	heartbeat := resign || now.Sub(w.lastHeartbeat) >= heartbeatInterval
+	intake := *s.intakeVerdict.Load()
+	heartbeat := resign || now.Sub(w.lastHeartbeat) >= heartbeatInterval || !sameRefusal(intake, w.storedIntake)
 	var own []oleanderline.KeyedRecord
 	if heartbeat { // encoded first, because the planner counts what it hands out as stored
-		rec, err := w.ownRecord(resign)
+		rec, err := w.ownRecord(resign, intake)
 		if err != nil {
 			s.common.Event(common.EventRecordMalformed).WithError(err).Error("failed to encode the leader's record; flush aborted")
 			return false
@@ -96,7 +98,7 @@
 		return false
 	}
 	if heartbeat {
-		w.lastHeartbeat = now
+		w.lastHeartbeat, w.storedIntake = now, intake
 	}
 	if len(f.completion.ends) > 0 || len(f.completion.workers) > 0 || len(f.completion.windows) > 0 {
 		s.post(f.completion)
@@ -105,9 +107,12 @@
 }
 
 // ownRecord returns the leader's own record, which is its heartbeat.
-func (w *writer) ownRecord(resign bool) (oleanderline.KeyedRecord, error) {
+func (w *writer) ownRecord(resign bool, intake record.Intake) (oleanderline.KeyedRecord, error) {
 	leader := w.session.settings.Leader
 	leader.Resigned = resign
+	if intake.Rate > 0 {
+		leader.Intake = &intake
+	}
 	return record.ForLeader(leader)
 }
 
