--- a/pkg/node/intake_test.go
+++ b/pkg/node/intake_test.go
@@ -35,18 +35,20 @@
 	slowest  time.Duration // time until a refusal
 }
 
-// submitLoad submits jobs to all processes in turn.
+// submitLoad submits jobs to all processes in turn, and waits for the answers.
 func (c *testCell) submitLoad(size oleanderline.Size) *intakeLoad {
 	load := &intakeLoad{shortest: time.Hour}
+	var answers sync.WaitGroup
 	for i := range submittedJobs {
 		job := oleanderline.Job{
 			ID: oleanderline.JobID(fmt.Sprintf("%016x", i+1)), Queue: testQueue.ID, Policy: testQueue, Payload: fmt.Sprint(i),
 			Steps: []oleanderline.Step{{Count: submittedTasks, Size: size, Estimate: time.Second}},
 		}
 		c.checker.Submitted(job)
-		c.wg.Go(func() { c.submitCounted(load, c.process(i%processCount).node, job) })
+		answers.Go(func() { c.submitCounted(load, c.process(i%processCount).node, job) })
 		time.Sleep(submitInterval)
 	}
+	answers.Wait()
 	return load
 }
 
