--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -34,9 +32,6 @@
 	expiryRepeatInterval = time.Second
 )
 
-// errRestarted is the result of a start that was not sent because its worker has restarted since it was decided.
-var errRestarted = fmt.Errorf("the worker has restarted: %w", oleanderline.ErrUnavailable)
-
 // Settings of a Link.
 type Settings struct {
 	Term      oleanderline.Term
@@ -232,66 +227,6 @@
 	return order
 }
 
-// deadline returns a deadline one lease ahead on the worker's clock, and extends leaseEnd accordingly. The caller holds the
-// mutex.
-func (l *Link) deadline(now time.Time) oleanderline.WorkerTime {
-	span := now.Sub(l.clockReadAt) + l.settings.Lease
-	l.leaseEnd = common.Later(l.leaseEnd, l.clockReadAt.Add(ExpiryBound(span)))
-	return l.workerClock.Add(span)
-}
-
-// ExpiryBound returns the longest time until a worker ends a lease that lasts span on its own clock.
-func ExpiryBound(span time.Duration) time.Duration {
-	return time.Duration(float64(span)/minClockRate) + clockSlack
-}
-
-// LeaseEnd returns the latest expiry of the leases granted over this link or earlier links; zero if there were none.
-func (l *Link) LeaseEnd() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return common.Later(l.leaseEnd, l.restart.leaseEnd())
-}
-
-// expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
-func (l *Link) expired(now time.Time) (leaseEnd time.Time, expired bool) {
-	end := l.LeaseEnd()
-	return end, !end.IsZero() && now.After(end)
-}
-
-// applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that was sent at sent
-// and acknowledged ends up to ackSent. An acknowledgement is not repeated once it is answered: a new incarnation of the worker numbers its ends
-// anew, so that the acknowledgement would cover ends that were never read.
-func (l *Link) applyReport(report oleanderline.WorkerReport, ackSent int64, sent time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.answeredAck = max(l.answeredAck, ackSent)
-	restarted := report.Life != l.incarnation && l.incarnation != 0
-	l.updateClock(report.Clock)
-	l.restart.reported(sent, restarted)
-	if report.Life != l.incarnation {
-		l.incarnation, l.acked, l.lastEnd, l.answeredAck = report.Life, 0, 0, 0
-		if inherited := l.settings.Acked; inherited.Life == report.Life {
-			l.acked = inherited.Number
-		}
-	}
-	for _, end := range report.Ended {
-		l.lastEnd = max(l.lastEnd, end.Number)
-	}
-}
-
-func (l *Link) updateClock(clock oleanderline.WorkerTime) {
-	now := l.clock.Now()
-	if !l.clockKnown {
-		// The worker has refused calls of earlier terms since it answered, so the leases that they granted expire at most one
-		// lease from now.
-		l.leaseEnd = common.Later(l.leaseEnd, now.Add(ExpiryBound(l.settings.Lease)))
-		close(l.ready)
-	} else if isBehind(time.Duration(clock-l.workerClock)*time.Millisecond, now.Sub(l.clockReadAt)) {
-		l.restart.extend()
-	}
-	l.clockKnown, l.clockReadAt, l.workerClock = true, now, clock
-}
-
 // waitForAck waits up to ackTimeout until the newest ends are recorded, so that the next renew call acknowledges them. If they are
 // not, it also waits for unackedDelay.
 func (l *Link) waitForAck(ctx context.Context) {
@@ -314,131 +249,3 @@
 func (l *Link) sleep(ctx context.Context, d time.Duration) {
 	common.Sleep(ctx, l.clock, d)
 }
-
-func (l *Link) orderLoop(ctx context.Context) {
-	select {
-	case <-l.ready: // an order needs a deadline on the worker's clock
-	case <-ctx.Done():
-		return
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case next := <-l.orders:
-			began := l.clock.Now()
-			result, fenced := l.execute(ctx, next)
-			result.Took = l.clock.Now().Sub(began)
-			if fenced {
-				l.events.Fenced(l.id)
-				return
-			}
-			l.events.Result(result)
-		}
-	}
-}
-
-// isForEarlierIncarnation reports whether an order is a start for an incarnation of the worker other than the one that has reported last.
-// Such a start is not sent: the new incarnation does not know which leaders and which runs the earlier one refused, so it would carry
-// out a start of a leader whose successor has started the task elsewhere.
-func (l *Link) isForEarlierIncarnation(order plan.Order) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return order.Kind == plan.OrderStart && order.Life != 0 && order.Life != l.incarnation
-}
-
-// execute sends an order until it is answered, up to a number of attempts. All attempts of a start carry the same deadline.
-func (l *Link) execute(ctx context.Context, next queuedOrder) (result plan.Result, fenced bool) {
-	result = plan.Result{Order: next.order, Err: oleanderline.ErrUnavailable}
-	now := l.clock.Now()
-	if now.Sub(next.decidedAt) > maxOrderAge {
-		return result, false
-	}
-	if l.isForEarlierIncarnation(next.order) {
-		result.Err = errRestarted
-		return result, false
-	}
-	l.mu.Lock()
-	deadline, incarnation := l.deadline(now), l.incarnation
-	l.mu.Unlock()
-	maxAttempts := otherAttempts
-	if next.order.Kind == plan.OrderStart {
-		maxAttempts = startAttempts
-	}
-	for result.Attempts < maxAttempts && ctx.Err() == nil {
-		if now := l.clock.Now(); !l.settings.Authority(now) || now.Sub(next.decidedAt) > maxOrderAge {
-			break
-		}
-		if l.isForEarlierIncarnation(next.order) {
-			break
-		}
-		result.Attempts++
-		if next.order.Kind == plan.OrderStart {
-			l.noteSent(now)
-		}
-		clock, err := l.call(ctx, next.order, deadline)
-		result.Err = err
-		if err == nil {
-			l.applyAnswer(clock, incarnation)
-			return result, false
-		}
-		if isFenced(err) {
-			return result, true
-		}
-		if errors.As(err, new(*oleanderline.RefusedError)) {
-			return result, false
-		}
-		if next.order.Kind == plan.OrderStart && !errors.Is(err, oleanderline.ErrUnavailable) {
-			l.noteUnanswered(true)
-		}
-		if errors.Is(err, oleanderline.ErrUnavailable) {
-			l.sleep(ctx, retryDelay)
-		}
-	}
-	return result, false
-}
-
-// applyAnswer updates the worker's clock from the answer to an order for an incarnation. If a later incarnation has reported since,
-// the answer may be of either one: its clock is not used, and the order may have carried a deadline on the earlier clock.
-func (l *Link) applyAnswer(clock oleanderline.WorkerTime, incarnation oleanderline.WorkerIncarnation) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.incarnation == incarnation {
-		l.updateClock(clock)
-		return
-	}
-	l.restart.sent(l.clock.Now())
-	l.restart.extend()
-}
-
-// noteSent records that a call with a deadline is about to be sent.
-func (l *Link) noteSent(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.restart.sent(now)
-}
-
-// noteUnanswered records that a call with a deadline has ended without an answer. start is whether it was a start.
-func (l *Link) noteUnanswered(start bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.restart.unanswered(l.clock.Now(), start)
-}
-
-func (l *Link) call(ctx context.Context, order plan.Order, deadline oleanderline.WorkerTime) (oleanderline.WorkerTime, error) {
-	switch order.Kind {
-	case plan.OrderStart:
-		return l.runner.Start(ctx, oleanderline.StartRun{
-			Key: order.Key, Payload: order.Payload, Deadline: deadline, Term: l.settings.Term,
-			Checkpoint: order.Checkpoint, Ticket: order.Ticket,
-		})
-	case plan.OrderStop:
-		return l.runner.Stop(ctx, oleanderline.StopRun{Key: order.Key, Term: l.settings.Term})
-	}
-	return l.runner.Throttle(ctx, oleanderline.ThrottleRun{Key: order.Key, Percent: order.Percent, Term: l.settings.Term})
-}
-
-func isFenced(err error) bool {
-	var refused *oleanderline.RefusedError
-	return errors.As(err, &refused) && refused.Reason == oleanderline.RefusedTerm
-}
--- a/pkg/node/takeover_log_test.go
+++ b/pkg/node/takeover_log_test.go
@@ -154,7 +154,7 @@
 	}
 	require.Contains(t, takeover[0]["msg"], "tasks start")
 	require.Contains(t, takeover[1]["msg"], "unreported tasks start")
-	require.InDelta(t, workerCount, takeover[1]["heard"], 0)
+	require.InDelta(t, workerCount, takeover[1]["reported"], 0)
 }
 
 // Guards against a change of leader of which the log does not show whether the leader resigned, when its last call had returned, and
--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -111,7 +111,7 @@
 	return oleanderline.Job{ID: id, Queue: "q", Policy: testQueue, Steps: []oleanderline.Step{{Count: 1, Size: testSize}}}
 }
 
-// Guards against a worker that is never heard again because it has restarted while its time of day was set back.
+// Guards against a worker whose reports are ignored for good because it has restarted while its time of day was set back.
 func TestWorkerRestartsWithAnEarlierTimeOfDay(t *testing.T) {
 	m := newHandoverWithRun(t, 2)
 	m.crash(m.worker("w0"))
--- a/pkg/plan/handover_property_test.go
+++ b/pkg/plan/handover_property_test.go
@@ -42,7 +42,7 @@
 	return map[string]func(*rapid.T){
 		"submit": func(t *rapid.T) {
 			if len(m.jobs) == modelMaxJobs {
-				t.Skip("enough jobs")
+				notApplicable(t, "enough jobs")
 			}
 			m.drawJob(t)
 		},
@@ -62,7 +62,7 @@
 		"flush":          func(t *rapid.T) { m.flush(m.drawDeciding(t), true) },
 		"flush and crash": func(t *rapid.T) {
 			if len(m.leaders) == modelMaxClaims {
-				t.Skip("enough claims")
+				notApplicable(t, "enough claims")
 			}
 			m.flush(m.drawDeciding(t), false)
 		},
@@ -76,7 +76,7 @@
 		"relink": func(t *rapid.T) {
 			l, w := m.drawLeader(t), m.drawWorker(t)
 			if l.links[w.id] == nil {
-				t.Skip("no link")
+				notApplicable(t, "no link")
 			}
 			m.relink(l, w.id)
 		},
@@ -118,7 +118,7 @@
 func (m *handover) drawDeciding(t *rapid.T) *modelLeader {
 	l := m.drawLeader(t)
 	if !l.deciding || l.fenced {
-		t.Skip("this leader decides nothing any more")
+		notApplicable(t, "this leader decides nothing any more")
 	}
 	return l
 }
@@ -127,7 +127,7 @@
 	if l := m.leader(); l.deciding && !l.fenced {
 		return l
 	}
-	t.Skip("no leader")
+	notApplicable(t, "no leader")
 	return nil
 }
 
@@ -142,7 +142,7 @@
 func (m *handover) drawRenewal(t *rapid.T) {
 	l, w := m.drawLeader(t), m.drawWorker(t)
 	if l.links[w.id] == nil {
-		t.Skip("no link")
+		notApplicable(t, "no link")
 	}
 	m.renew(l, w.id, m.drawOutcome(t))
 }
@@ -175,7 +175,7 @@
 
 func (m *handover) drawClaim(t *rapid.T) {
 	if len(m.leaders) == modelMaxClaims || !m.mayClaim() {
-		t.Skip("no claim is due")
+		notApplicable(t, "no claim is due")
 	}
 	m.claim()
 }
@@ -183,7 +183,7 @@
 // drawHandOver ends the current term in a planned way or by a crash, and begins the next one.
 func (m *handover) drawHandOver(t *rapid.T) {
 	if len(m.leaders) == modelMaxClaims {
-		t.Skip("enough claims")
+		notApplicable(t, "enough claims")
 	}
 	l := m.drawCurrent(t)
 	if rapid.Bool().Draw(t, "resigns") {
@@ -237,7 +237,7 @@
 
 func (m *handover) drawLateStart(t *rapid.T) {
 	if len(m.late) == 0 {
-		t.Skip("no late start")
+		notApplicable(t, "no late start")
 	}
 	m.executeLate()
 }
@@ -245,7 +245,7 @@
 func (m *handover) drawEnd(t *rapid.T) {
 	w := m.drawWorker(t)
 	if len(w.running) == 0 {
-		t.Skip("no run")
+		notApplicable(t, "no run")
 	}
 	m.advance(modelCallTime)
 	if len(w.running) > 0 {
@@ -329,3 +329,6 @@
 	}
 	return true
 }
+
+// notApplicable makes rapid draw another action.
+func notApplicable(t *rapid.T, reason string) { t.Skip(reason) }
--- a/pkg/plan/takeover_model_test.go
+++ b/pkg/plan/takeover_model_test.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// Guards against a second run of a task for which a leader takes a worker that it has not heard of for one without runs.
+// Guards against a second run of a task for which a leader takes a worker without a report for one without runs.
 func TestNoTaskRunsTwiceOverManyTerms(t *testing.T) {
 	for seed := range uint64(300) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runTakeoverModel(t, seed, false) })
--- a/pkg/plan/takeover_test.go
+++ b/pkg/plan/takeover_test.go
@@ -147,7 +147,7 @@
 }
 
 // Guards against a record of a worker, from which the next leader concludes what may run there, while the log does not show what the
-// record says and whether the leader that stored it had heard the worker.
+// record says and whether the worker had reported to the leader that stored it.
 func TestWorkerRecordIsNoted(t *testing.T) {
 	for _, s := range []struct {
 		name  string
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -61,7 +61,7 @@
 	if note.Takeover != nil {
 		state := note.Takeover
 		fields["after"], fields["inherited"], fields["listed"] = seconds(note.After), state.Inherited, state.Listed
-		fields["heard"], fields["empty"], fields["waiting"] = state.Reported, state.Empty, state.Waiting
+		fields["reported"], fields["empty"], fields["waiting"] = state.Reported, state.Empty, state.Waiting
 	}
 	s.common.Event(noteEvents[note.Kind]).WithFields(fields).Info(note.Reason)
 }
