Trust no empty list of tasks in the record of a worker

Cause: after an upgrade, records of the version before may say "unreachable" with an empty list, although tasks of an earlier leader run there. Change: a record without tasks says that any task may run there. Measured: TestEmptyListOfTasksIsNotTrusted fails without the change (tasks that run on w0 start on w1) and passes with it.

--- a/pkg/plan/note_test.go
+++ b/pkg/plan/note_test.go
@@ -114,7 +114,8 @@
 // Guards against a start order whose line does not show what the leader knew of the worker.
 func TestWorkerViewNamesWhatIsKnown(t *testing.T) {
 	inherited := record.Worker{ID: "w0", Address: "w0"}
-	listed := record.Worker{ID: "w0", Address: "w0", Unreachable: true}
+	listed := record.Worker{ID: "w0", Address: "w0", Unreachable: true, Tasks: []oleanderline.TaskKey{taskOf("a", 0, 0)}}
+	emptyList := record.Worker{ID: "w0", Address: "w0", Unreachable: true}
 	for _, s := range []struct {
 		name   string
 		record record.Worker
@@ -123,6 +124,7 @@
 	}{
 		{"nothing known", inherited, func(*testCell) {}, "unreported,inherited"},
 		{"recorded as unreachable", listed, func(*testCell) {}, "unreported,inherited,listed"},
+		{"recorded as unreachable without tasks", emptyList, func(*testCell) {}, "unreported,inherited"},
 		{"call failed", inherited, func(c *testCell) { c.planner.CallFailed("w0", oleanderline.ErrUnavailable) }, "unreported,inherited,unreachable"},
 		{"lease of this term expired", inherited, func(c *testCell) { c.planner.LeaseExpired("w0", c.now, c.now) }, "unreported,inherited"},
 		{"horizon passed", inherited, func(c *testCell) {
--- a/pkg/plan/successor_test.go
+++ b/pkg/plan/successor_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// Guards against a second run of a task after an upgrade: an earlier version stored an empty list for a worker that had not reported.
+func TestEmptyListOfTasksIsNotTrusted(t *testing.T) {
+	c := newCell(t, 2)
+	c.add("a", oleanderline.Step{Count: 4, Size: testSize})
+	c.place()
+	c.flush()
+	rec, err := record.ForWorker(record.Worker{ID: "w0", Address: "w0", Unreachable: true})
+	require.NoError(t, err)
+	c.stored = append(c.stored, rec)
+	c.newTerm(3)
+	c.report("w1")
+	c.flush()
+	c.advance(time.Second)
+	c.place()
+	require.Len(t, c.workers["w1"].running, 2)
+}
+
 // Guards against a second run of a task whose job the leader had not read when the worker that runs it became unreachable: the
 // record of that worker must not say that it is empty.
 func TestRunOfUnreadJobOutlastsItsLeader(t *testing.T) {
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -94,7 +94,8 @@
 		w = p.addWorker(rec.ID)
 		w.entry.Address = rec.Address
 	}
-	w.inherited, w.tasksKnown, w.useRecorded = true, rec.Unreachable, !rec.Unreachable
+	w.inherited, w.useRecorded = true, !rec.Unreachable
+	w.tasksKnown = len(rec.Tasks) > 0 // an empty list is of a version that stored it without a report of the worker
 	w.stored, w.inLog, w.since = true, true, rec.Since
 	for _, key := range rec.Tasks {
 		if t := p.task(key); t != nil {
