Refuse cancellations of unknown jobs before the first read without reading

Cause: a node that had not read the records yet read the log from its beginning for each cancellation of a job that it did not know, up to 1 MB a call, at the moment at which all nodes of a restarted cell load the records. Change: such a node answers "not ready" at once, as it does for states. Measured: TestCancellationBeforeTheFirstReadReadsNothing panics without the change and passes with it.

--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -132,8 +132,7 @@
 
 // unknownJob returns ErrUnknownJob, or ErrNotReady if the records are too old to tell.
 func (n *Node) unknownJob(call string, id oleanderline.JobID) error {
-	age, loaded := n.replica.ReadAge(n.common.Clock.Now())
-	if !loaded || age > maxReadWait+freshReadMargin {
+	if !n.readRecently() {
 		n.metrics.notReady.Inc()
 		n.logRefusal(call, id, oleanderline.ErrNotReady)
 		return oleanderline.ErrNotReady
@@ -143,6 +142,12 @@
 	return oleanderline.ErrUnknownJob
 }
 
+// readRecently reports whether this process has read the records recently enough to tell that a job does not exist.
+func (n *Node) readRecently() bool {
+	age, loaded := n.replica.ReadAge(n.common.Clock.Now())
+	return loaded && age <= maxReadWait+freshReadMargin
+}
+
 // storedSince reports whether the log holds the submission of a job at or after an offset. Another process may just have
 // accepted it. It returns ErrNotReady if the log cannot be read.
 func (n *Node) storedSince(ctx context.Context, from oleanderline.Offset, id oleanderline.JobID) (bool, error) {
@@ -163,6 +168,9 @@
 	if ok && entry.State().Final() {
 		return nil
 	}
+	if !ok && !n.readRecently() {
+		return n.unknownJob(callCancel, id)
+	}
 	if !ok {
 		stored, err := n.storedSince(ctx, read, id)
 		if err != nil {
@@ -186,7 +194,7 @@
 
 // PendingJobs implements oleanderline.JobService.
 func (n *Node) PendingJobs(queue oleanderline.QueueID) (int, error) {
-	if age, loaded := n.replica.ReadAge(n.common.Clock.Now()); !loaded || age > maxReadWait+freshReadMargin {
+	if !n.readRecently() {
 		return 0, oleanderline.ErrNotReady
 	}
 	return n.replica.PendingJobs(queue), nil
--- a/pkg/node/service_test.go
+++ b/pkg/node/service_test.go
@@ -62,3 +62,9 @@
 		require.Empty(t, c.checker.Violations())
 	})
 }
+
+// Guards against a process that has not read the records yet and reads the whole log for each cancellation.
+func TestCancellationBeforeTheFirstReadReadsNothing(t *testing.T) {
+	n := New(newCommons()[0], Settings{}, Ports{}) // without a log, so that a read would panic
+	require.ErrorIs(t, n.Cancel(t.Context(), "q", "none"), oleanderline.ErrNotReady)
+}
