Refuse a cancellation as not ready until the log was read

Cause: looked the job up before the node's first read, read the log from offset 0, and answered 410 when the replica had loaded meanwhile or the submission lay beyond the one read. The job then went on although its cancellation was acknowledged.

Change: whether the node has read recently and its offset are taken before the lookup; a read that does not reach the log's end answers not ready.

Measured: go test -race ./pkg/node, tests of cancellations, refusals and schedules pass.

--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -155,21 +155,26 @@
 	if err != nil {
 		return false, oleanderline.ErrNotReady
 	}
-	return slices.ContainsFunc(batch.Records, func(rec oleanderline.KeyedRecord) bool {
+	stored := slices.ContainsFunc(batch.Records, func(rec oleanderline.KeyedRecord) bool {
 		kind, job := record.ParseKey(rec.Key)
 		return kind == record.KindJob && job == string(id) && len(rec.Value) > 0
-	}), nil
+	})
+	if !stored && batch.Next < batch.End {
+		return false, oleanderline.ErrNotReady // the submission may be among the records beyond this read
+	}
+	return stored, nil
 }
 
 // Cancel implements oleanderline.JobService.
 func (n *Node) Cancel(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) error {
-	read := n.replica.NextOffset()
+	recent, read := n.readRecently(), n.replica.NextOffset() // before the lookup, which may precede the first read
 	entry, ok := n.replica.Job(id)
 	if ok && entry.State().Final() {
 		return nil
 	}
-	if !ok && !n.readRecently() {
-		return n.unknownJob(callCancel, id)
+	if !ok && !recent {
+		n.logRefusal(callCancel, id, oleanderline.ErrNotReady)
+		return oleanderline.ErrNotReady
 	}
 	if !ok {
 		stored, err := n.storedSince(ctx, read, id)
