--- a/review/cell/cancelled_beside.go
+++ b/review/cell/cancelled_beside.go
@@ -11,20 +11,22 @@
 )
 
 const (
-	besideMachines = 6
-	// cancelPeriod is the time between the cancellations, cancelledJobs their number.
-	cancelPeriod  = 3 * time.Second
-	cancelledJobs = 8
-	// homeRack is the rack of one machine only, where the data of all jobs is.
-	homeRack = "r1-1"
-	// Of a task that lasts, the rule LOST counts 3 s without a run, from 6 s after its last run. The seconds before have to be calm
-	// for 4 s, and contactMs after the crash are not.
-	lostAfter = 6*time.Second + 3*time.Second + 4*time.Second + 3*time.Second
+	besideMachines = 8
+	// homeRack is the rack of one machine only, where the data of the task that lasts and of the jobs beside it is.
+	homeRack  = "r1-1"
+	otherRack = "r1-2"
+	// Of all jobs, besideJobs run beside the task that lasts and are cancelled, one every cancelPeriod: a twentieth of the jobs, as the
+	// site file has it for its ordinary traffic (cancel 0.05).
+	besideJobs   = 4
+	otherJobs    = 77
+	cancelPeriod = 3 * time.Second
+	// Of a task that lasts, the rule LOST counts 3 s without a run that are calm and follow 4 s of calm, from 6 s after its last run. Calm
+	// begins contactMs (3 s) after the crash, so a gap counts from 3 s + 4 s + 3 s on, which is more than 6 s + 3 s.
+	lostAfter = 3*time.Second + 4*time.Second + 3*time.Second
 )
 
-// runCancelledBeside: a job with a task that lasts, and eight jobs with one long task each, run on a small pool of which much less than
-// half is in use. The minion of the task that lasts crashes for good. Then clients cancel the jobs that had a task there, one every
-// three seconds.
+// runCancelledBeside: a job with a task that lasts and 81 jobs with one long task each run on a small pool of which less than half is in
+// use, four of them beside the task that lasts. Their minion crashes for good. Then clients cancel these four, one every three seconds.
 func runCancelledBeside(c *cell, trouble bool) error {
 	watch := &lasting{cell: c, task: jobID(1) + ".0.0.0"}
 	c.watch = watch
@@ -42,8 +44,8 @@
 	}
 	beside := c.jobsOn(home)
 	c.journal.note("%s runs the task that lasts and tasks of %d jobs", home.id, len(beside))
-	if len(beside) < 4 {
-		return fmt.Errorf("only %d jobs run beside the task that lasts", len(beside))
+	if len(beside) != besideJobs {
+		return fmt.Errorf("%d jobs run beside the task that lasts, want %d", len(beside), besideJobs)
 	}
 	if trouble {
 		home.leaveFor("crash for good")
@@ -68,9 +70,13 @@
 	}}}); err != nil {
 		return nil, err
 	}
-	for i := range cancelledJobs {
+	for i := range besideJobs + otherJobs {
+		rack := otherRack
+		if i < besideJobs {
+			rack = homeRack
+		}
 		if err := c.submit(job{ID: jobID(2 + i), Spec: "long", Steps: []step{{
-			Count: 1, CPU: 300, Memory: 300, EstimateMS: 100_000, Affinity: homeRack,
+			Count: 1, CPU: 100, Memory: 100, EstimateMS: 100_000, Affinity: rack,
 		}}}); err != nil {
 			return nil, err
 		}
