Review: tasks start on a new life of a minion that lacks their label

A minion that starts again under its id as another kind gets tasks that need the label of its earlier life: the leader knows the new life from its reports before it reads the new directory entry, and does not compare the two.

--- a/review/rig/reborn.go
+++ b/review/rig/reborn.go
@@ -31,7 +31,7 @@
 				kinds[n] = map[string]string{"a": "b", "b": "a"}[kinds[n]]
 				r.note("minion %s starts again as kind %q", m.id, kinds[n])
 				m.start(labels(kinds[n], n), capacity)
-				time.Sleep(2 * time.Second)
+				time.Sleep(400 * time.Millisecond)
 			}
 		}()
 	}
