Review: accepted jobs are answered 410 by nodes whose records are old

A node takes its records for recent by the time at which a read was applied, not by how far the read got. After the loss of all processes, and while the log grows faster than a follower reads, it answers 410 for jobs that were accepted seconds before and that run.

--- a/review/rig/repeats.go
+++ b/review/rig/repeats.go
@@ -50,10 +50,10 @@
 	}
 	go r.submit(&job{
 		Spec: "(text)", Steps: []step{{Count: 1, CPU: 100, Memory: 64, EstimateMS: 50}}, RepeatCount: count,
-		StartAtMS: time.Now().Add(time.Second).UnixMilli(), IntervalMS: 2, runTime: 50 * time.Millisecond, quiet: true,
+		StartAtMS: time.Now().Add(time.Second).UnixMilli(), IntervalMS: 3, runTime: 50 * time.Millisecond, quiet: true,
 	})
 	go r.watchProgress()
-	r.smallJobs(begin.Add(75 * time.Second))
+	r.smallJobs(begin.Add(84 * time.Second))
 	r.checkLost(func(j *job) bool { return !j.quiet })
 	r.checkOwnEnds()
 }
@@ -76,11 +76,11 @@
 	for range 6 {
 		go r.submit(&job{
 			Spec: "(text)", Steps: []step{{Count: 1, CPU: 100, Memory: 64, EstimateMS: 50}}, RepeatCount: count,
-			StartAtMS: time.Now().Add(time.Second).UnixMilli(), IntervalMS: 12, runTime: 50 * time.Millisecond, quiet: true,
+			StartAtMS: time.Now().Add(time.Second).UnixMilli(), IntervalMS: 15, runTime: 50 * time.Millisecond, quiet: true,
 		})
 	}
 	go r.watchProgress()
-	r.watchedTraffic(500*time.Millisecond, begin.Add(64*time.Second))
+	r.watchedTraffic(500*time.Millisecond, begin.Add(70*time.Second))
 	r.checkLost(func(j *job) bool { return !j.quiet })
 	r.checkOwnEnds()
 }
