Review: jobs of many steps make every leader hang

A scheduling pass takes the square of the number of steps of a job, so jobs of 4,500 steps make one leader after the other hang.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,8 +20,8 @@
 	"overflow":  overflow,
 	"repeats":   repeats,
 	"lag":       lag,
-	"reborn":    reborn,
 	"schedules": schedules,
+	"steps":     steps,
 }
 
 func main() {
