--- a/review/rig/overflow.go
+++ b/review/rig/overflow.go
@@ -19,7 +19,7 @@
 			})
 		})
 	}
-	r.traffic(300*time.Millisecond, begin.Add(40*time.Second))
+	r.traffic(80*time.Millisecond, begin.Add(40*time.Second))
 	r.checkLost(func(j *job) bool { return j.RepeatCount == 0 })
 	r.checkOwnEnds()
 }
--- a/review/rig/repeats.go
+++ b/review/rig/repeats.go
@@ -60,7 +60,7 @@
 
 // smallJobs submits about as many tasks a second as the clients of a small site until the end.
 func (r *rig) smallJobs(end time.Time) {
-	for ; time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
+	for ; time.Now().Before(end); time.Sleep(60 * time.Millisecond) {
 		go r.submit(&job{Spec: "(text)", Steps: []step{{Count: 6, CPU: 500, Memory: 256, EstimateMS: 500}}, runTime: 500 * time.Millisecond})
 	}
 }
--- a/review/rig/schedules.go
+++ b/review/rig/schedules.go
@@ -24,10 +24,10 @@
 				Spec: "(text)", Steps: []step{{Count: 1, CPU: 500, Memory: 256, EstimateMS: 900}}, RepeatCount: count,
 				StartAtMS: time.Now().Add(time.Hour + time.Duration(i)*time.Second).UnixMilli(), IntervalMS: time.Minute.Milliseconds(), runTime: time.Second, quiet: true,
 			})
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(66 * time.Millisecond)
 		}
 	}()
-	r.traffic(300*time.Millisecond, begin.Add(40*time.Second))
+	r.traffic(80*time.Millisecond, begin.Add(40*time.Second))
 	r.checkLost(func(j *job) bool { return j.RepeatCount == 0 })
 	r.checkOwnEnds()
 }
--- a/review/rig/steps.go
+++ b/review/rig/steps.go
@@ -17,7 +17,7 @@
 		for range 4 {
 			j := &job{Spec: "(text)", runTime: 500 * time.Millisecond, quiet: true}
 			for range many {
-				j.Steps = append(j.Steps, step{Count: 1, CPU: 100, Memory: 64, EstimateMS: 500})
+				j.Steps = append(j.Steps, step{Count: 1, CPU: 5, Memory: 5, EstimateMS: 500})
 			}
 			go r.submit(j)
 			time.Sleep(200 * time.Millisecond)
