Tell how recent a replica is by how far it has read

Cause: Replica.ReadAge is the time since a read was applied. It says nothing of how old the data in that read were, nor whether the read reached the end of the stream. A first load takes seconds and is as of its first page; a read returns at most 1 MB, and a follower paused 0.3 s after each.

Change: Replica.Age tells since when the replica may lack a record. It counts as complete as of the begin of a read once it has reached the end that this read reported. 410, the cancellation of an unknown job, waiting, the refusal of a job and the answers to peers ask it. A follower that has just loaded, or has not reached the end, reads on without a pause.

--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -148,11 +148,12 @@
 // catchUp reads and applies records up to the end of the stream.
 func (n *Node) catchUp() error {
 	for {
+		begun := n.common.Clock.Now()
 		batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.NextOffset(), 0)
 		if err != nil {
 			return err
 		}
-		n.apply(n.replica.Apply(batch, n.common.Clock.Now()))
+		n.apply(n.replica.Apply(batch, begun, n.common.Clock.Now()))
 		if batch.Next >= batch.End {
 			return nil
 		}
--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -16,8 +16,7 @@
 func (n *Node) refuses(priority int) bool {
 	now := n.common.Clock.Now()
 	verdict, age := n.replica.Intake(now)
-	readAge, loaded := n.replica.ReadAge(now)
-	return verdict.Refuses(priority) && age < maxIntakeAge && loaded && readAge <= maxReadWait+freshReadMargin
+	return verdict.Refuses(priority) && age < maxIntakeAge && n.isRecent()
 }
 
 // backlogDelay returns after what time the leader is expected to accept jobs again, or 0 if it accepts them.
--- a/pkg/node/intake_test.go
+++ b/pkg/node/intake_test.go
@@ -119,7 +119,7 @@
 func (c *testCell) setVerdict(n *Node, verdict record.Intake) {
 	rec, err := record.ForLeader(record.Leader{Term: 1 << 40, Intake: &verdict})
 	require.NoError(c.t, err)
-	n.replica.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{rec}, Next: n.replica.NextOffset()}, time.Now())
+	n.replica.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{rec}, Next: n.replica.NextOffset()}, time.Now(), time.Now())
 }
 
 // Guards against a job that is refused although it is stored, against jobs that go before the backlog and are refused, and against
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -26,8 +26,9 @@
 }
 
 func newNodeMetrics(set *metrics.Set, node *Node) *nodeMetrics {
-	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge) // time since the last successful read of the records
-	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)           // 1 while this process is the leader
+	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge)       // time since the last successful read of the records
+	set.GetOrCreateGauge("oleander_cell_records_age_seconds", node.recordsAge) // time since the process had read every record of the log
+	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)                 // 1 while this process is the leader
 	return &nodeMetrics{
 		stored:      set.GetOrCreateCounter("oleander_cell_stored_total"),        // submissions and cancellations that were stored
 		unavailable: set.GetOrCreateCounter("oleander_cell_not_stored_total"),    // submissions and cancellations that were certainly not stored
@@ -66,6 +67,15 @@
 	return age.Seconds()
 }
 
+// recordsAge is the value of a gauge: for how long the records of this process may have been incomplete, in seconds.
+func (n *Node) recordsAge() float64 {
+	age, known := n.replica.Age(n.common.Clock.Now())
+	if !known {
+		return -1 // the end of the log has not been reached yet
+	}
+	return age.Seconds()
+}
+
 // isLeader is the value of a gauge: 1 on the leader, 0 otherwise.
 func (n *Node) isLeader() float64 {
 	if s := n.session.Load(); s != nil && !s.Ended() {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -103,8 +103,7 @@
 
 // StateHere implements relay.Backend.
 func (n *Node) StateHere(id oleanderline.JobID) (oleanderline.JobState, error) {
-	age, loaded := n.replica.ReadAge(n.common.Clock.Now())
-	if !loaded || age > staleReadAge {
+	if age, known := n.replica.Age(n.common.Clock.Now()); !known || age > staleAge {
 		return 0, oleanderline.ErrNotReady
 	}
 	entry, ok := n.replica.Job(id)
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -20,7 +20,7 @@
 	jitter := rand.N(maxClaimJitter)
 	for n.ctx.Err() == nil {
 		now := n.common.Clock.Now()
-		changes, err := n.readRecords(loaded, jitter)
+		changes, more, err := n.readRecords(loaded, jitter)
 		if n.ctx.Err() != nil {
 			return
 		}
@@ -46,24 +46,35 @@
 			n.claim()
 			jitter = rand.N(maxClaimJitter)
 		}
-		n.waitForNextRead()
+		if !more {
+			n.waitForNextRead()
+		}
 	}
 }
 
-// readRecords reads the newest record of each key at first, and then the records that follow.
-func (n *Node) readRecords(loaded bool, jitter time.Duration) ([]replica.Change, error) {
+// readRecords reads the newest record of each key at first, and then the records that follow. more means that the stream is known or
+// likely to hold records beyond those that were read.
+func (n *Node) readRecords(loaded bool, jitter time.Duration) (changes []replica.Change, more bool, err error) {
+	begun := n.common.Clock.Now()
 	if !loaded {
 		batch, err := n.ports.Log.Newest(n.ctx, record.Stream)
 		if err != nil {
-			return nil, err
+			return nil, false, err
 		}
-		return n.replica.Load(batch, n.common.Clock.Now()), nil
+		// The pages of the newest records take a while, and the records since the first page are not among them.
+		return n.replica.Load(batch, begun, n.common.Clock.Now()), true, nil
 	}
-	batch, err := n.ports.Log.Read(n.ctx, record.Stream, n.replica.NextOffset(), n.readWait(jitter))
+	from, wait := n.replica.NextOffset(), n.readWait(jitter)
+	batch, err := n.ports.Log.Read(n.ctx, record.Stream, from, wait)
 	if err != nil {
-		return nil, err
+		return nil, false, err
+	}
+	now := n.common.Clock.Now()
+	asOf := begun
+	if waited := begun.Add(wait); batch.Next == from && !now.Before(waited) {
+		asOf = waited // the log answers without a record only after the wait
 	}
-	return n.replica.Apply(batch, n.common.Clock.Now()), nil
+	return n.replica.Apply(batch, asOf, now), batch.Next < batch.End, nil
 }
 
 // readWait returns how long a read may wait for new records. On a follower it ends when a claim becomes due.
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -88,11 +88,13 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// logRefusal logs a call that is answered with an error, with the age of the last read.
+// logRefusal logs a call that is answered with an error, with the ages of the last read and of the records.
 func (n *Node) logRefusal(call string, job oleanderline.JobID, err error) {
-	age, _ := n.replica.ReadAge(n.common.Clock.Now())
+	now := n.common.Clock.Now()
+	read, _ := n.replica.ReadAge(now)
+	age, _ := n.replica.Age(now)
 	n.common.Event(common.EventJobRefused).WithField("job", job).WithField("call", call).
-		WithField("read", age.String()).WithError(err).Warn("call answered with an error")
+		WithField("read", read.String()).WithField("age", age.String()).WithError(err).Warn("call answered with an error")
 }
 
 // Calls of callers, as named in log lines.
@@ -109,7 +111,7 @@
 	if ok && entry.State().Final() {
 		return entry.State(), nil
 	}
-	if age, loaded := n.replica.ReadAge(n.common.Clock.Now()); !loaded || age > staleReadAge {
+	if age, known := n.replica.Age(n.common.Clock.Now()); !known || age > staleAge {
 		return n.askPeer(ctx, id, entry, ok)
 	}
 	n.refresh(ctx)
@@ -132,7 +134,7 @@
 
 // unknownJob returns ErrUnknownJob, or ErrNotReady if the records are too old to tell.
 func (n *Node) unknownJob(call string, id oleanderline.JobID) error {
-	if !n.readRecently() {
+	if !n.isRecent() {
 		n.metrics.notReady.Inc()
 		n.logRefusal(call, id, oleanderline.ErrNotReady)
 		return oleanderline.ErrNotReady
@@ -142,10 +144,10 @@
 	return oleanderline.ErrUnknownJob
 }
 
-// readRecently reports whether this process has read the records recently enough to tell that a job does not exist.
-func (n *Node) readRecently() bool {
-	age, loaded := n.replica.ReadAge(n.common.Clock.Now())
-	return loaded && age <= maxReadWait+freshReadMargin
+// isRecent reports whether the records of this process are recent enough to tell that a job does not exist.
+func (n *Node) isRecent() bool {
+	age, known := n.replica.Age(n.common.Clock.Now())
+	return known && age <= maxRecentAge
 }
 
 // storedSince reports whether the log holds the submission of a job at or after an offset. Another process may just have
@@ -167,7 +169,7 @@
 
 // Cancel implements oleanderline.JobService.
 func (n *Node) Cancel(ctx context.Context, _ oleanderline.QueueID, id oleanderline.JobID) error {
-	recent, read := n.readRecently(), n.replica.NextOffset() // before the lookup, which may precede the first read
+	recent, read := n.isRecent(), n.replica.NextOffset() // before the lookup, which may precede the first read
 	entry, ok := n.replica.Job(id)
 	if ok && entry.State().Final() {
 		return nil
@@ -199,7 +201,7 @@
 
 // PendingJobs implements oleanderline.JobService.
 func (n *Node) PendingJobs(queue oleanderline.QueueID) (int, error) {
-	if !n.readRecently() {
+	if !n.isRecent() {
 		return 0, oleanderline.ErrNotReady
 	}
 	return n.replica.PendingJobs(queue), nil
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -77,16 +77,16 @@
 	maxReadWait       = 1200 * time.Millisecond // how long a read may wait for new records
 	minReadWait       = 5 * time.Millisecond
 	readRetryDelay    = 100 * time.Millisecond
-	followerReadPause = 300 * time.Millisecond  // between the reads of a follower
-	recentReadAge     = 40 * time.Millisecond   // up to this age, callers are answered without another read
-	refreshTimeout    = 100 * time.Millisecond  // how long a caller waits for another read
-	loadTimeout       = time.Second             // how long a submission to a new process waits for the first read
-	resignTimeout     = 2 * time.Second         // for the resignation to a larger VM
-	leaderReadPause   = 10 * time.Millisecond   // between the reads of the leader
-	staleReadAge      = 1500 * time.Millisecond // age of the last read above which a peer is asked
-	freshReadMargin   = time.Second             // plus maxReadWait: age of the last read above which no job is reported as unknown
-	maxReadyAge       = 2500 * time.Millisecond // age of the last read from which this process is not ready
-	registerRetry     = time.Second             // after a failure to store the record of this process or the shared key
+	followerReadPause = 300 * time.Millisecond    // between the reads of a follower
+	recentReadAge     = 40 * time.Millisecond     // up to this age, callers are answered without another read
+	refreshTimeout    = 100 * time.Millisecond    // how long a caller waits for another read
+	loadTimeout       = time.Second               // how long a submission to a new process waits for the first read
+	resignTimeout     = 2 * time.Second           // for the resignation to a larger VM
+	leaderReadPause   = 10 * time.Millisecond     // between the reads of the leader
+	staleAge          = 1500 * time.Millisecond   // age of the records above which a peer is asked
+	maxRecentAge      = maxReadWait + time.Second // age of the records above which no job is reported as unknown
+	maxReadyAge       = 2500 * time.Millisecond   // age of the last read from which this process is not ready
+	registerRetry     = time.Second               // after a failure to store the record of this process or the shared key
 	appendRetryDelay  = 50 * time.Millisecond
 	probeInterval     = 250 * time.Millisecond // between appends while the log fails
 )
--- a/pkg/replica/fuzz_test.go
+++ b/pkg/replica/fuzz_test.go
@@ -19,7 +19,7 @@
 		now := time.Unix(1000, 0)
 		for _, value := range [][]byte{first, second, nil} {
 			records := []oleanderline.KeyedRecord{{Key: key, Value: value}}
-			r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, now)
+			r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, now, now)
 		}
 		if entry, ok := r.Job("1"); ok {
 			entry.State()
@@ -36,7 +36,7 @@
 	r := New(func(error) { malformed++ })
 	value := []byte(`{"q":"q","steps":[{"n":1,"after":[5]}]}`)
 	records := []oleanderline.KeyedRecord{{Key: "j/1", Value: value}}
-	r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, time.Unix(1000, 0))
+	r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, time.Unix(1000, 0), time.Unix(1000, 0))
 	require.Equal(t, 1, malformed)
 	_, known := r.Job("1")
 	require.False(t, known)
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -130,7 +130,16 @@
 	return r.updated
 }
 
-// ReadAge returns the time since the last successful read, and whether there has been one.
+// Age returns how long ago the stream held no record that the replica lacks, and whether that is known. Whatever was stored earlier
+// has been read, so a job that is not known did not exist then.
+func (r *Replica) Age(now time.Time) (time.Duration, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return now.Sub(r.complete.at), !r.complete.at.IsZero()
+}
+
+// ReadAge returns the time since the last successful read, and whether there has been one. It does not tell how recent the records
+// are that were read; Age does.
 func (r *Replica) ReadAge(now time.Time) (time.Duration, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -58,10 +58,18 @@
 	nextOffset  oleanderline.Offset
 	updated     chan struct{} // closed and replaced by each read
 	loaded      bool
-	readAt      time.Time
+	readAt      time.Time // when the newest read was applied
+	complete    milestone // the newest one that has been reached
+	pending     milestone // the oldest one that has not been reached yet; without a time if there is none
 	onMalformed func(error)
 }
 
+// milestone is an offset at which the stream ended at a time.
+type milestone struct {
+	end oleanderline.Offset
+	at  time.Time
+}
+
 // New returns an empty replica. It skips malformed records and passes their errors to onMalformed.
 func New(onMalformed func(error)) *Replica {
 	return &Replica{
@@ -74,8 +82,9 @@
 	}
 }
 
-// Load replaces the jobs, workers, nodes and windows by those in a batch that holds the newest record of each key.
-func (r *Replica) Load(batch oleanderline.KeyedBatch, now time.Time) []Change {
+// Load replaces the jobs, workers, nodes and windows by those in a batch that holds the newest record of each key. The stream ended
+// at batch.End no earlier than asOf.
+func (r *Replica) Load(batch oleanderline.KeyedBatch, asOf, now time.Time) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.jobs
@@ -84,7 +93,8 @@
 	r.nodes = map[oleanderline.VMID]record.Node{}
 	r.windows = map[oleanderline.WindowID]maintenance.Progress{}
 	r.loaded = true
-	changes := r.apply(batch, now)
+	r.complete, r.pending = milestone{}, milestone{}
+	changes := r.apply(batch, asOf, now)
 	r.keepFinishTimes(known)
 	return changes
 }
@@ -98,14 +108,14 @@
 	}
 }
 
-// Apply applies the records of a read to the replica.
-func (r *Replica) Apply(batch oleanderline.KeyedBatch, now time.Time) []Change {
+// Apply applies the records of a read to the replica. The stream ended at batch.End no earlier than asOf.
+func (r *Replica) Apply(batch oleanderline.KeyedBatch, asOf, now time.Time) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.apply(batch, now)
+	return r.apply(batch, asOf, now)
 }
 
-func (r *Replica) apply(batch oleanderline.KeyedBatch, now time.Time) []Change {
+func (r *Replica) apply(batch oleanderline.KeyedBatch, asOf, now time.Time) []Change {
 	var changes []Change
 	for _, rec := range batch.Records {
 		change, err := r.applyRecord(rec, now)
@@ -119,7 +129,22 @@
 	}
 	r.nextOffset = batch.Next
 	r.readAt = now
+	r.observeEnd(milestone{end: batch.End, at: asOf})
 	close(r.updated)
 	r.updated = make(chan struct{})
 	return changes
 }
+
+// observeEnd notes where the stream ended at the time of a read. A read can return fewer records than there are; then the replica
+// is as recent as this read only once later ones have reached that offset.
+func (r *Replica) observeEnd(end milestone) {
+	if !r.pending.at.IsZero() && r.nextOffset >= r.pending.end {
+		r.complete, r.pending = r.pending, milestone{}
+	}
+	switch {
+	case r.nextOffset >= end.end:
+		r.complete = end
+	case r.pending.at.IsZero():
+		r.pending = end
+	}
+}
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -51,7 +51,7 @@
 			}
 			for _, reversed := range []bool{false, true} {
 				r := New(func(err error) { require.NoError(t, err) })
-				r.Load(oleanderline.KeyedBatch{Records: s.records, Next: 9}, now)
+				r.Load(oleanderline.KeyedBatch{Records: s.records, Next: 9}, now, now)
 				entry, ok := r.Job("a")
 				require.True(t, ok)
 				require.Equal(t, s.want, entry.State(), "reversed: %v", reversed)
@@ -69,7 +69,7 @@
 	r := New(func(err error) { malformed = append(malformed, err) })
 	r.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
 		jobRecord(t, "a", "first"), jobRecord(t, "a", "second"), {Key: "p/a", Value: []byte("{")}, {Key: "unknown", Value: []byte("x")},
-	}}, now)
+	}}, now, now)
 	entry, ok := r.Job("a")
 	require.True(t, ok)
 	require.Equal(t, "first", entry.Job.Payload)
@@ -81,10 +81,10 @@
 	r := New(func(err error) { require.NoError(t, err) })
 	r.Apply(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
 		jobRecord(t, "a", "x"), jobRecord(t, "b", "x"), progressRecord(t, "a", record.Progress{State: oleanderline.JobFailed}),
-	}}, now)
+	}}, now, now)
 	require.Empty(t, r.Expired(now.Add(time.Minute), time.Minute))
 	require.Equal(t, []oleanderline.JobID{"a"}, r.Expired(now.Add(time.Minute+1), time.Minute))
-	r.Apply(oleanderline.KeyedBatch{Records: record.DropJob("a")}, now)
+	r.Apply(oleanderline.KeyedBatch{Records: record.DropJob("a")}, now, now)
 	_, ok := r.Job("a")
 	require.False(t, ok)
 }
@@ -96,7 +96,7 @@
 	batch := oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{
 		jobRecord(t, "a", "x"), progressRecord(t, "a", record.Progress{State: oleanderline.JobFailed}),
 	}}
-	r.Load(batch, now)
-	r.Load(batch, now.Add(time.Minute))
+	r.Load(batch, now, now)
+	r.Load(batch, now.Add(time.Minute), now.Add(time.Minute))
 	require.Equal(t, []oleanderline.JobID{"a"}, r.Expired(now.Add(time.Minute+1), time.Minute))
 }
--- a/pkg/replica/takeover_test.go
+++ b/pkg/replica/takeover_test.go
@@ -23,7 +23,7 @@
 	require.NoError(t, err)
 	progressRecord, err := record.ForProgress("a", &progress)
 	require.NoError(t, err)
-	r.Load(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{jobRecord, progressRecord}}, now)
+	r.Load(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{jobRecord, progressRecord}}, now, now)
 
 	done := oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a", Index: 1}, Run: 1}
 	report := oleanderline.WorkerReport{Life: 1, Ended: []oleanderline.RunEnd{{Number: 1, Key: done, How: oleanderline.EndDone}}}
