Make a scheduling pass linear in the ready steps

Cause: a pass computed the work, the remaining work and the critical path of the whole job for each of its ready steps, and sorted all steps; the end of a step looked at all steps of the job. Ticks queued up behind slow passes, and reports and flushes waited behind them.

Change: a job keeps its work and critical path; an occurrence, now a type of its own, its remaining work. A step counts the steps that it waits for, and the end of a step visits only those that depend on it. A pass selects the first steps of the order. At most one tick waits in the event loop.

--- a/pkg/plan/backlog.go
+++ b/pkg/plan/backlog.go
@@ -13,20 +13,30 @@
 // lateFactor is the multiple of its objective after which a late job counts as missed.
 const lateFactor = 3
 
-// inOrder returns the groups that have ready tasks, in the order in which they are placed.
-func (p *Planner) inOrder(now time.Time) []*group {
+// firstInOrder returns the groups that are placed first, at most limit of those that have ready tasks and may be tried now. It compares
+// each group with the last one of these, and does not sort all groups, because one job may have thousands.
+func (p *Planner) firstInOrder(now time.Time, limit int) []*group {
 	type ordered struct {
 		group *group
 		key   backlog.Key
 	}
-	list := make([]ordered, 0, len(p.ready))
+	compare := func(a, b ordered) int { return a.key.Compare(b.key) }
+	first := make([]ordered, 0, limit+1)
 	for g := range p.ready {
-		list = append(list, ordered{g, p.backlogItem(g, now).Key()})
+		if now.Before(g.retryAt) {
+			continue
+		}
+		next := ordered{g, p.backlogItem(g, now).Key()}
+		if len(first) == limit && compare(first[limit-1], next) < 0 {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(first, next, compare)
+		first = slices.Insert(first, i, next)
+		first = first[:min(len(first), limit)]
 	}
-	slices.SortFunc(list, func(a, b ordered) int { return a.key.Compare(b.key) })
-	groups := make([]*group, len(list))
-	for i := range list {
-		groups[i] = list[i].group
+	groups := make([]*group, len(first))
+	for i := range first {
+		groups[i] = first[i].group
 	}
 	return groups
 }
@@ -39,8 +49,8 @@
 		Priority:    g.job.queue.Priority,
 		Missed:      !g.step.LongRunning && waited+remaining > lateFactor*objective,
 		LongRunning: g.step.LongRunning,
-		Weight:      backlog.Weight(g.job.work(), p.meanWork[g.job.spec.Queue].mean()),
-		Remaining:   g.job.remainingWork(g.occurrence),
+		Weight:      backlog.Weight(g.job.work, p.meanWork[g.job.spec.Queue].mean()),
+		Remaining:   g.occurrence.remainingWork(),
 		Slack:       objective - waited - remaining,
 		Objective:   objective,
 		Job:         g.job.spec.ID,
@@ -67,7 +77,7 @@
 // countWork adds a job to the mean work of its queue.
 func (p *Planner) countWork(j *job) {
 	sum := p.meanWork[j.spec.Queue]
-	sum.total += j.work()
+	sum.total += j.work
 	sum.jobs++
 	p.meanWork[j.spec.Queue] = sum
 }
@@ -77,21 +87,11 @@
 	return backlog.Work(float64(step.Size.CPU) / millicoresPerCore * step.Estimate.Seconds())
 }
 
-// work returns the estimated work of one occurrence of the job.
-func (j *job) work() backlog.Work {
+// totalWork returns the estimated work of one occurrence of the steps.
+func totalWork(steps []oleanderline.Step) backlog.Work {
 	var sum backlog.Work
-	for i := range j.spec.Steps {
-		sum += backlog.Work(j.spec.Steps[i].Count) * taskWork(&j.spec.Steps[i])
-	}
-	return sum
-}
-
-// remainingWork returns the estimated work of the tasks of an occurrence that are not done.
-func (j *job) remainingWork(occurrence int) backlog.Work {
-	var sum backlog.Work
-	base := occurrence * len(j.spec.Steps)
-	for _, g := range j.groups[base : base+len(j.spec.Steps)] {
-		sum += backlog.Work(g.unfinished) * taskWork(g.step)
+	for i := range steps {
+		sum += backlog.Work(steps[i].Count) * taskWork(&steps[i])
 	}
 	return sum
 }
--- a/pkg/plan/bench_test.go
+++ b/pkg/plan/bench_test.go
@@ -77,6 +77,58 @@
 	require.Less(t, longest, raceFactor*passLimit)
 }
 
+// Guards against passes that take the square of the number of steps of a job: with four jobs of 4,500 steps, each leader in turn was too
+// slow for its heartbeats and lost its leadership.
+func TestPassOverJobsOfManyStepsIsShort(t *testing.T) {
+	type scenario struct {
+		name string
+		step func(index int) oleanderline.Step
+	}
+	step := oleanderline.Step{Count: 1, Size: oleanderline.Size{CPU: 100, Memory: 10}, Estimate: 500 * time.Millisecond}
+	for _, s := range []scenario{
+		{"steps that wait for nothing", func(int) oleanderline.Step { return step }},
+		{"steps that wait for the first one", func(index int) oleanderline.Step {
+			later := step
+			if index > 0 {
+				later.After = []int{0}
+			}
+			return later
+		}},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			runtime.LockOSThread()
+			defer runtime.UnlockOSThread()
+			c := newCell(t, 40)
+			const steps = 4500
+			for job := range 4 {
+				list := make([]oleanderline.Step, steps)
+				for i := range list {
+					list[i] = s.step(i)
+				}
+				c.add(oleanderline.JobID(fmt.Sprintf("j%d", job)), list...)
+			}
+			longest := time.Duration(0)
+			for range 40 {
+				c.now = c.now.Add(20 * time.Millisecond)
+				began := threadTime(t)
+				c.planner.Place(c.now, c.now, maxStartsPerPass)
+				longest = max(longest, threadTime(t)-began)
+				c.deliver()
+				for _, w := range c.workers {
+					for key := range w.running {
+						w.end(key, oleanderline.EndDone)
+					}
+				}
+				began = threadTime(t)
+				c.reportAll()
+				longest = max(longest, threadTime(t)-began)
+			}
+			t.Logf("longest pass or round of reports: %s", longest)
+			require.Less(t, longest, raceFactor*passLimit)
+		})
+	}
+}
+
 // threadTime returns the CPU time of this thread, which does not depend on the load of the machine.
 func threadTime(t *testing.T) time.Duration {
 	t.Helper()
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -11,15 +11,17 @@
 // group is the tasks of one step in one occurrence of its job.
 type group struct {
 	job        *job
-	occurrence int
+	occurrence *occurrence
 	stepIndex  int
 	step       *oleanderline.Step
 	tasks      []task
-	unfinished int       // tasks that are not done
-	readyCount int       // tasks that are ready to start
-	dueAt      time.Time // when it was due, if its job has due times
-	retryAt    time.Time // when workers are ranked again after none could take a task
-	obstacle   obstacle  // why none could take a task when workers were last ranked in vain
+	unfinished int // tasks that are not done
+	// dependencies is the number of steps on which the group depends and which are not done, as often as the step names them.
+	dependencies int
+	readyCount   int       // tasks that are ready to start
+	dueAt        time.Time // when it was due, if its job has due times
+	retryAt      time.Time // when workers are ranked again after none could take a task
+	obstacle     obstacle  // why none could take a task when workers were last ranked in vain
 	// tickets holds the answers of the queue's adviser about workers, if the queue has one.
 	tickets map[oleanderline.WorkerID]ticket
 	// nextIndex is the index at which the search for a ready task begins.
@@ -69,9 +71,9 @@
 	taskStopping // a stop was ordered, possibly after a start of which the effect is unknown
 )
 
-func newGroup(j *job, occurrence, stepIndex int) *group {
+func newGroup(j *job, o *occurrence, stepIndex int) *group {
 	step := &j.spec.Steps[stepIndex]
-	g := &group{job: j, occurrence: occurrence, stepIndex: stepIndex, step: step, tasks: make([]task, step.Count)}
+	g := &group{job: j, occurrence: o, stepIndex: stepIndex, step: step, tasks: make([]task, step.Count)}
 	done := j.progress.Done[g.number()]
 	for i := range g.tasks {
 		t := &g.tasks[i]
@@ -87,10 +89,10 @@
 }
 
 // number returns the index of the group among the groups of its job, over all occurrences.
-func (g *group) number() int { return g.occurrence*len(g.job.spec.Steps) + g.stepIndex }
+func (g *group) number() int { return g.occurrence.number*len(g.job.spec.Steps) + g.stepIndex }
 
 func (t *task) key() oleanderline.TaskKey {
-	return oleanderline.TaskKey{Job: t.group.job.spec.ID, Occurrence: t.group.occurrence, Step: t.group.stepIndex, Index: t.index}
+	return oleanderline.TaskKey{Job: t.group.job.spec.ID, Occurrence: t.group.occurrence.number, Step: t.group.stepIndex, Index: t.index}
 }
 
 func (t *task) runKey() oleanderline.RunKey { return oleanderline.RunKey{Task: t.key(), Run: t.run} }
@@ -98,31 +100,20 @@
 // task returns the task of a key, or nil if there is none. Keys come from workers' reports and may be invalid.
 func (p *Planner) task(key oleanderline.TaskKey) *task {
 	j := p.jobs[key.Job]
-	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 || key.Occurrence >= j.spec.Occurrences() {
+	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 || key.Occurrence >= len(j.occurrences) {
 		return nil
 	}
-	number := key.Occurrence*len(j.spec.Steps) + key.Step
-	if number >= len(j.groups) || key.Index < 0 || key.Index >= len(j.groups[number].tasks) {
+	g := j.occurrences[key.Occurrence].groups[key.Step]
+	if key.Index < 0 || key.Index >= len(g.tasks) {
 		return nil
 	}
-	return &j.groups[number].tasks[key.Index]
-}
-
-// dependenciesDone reports whether all steps on which the group depends are done.
-func (g *group) dependenciesDone() bool {
-	base := g.occurrence * len(g.job.spec.Steps)
-	for _, earlier := range g.step.After {
-		if g.job.groups[base+earlier].unfinished > 0 {
-			return false
-		}
-	}
-	return true
+	return &g.tasks[key.Index]
 }
 
 // enqueueIfReady queues the tasks of a group if its dependencies are done. The group of a job with due times waits for its due
 // time first.
 func (p *Planner) enqueueIfReady(g *group) {
-	if g.unfinished == 0 || !g.job.active() || !g.dependenciesDone() {
+	if g.unfinished == 0 || !g.job.active() || g.dependencies > 0 {
 		return
 	}
 	if g.job.spec.HasDueTimes() {
@@ -141,7 +132,7 @@
 // enqueueDue queues the tasks of the groups whose due time has passed. wall is the time of day.
 func (p *Planner) enqueueDue(wall time.Time) {
 	for g := range p.notDue {
-		if due := g.job.spec.Due(g.occurrence); !wall.Before(due) {
+		if due := g.job.spec.Due(g.occurrence.number); !wall.Before(due) {
 			delete(p.notDue, g)
 			g.dueAt = p.now.Add(-wall.Sub(due))
 			p.enqueueGroup(g)
@@ -152,7 +143,7 @@
 // enqueue makes an idle task ready. The tasks of a gang become ready together, once all of them are idle.
 func (p *Planner) enqueue(t *task) {
 	g := t.group
-	if t.done || t.state != taskIdle || !g.job.active() || !g.dependenciesDone() {
+	if t.done || t.state != taskIdle || !g.job.active() || g.dependencies > 0 {
 		return
 	}
 	if _, waits := p.notDue[g]; waits {
@@ -227,13 +218,23 @@
 	if g.unfinished > 0 {
 		return
 	}
-	g.job.unfinished--
+	p.completeGroup(g)
+}
+
+// completeGroup queues the groups that have waited for this one alone, or completes the job.
+func (p *Planner) completeGroup(g *group) {
+	o := g.occurrence
+	o.unfinished--
+	if o.unfinished == 0 {
+		g.job.unfinished--
+	}
 	if g.job.unfinished == 0 {
 		p.finish(g.job, oleanderline.JobCompleted)
 		return
 	}
-	base := g.occurrence * len(g.job.spec.Steps)
-	for _, later := range g.job.groups[base : base+len(g.job.spec.Steps)] {
+	for _, step := range g.job.dependents[g.stepIndex] {
+		later := o.groups[step]
+		later.dependencies--
 		p.enqueueIfReady(later)
 	}
 }
@@ -246,6 +247,7 @@
 	p.dequeue(t)
 	t.done = true
 	g.unfinished--
+	g.occurrence.remainingStale = true
 	if g.job.progress.Done == nil {
 		g.job.progress.Done = map[int][]byte{}
 	}
--- a/pkg/plan/handover_property_test.go
+++ b/pkg/plan/handover_property_test.go
@@ -300,10 +300,12 @@
 			fmt.Fprintf(&b, "\njob %s: not read", job.ID)
 			continue
 		}
-		for _, g := range j.groups {
-			for i := range g.tasks {
-				if t := &g.tasks[i]; !t.done {
-					fmt.Fprintf(&b, "\ntask %s: state %d, run %d, placed %t, unreported %t, stop first %t", t.key(), t.state, t.run, t.worker != nil, t.unreported, t.stopFirst)
+		for _, o := range j.occurrences {
+			for _, g := range o.groups {
+				for i := range g.tasks {
+					if t := &g.tasks[i]; !t.done {
+						fmt.Fprintf(&b, "\ntask %s: state %d, run %d, placed %t, unreported %t, stop first %t", t.key(), t.state, t.run, t.worker != nil, t.unreported, t.stopFirst)
+					}
 				}
 			}
 		}
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/backlog"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -13,11 +15,14 @@
 	spec         oleanderline.Job
 	queue        oleanderline.Queue
 	progress     record.Progress
-	groups       []*group        // by occurrence, then step
+	occurrences  []*occurrence
+	dependents   [][]int         // by step: see dependentSteps
 	arrived      time.Time       // when the job was submitted
 	criticalPath []time.Duration // by step: the estimated critical path from its start to the end of the job
+	estimate     time.Duration   // the estimated critical path of the job
+	work         backlog.Work    // estimated work of one occurrence
 	placed       int             // tasks that hold room on a worker
-	unfinished   int             // groups that are not done
+	unfinished   int             // occurrences that are not done
 	// startedBefore is whether an earlier leader has started tasks of the job.
 	startedBefore bool
 }
@@ -27,19 +32,10 @@
 
 func (j *job) active() bool { return !j.progress.State.Final() }
 
-// estimate returns the estimated critical path of the job.
-func (j *job) estimate() time.Duration {
-	var longest time.Duration
-	for _, path := range j.criticalPath {
-		longest = max(longest, path)
-	}
-	return longest
-}
-
 // objective returns the time in which the job should complete, from its arrival: the critical path times the queue's stretch
 // factor, plus the queue's latency.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.queue.Stretch*float64(j.estimate())) + j.queue.Latency
+	return time.Duration(j.queue.Stretch*float64(j.estimate)) + j.queue.Latency
 }
 
 // AddJob adds a recorded job with a copy of its recorded progress. age is the time since its arrival. It does nothing if the job
@@ -52,19 +48,17 @@
 	if queue, ok := p.queues[spec.Queue]; ok {
 		j.queue = queue
 	}
-	j.criticalPath = criticalPaths(spec.Steps)
+	j.criticalPath, j.dependents, j.work = criticalPaths(spec.Steps), j.dependentSteps(), totalWork(spec.Steps)
+	j.estimate = slices.Max(j.criticalPath)
 	p.jobs[spec.ID] = j
 	p.countWork(j)
 	if !j.active() {
 		return
 	}
-	for occurrence := range spec.Occurrences() {
-		for stepIndex := range spec.Steps {
-			j.groups = append(j.groups, newGroup(j, occurrence, stepIndex))
-		}
-	}
-	for _, g := range j.groups {
-		if g.unfinished > 0 {
+	for number := range spec.Occurrences() {
+		o := newOccurrence(j, number)
+		j.occurrences = append(j.occurrences, o)
+		if o.unfinished > 0 {
 			j.unfinished++
 		}
 	}
@@ -73,8 +67,10 @@
 		return
 	}
 	p.adoptUnread(j)
-	for _, g := range j.groups {
-		p.enqueueIfReady(g)
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			p.enqueueIfReady(g)
+		}
 	}
 }
 
@@ -112,14 +108,16 @@
 	p.countJob(j)
 	p.dirty[j] = struct{}{}
 	p.notes = append(p.notes, Note{Kind: NoteJob, Run: oleanderline.RunKey{Task: oleanderline.TaskKey{Job: j.spec.ID}}, Reason: state.String()})
-	for _, g := range j.groups {
-		delete(p.ready, g)
-		delete(p.notDue, g)
-		if state == oleanderline.JobCompleted {
-			continue
-		}
-		for i := range g.tasks {
-			p.stop(&g.tasks[i], "job "+state.String())
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			delete(p.ready, g)
+			delete(p.notDue, g)
+			if state == oleanderline.JobCompleted {
+				continue
+			}
+			for i := range g.tasks {
+				p.stop(&g.tasks[i], "job "+state.String())
+			}
 		}
 	}
 }
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -39,19 +39,15 @@
 	}
 	maxStarts = min(maxStarts, maxStartsPerPass)
 	unreportedMayRun := p.unreportedMayRun(now)
-	started, groups := 0, 0
-	for _, g := range p.inOrder(now) {
-		if now.Before(g.retryAt) {
-			continue
-		}
+	started := 0
+	for i, g := range p.firstInOrder(now, maxRankedPerPass+1) {
 		if started >= maxStarts {
 			p.startState = StartsHeld
 			return // the next pass continues
 		}
-		if groups >= maxRankedPerPass {
+		if i == maxRankedPerPass {
 			return // the next pass continues
 		}
-		groups++
 		if g.step.Gang {
 			started += p.placeGang(g, unreportedMayRun, now)
 			continue
--- a/pkg/plan/unstarted.go
+++ b/pkg/plan/unstarted.go
@@ -36,15 +36,24 @@
 		if !j.active() || !open[j.queue.Pool] {
 			continue
 		}
-		for _, g := range j.groups {
-			if !now.Before(g.retryAt) {
-				unstarted[j.queue.Priority] += g.unstarted()
-			}
+		for _, o := range j.occurrences {
+			unstarted[j.queue.Priority] += o.unstarted(now)
 		}
 	}
 	return unstarted
 }
 
+// unstarted returns the number of tasks of the occurrence that Planner.Unstarted counts.
+func (o *occurrence) unstarted(now time.Time) int {
+	count := 0
+	for _, g := range o.groups {
+		if !now.Before(g.retryAt) {
+			count += g.unstarted()
+		}
+	}
+	return count
+}
+
 // unstarted returns the number of tasks that wait for a start or for an earlier step.
 func (g *group) unstarted() int {
 	if g.unfinished == 0 || g.job.spec.HasDueTimes() {
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -50,6 +50,7 @@
 		s.agents.check(now)
 		s.planner.Place(now, s.ports.Wall(), s.startWindow.Room(now))
 		s.updateIntake(now)
+		s.tickPending.Store(false)
 	case adviceReceived:
 		s.planner.HandleAdvice(m.request, m.advice, m.err, m.askedAt)
 	case windowRequested:
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -54,7 +54,10 @@
 	ended           atomic.Bool
 	resigned        atomic.Bool  // the leader's resignation is stored
 	openStarts      atomic.Int64 // starts without a result
-	endedAt         atomic.Int64 // as Unix time in nanoseconds
+	// tickPending is whether a tick waits in the event loop or is being handled. Passes that take longer than tickInterval would
+	// otherwise fill the mailbox, and reports and flushes wait behind them.
+	tickPending atomic.Bool
+	endedAt     atomic.Int64 // as Unix time in nanoseconds
 	// majorityUntil is until when most workers are known to accept the calls of this term, as Unix time in nanoseconds.
 	majorityUntil atomic.Int64
 }
@@ -183,7 +186,9 @@
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.loop.Post(ticked{})
+			if !s.tickPending.Swap(true) && !s.loop.Post(ticked{}) {
+				s.tickPending.Store(false)
+			}
 		}
 	}
 }
