Check jobs for overflow before their numbers are multiplied

Cause: Job.Validate multiplied tasks and occurrences without a check for overflow, so that -4 tasks passed the bound. Each leader in turn made the occurrences of the stored job until it was killed for its memory.

Change: each factor is checked first: occurrences, the time from the first to the last one, its year (which could not be encoded), the estimates and the sizes, whose sums overflowed. A stored job is checked in the same way when it is read, and skipped with an event.

--- a/job.go
+++ b/job.go
@@ -59,8 +59,17 @@
 	return j.Repeat.First.Add(time.Duration(k) * j.Repeat.Every)
 }
 
-// maxTasks limits the memory that one submission can take up in a scheduler.
-const maxTasks = 20000
+// Bounds of a job.
+const (
+	// maxTasks limits the memory that one submission can take up in a scheduler.
+	maxTasks = 20000
+	// maxAmount bounds the amount of a resource that a task requests. It is far above any VM, and no sum over tasks overflows.
+	maxAmount = 1 << 40
+	// maxSpan bounds the sum of the estimates, and the time from the first occurrence to the last.
+	maxSpan = 100 * 365 * 24 * time.Hour
+	// maxYear is the last year in which an occurrence may be due. Times are stored as RFC 3339, which ends with the year 9999.
+	maxYear = 9000
+)
 
 // Validate returns an error for the first invalid field that it finds. The error names the step.
 func (j *Job) Validate() error {
@@ -70,15 +79,36 @@
 	if j.Repeat.Count < 0 || j.Repeat.Every < 0 {
 		return fmt.Errorf("repetitions and their interval must not be negative")
 	}
-	total := 0
+	if err := j.Repeat.validate(); err != nil {
+		return err
+	}
+	total, estimate := 0, time.Duration(0)
 	for i := range j.Steps {
-		if err := j.Steps[i].validate(i); err != nil {
+		step := &j.Steps[i]
+		if err := step.validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
-		total += j.Steps[i].Count * j.Occurrences()
+		total += step.Count * j.Occurrences()
 		if total > maxTasks {
-			return fmt.Errorf("more than %d tasks", maxTasks)
+			return fmt.Errorf("more than %d tasks over all steps and occurrences", maxTasks)
 		}
+		estimate += step.Estimate
+		if estimate > maxSpan {
+			return fmt.Errorf("estimates of the steps add up to more than %s", maxSpan)
+		}
+	}
+	return nil
+}
+
+// validate checks each factor before it is multiplied, because a product that overflows may seem valid.
+func (r *Repeat) validate() error {
+	switch {
+	case r.Count > maxTasks:
+		return fmt.Errorf("%d occurrences, want at most %d", r.Count, maxTasks)
+	case r.Count > 1 && r.Every > maxSpan/time.Duration(r.Count):
+		return fmt.Errorf("%d occurrences, one each %s, take longer than %s", r.Count, r.Every, maxSpan)
+	case !r.First.IsZero() && (r.First.Year() < 1 || r.First.Year() > maxYear):
+		return fmt.Errorf("first occurrence is due in the year %d, want 1 to %d", r.First.Year(), maxYear)
 	}
 	return nil
 }
@@ -91,6 +121,10 @@
 		return fmt.Errorf("count %d, want at most %d", s.Count, maxTasks)
 	case s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0:
 		return fmt.Errorf("size %s must not be negative", s.Size)
+	case s.Size.CPU > maxAmount || s.Size.Memory > maxAmount || s.Size.Accelerators > maxAmount:
+		return fmt.Errorf("size %s, want at most %d of each resource", s.Size, maxAmount)
+	case s.Estimate > maxSpan:
+		return fmt.Errorf("estimate %s, want at most %s", s.Estimate, maxSpan)
 	case s.Estimate < 0 || s.TailTarget < 0 || s.MaxPerWorker < 0:
 		return fmt.Errorf("times and bounds must not be negative")
 	}
--- a/pkg/replica/fuzz_test.go
+++ b/pkg/replica/fuzz_test.go
@@ -30,14 +30,21 @@
 	})
 }
 
-// Guards against a stored but invalid job that crashes every leader: one with a step that depends on a step that does not exist.
+// Guards against a stored but invalid job that crashes every leader.
 func TestImpossibleJobsAreSkipped(t *testing.T) {
-	malformed := 0
-	r := New(func(error) { malformed++ })
-	value := []byte(`{"q":"q","steps":[{"n":1,"after":[5]}]}`)
-	records := []oleanderline.KeyedRecord{{Key: "j/1", Value: value}}
-	r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, time.Unix(1000, 0), time.Unix(1000, 0))
-	require.Equal(t, 1, malformed)
-	_, known := r.Job("1")
-	require.False(t, known)
+	type scenario struct{ name, value string }
+	for _, s := range []scenario{
+		{"depends on a step that does not exist", `{"q":"q","steps":[{"n":1,"after":[5]}]}`},
+		{"stored by a version that did not check for overflow", `{"q":"q","steps":[{"n":4}],"rep":{"n":9223372036854775807,"first":"2026-12-06T00:00:00Z","every":60000000000}}`},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			malformed := 0
+			r := New(func(error) { malformed++ })
+			records := []oleanderline.KeyedRecord{{Key: "j/1", Value: []byte(s.value)}}
+			r.Apply(oleanderline.KeyedBatch{Records: records, Next: 1, End: 1}, time.Unix(1000, 0), time.Unix(1000, 0))
+			require.Equal(t, 1, malformed)
+			_, known := r.Job("1")
+			require.False(t, known)
+		})
+	}
 }
