Hold occurrences of scheduled jobs only while they are due

Cause: a leader made all occurrences of a job when it read the job, 604,800 groups of tasks, and was killed for its memory; so was each leader after it. A pass also looked at each group that was not due.

Change: an occurrence is held from its due time until it is done and nothing of it runs any more. Jobs with further occurrences are in a heap by their next due time. An occurrence that a worker reports and that is not held, because it was due in an earlier term, is made on demand.

--- a/pkg/plan/backlog.go
+++ b/pkg/plan/backlog.go
@@ -60,10 +60,10 @@
 
 // since returns the time from which the objective counts: the due time, or the arrival of a job without due times.
 func (g *group) since() time.Time {
-	if g.dueAt.IsZero() {
+	if g.occurrence.dueAt.IsZero() {
 		return g.job.arrived
 	}
-	return g.dueAt
+	return g.occurrence.dueAt
 }
 
 // workSum averages the work of the jobs of a queue.
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -19,7 +19,6 @@
 	// dependencies is the number of steps on which the group depends and which are not done, as often as the step names them.
 	dependencies int
 	readyCount   int       // tasks that are ready to start
-	dueAt        time.Time // when it was due, if its job has due times
 	retryAt      time.Time // when workers are ranked again after none could take a task
 	obstacle     obstacle  // why none could take a task when workers were last ranked in vain
 	// tickets holds the answers of the queue's adviser about workers, if the queue has one.
@@ -100,53 +99,34 @@
 // task returns the task of a key, or nil if there is none. Keys come from workers' reports and may be invalid.
 func (p *Planner) task(key oleanderline.TaskKey) *task {
 	j := p.jobs[key.Job]
-	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 || key.Occurrence >= len(j.occurrences) {
+	if j == nil || key.Step < 0 || key.Step >= len(j.spec.Steps) || key.Occurrence < 0 || key.Occurrence >= j.spec.Occurrences() {
 		return nil
 	}
-	g := j.occurrences[key.Occurrence].groups[key.Step]
-	if key.Index < 0 || key.Index >= len(g.tasks) {
+	if key.Index < 0 || key.Index >= j.spec.Steps[key.Step].Count || !j.active() && j.occurrences[key.Occurrence] == nil {
 		return nil
 	}
-	return &g.tasks[key.Index]
+	return &p.occurrence(j, key.Occurrence).groups[key.Step].tasks[key.Index]
 }
 
-// enqueueIfReady queues the tasks of a group if its dependencies are done. The group of a job with due times waits for its due
-// time first.
+// enqueueIfReady queues the tasks of a group if its occurrence is due and its dependencies are done.
 func (p *Planner) enqueueIfReady(g *group) {
-	if g.unfinished == 0 || !g.job.active() || g.dependencies > 0 {
+	if g.unfinished == 0 || !g.mayStart() {
 		return
 	}
-	if g.job.spec.HasDueTimes() {
-		p.notDue[g] = struct{}{}
-		return
-	}
-	p.enqueueGroup(g)
-}
-
-func (p *Planner) enqueueGroup(g *group) {
 	for i := range g.tasks {
 		p.enqueue(&g.tasks[i])
 	}
 }
 
-// enqueueDue queues the tasks of the groups whose due time has passed. wall is the time of day.
-func (p *Planner) enqueueDue(wall time.Time) {
-	for g := range p.notDue {
-		if due := g.job.spec.Due(g.occurrence.number); !wall.Before(due) {
-			delete(p.notDue, g)
-			g.dueAt = p.now.Add(-wall.Sub(due))
-			p.enqueueGroup(g)
-		}
-	}
+// mayStart reports whether tasks of the group that are not done may start.
+func (g *group) mayStart() bool {
+	return g.job.active() && g.occurrence.due && g.dependencies == 0
 }
 
 // enqueue makes an idle task ready. The tasks of a gang become ready together, once all of them are idle.
 func (p *Planner) enqueue(t *task) {
 	g := t.group
-	if t.done || t.state != taskIdle || !g.job.active() || g.dependencies > 0 {
-		return
-	}
-	if _, waits := p.notDue[g]; waits {
+	if t.done || t.state != taskIdle || !g.mayStart() {
 		return
 	}
 	if g.step.Gang {
@@ -227,6 +207,9 @@
 	o.unfinished--
 	if o.unfinished == 0 {
 		g.job.unfinished--
+		if g.job.spec.HasDueTimes() {
+			p.doneOccurrences[o] = struct{}{}
+		}
 	}
 	if g.job.unfinished == 0 {
 		p.finish(g.job, oleanderline.JobCompleted)
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -12,17 +12,19 @@
 
 // job is a job with its progress.
 type job struct {
-	spec         oleanderline.Job
-	queue        oleanderline.Queue
-	progress     record.Progress
-	occurrences  []*occurrence
-	dependents   [][]int         // by step: see dependentSteps
-	arrived      time.Time       // when the job was submitted
-	criticalPath []time.Duration // by step: the estimated critical path from its start to the end of the job
-	estimate     time.Duration   // the estimated critical path of the job
-	work         backlog.Work    // estimated work of one occurrence
-	placed       int             // tasks that hold room on a worker
-	unfinished   int             // occurrences that are not done
+	spec          oleanderline.Job
+	queue         oleanderline.Queue
+	progress      record.Progress
+	occurrences   map[int]*occurrence // those that are held, by number
+	dependents    [][]int             // by step: see dependentSteps
+	arrived       time.Time           // when the job was submitted
+	criticalPath  []time.Duration     // by step: the estimated critical path from its start to the end of the job
+	estimate      time.Duration       // the estimated critical path of the job
+	work          backlog.Work        // estimated work of one occurrence
+	placed        int                 // tasks that hold room on a worker
+	unfinished    int                 // occurrences that are not done
+	nextDue       int                 // the first occurrence that has not been due yet, if the job has due times
+	scheduleIndex int                 // in Planner.scheduled; -1 if it is not there
 	// startedBefore is whether an earlier leader has started tasks of the job.
 	startedBefore bool
 }
@@ -44,7 +46,10 @@
 	if p.jobs[spec.ID] != nil {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Policy, progress: progress.Clone(), arrived: now.Add(-age), startedBefore: progress.Started}
+	j := &job{
+		spec: spec, queue: spec.Policy, progress: progress.Clone(), arrived: now.Add(-age), startedBefore: progress.Started,
+		occurrences: map[int]*occurrence{}, scheduleIndex: -1,
+	}
 	if queue, ok := p.queues[spec.Queue]; ok {
 		j.queue = queue
 	}
@@ -55,23 +60,17 @@
 	if !j.active() {
 		return
 	}
-	for number := range spec.Occurrences() {
-		o := newOccurrence(j, number)
-		j.occurrences = append(j.occurrences, o)
-		if o.unfinished > 0 {
-			j.unfinished++
-		}
-	}
+	j.unfinished = j.countUnfinished()
 	if j.unfinished == 0 {
 		p.finish(j, oleanderline.JobCompleted)
 		return
 	}
 	p.adoptUnread(j)
-	for _, o := range j.occurrences {
-		for _, g := range o.groups {
-			p.enqueueIfReady(g)
-		}
+	if spec.HasDueTimes() {
+		p.schedule(j)
+		return
 	}
+	p.enqueueOccurrence(p.occurrence(j, 0))
 }
 
 // criticalPaths returns the estimated critical path from the start of each step to the end of the job.
@@ -107,11 +106,11 @@
 	j.progress.State = state
 	p.countJob(j)
 	p.dirty[j] = struct{}{}
+	p.unschedule(j)
 	p.notes = append(p.notes, Note{Kind: NoteJob, Run: oleanderline.RunKey{Task: oleanderline.TaskKey{Job: j.spec.ID}}, Reason: state.String()})
 	for _, o := range j.occurrences {
 		for _, g := range o.groups {
 			delete(p.ready, g)
-			delete(p.notDue, g)
 			if state == oleanderline.JobCompleted {
 				continue
 			}
--- a/pkg/plan/occurrence.go
+++ b/pkg/plan/occurrence.go
@@ -1,19 +1,30 @@
 package plan
 
-import "github.com/oleanderline/oleanderline/pkg/backlog"
+import (
+	"container/heap"
+	"time"
 
-// occurrence is one run of all steps of a job. A job without due times has only one.
+	"github.com/oleanderline/oleanderline/pkg/backlog"
+	"github.com/oleanderline/oleanderline/pkg/record"
+)
+
+// occurrence is one run of all steps of a job. A job without due times has only one. The occurrences of a job with due times are
+// held only from their due time until they are done and nothing of them runs any more: a job may be due each minute for weeks.
 type occurrence struct {
+	job        *job
 	number     int
-	groups     []*group // by step
-	unfinished int      // groups that are not done
+	due        bool      // its tasks may start
+	dueAt      time.Time // when it was due, if its job has due times
+	placed     int       // tasks that hold room on a worker
+	groups     []*group  // by step
+	unfinished int       // groups that are not done
 	// remaining is the estimated work of the tasks that are not done, unless remainingStale is set.
 	remaining      backlog.Work
 	remainingStale bool
 }
 
 func newOccurrence(j *job, number int) *occurrence {
-	o := &occurrence{number: number, groups: make([]*group, len(j.spec.Steps)), remainingStale: true}
+	o := &occurrence{job: j, number: number, due: !j.spec.HasDueTimes(), groups: make([]*group, len(j.spec.Steps)), remainingStale: true}
 	for stepIndex := range j.spec.Steps {
 		g := newGroup(j, o, stepIndex)
 		o.groups[stepIndex] = g
@@ -52,3 +63,123 @@
 	}
 	return dependents
 }
+
+// occurrence returns an occurrence of a job. One that is not held is made: a worker may report a run of one that was due in an earlier
+// term, or is done.
+func (p *Planner) occurrence(j *job, number int) *occurrence {
+	if o := j.occurrences[number]; o != nil {
+		return o
+	}
+	o := newOccurrence(j, number)
+	j.occurrences[number] = o
+	if o.unfinished == 0 && j.spec.HasDueTimes() {
+		p.doneOccurrences[o] = struct{}{}
+	}
+	return o
+}
+
+// occurrenceDone reports whether the recorded progress says that all tasks of an occurrence are done.
+func (j *job) occurrenceDone(number int) bool {
+	for i := range j.spec.Steps {
+		bitmap := j.progress.Done[number*len(j.spec.Steps)+i]
+		for index := range j.spec.Steps[i].Count {
+			if !record.Bit(bitmap, index) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// countUnfinished returns the number of occurrences that are not done.
+func (j *job) countUnfinished() int {
+	count := j.spec.Occurrences()
+	if len(j.progress.Done) == 0 {
+		return count
+	}
+	for number := range j.spec.Occurrences() {
+		if j.occurrenceDone(number) {
+			count--
+		}
+	}
+	return count
+}
+
+// enqueueDue queues the tasks of the occurrences whose due time has passed. wall is the time of day.
+func (p *Planner) enqueueDue(wall time.Time) {
+	p.dropDoneOccurrences()
+	for len(p.scheduled) > 0 {
+		j := p.scheduled[0]
+		due := j.spec.Due(j.nextDue)
+		if wall.Before(due) {
+			return
+		}
+		if !j.occurrenceDone(j.nextDue) {
+			o := p.occurrence(j, j.nextDue)
+			o.due, o.dueAt = true, p.now.Add(-wall.Sub(due))
+			p.enqueueOccurrence(o)
+		}
+		j.nextDue++
+		if j.nextDue == j.spec.Occurrences() {
+			p.unschedule(j)
+			continue
+		}
+		heap.Fix(&p.scheduled, j.scheduleIndex)
+	}
+}
+
+func (p *Planner) enqueueOccurrence(o *occurrence) {
+	for _, g := range o.groups {
+		p.enqueueIfReady(g)
+	}
+}
+
+// dropDoneOccurrences drops the occurrences that are done and of which nothing runs any more.
+func (p *Planner) dropDoneOccurrences() {
+	for o := range p.doneOccurrences {
+		if o.placed == 0 {
+			delete(o.job.occurrences, o.number)
+			delete(p.doneOccurrences, o)
+		}
+	}
+}
+
+// schedule adds a job to those with occurrences that are not due yet.
+func (p *Planner) schedule(j *job) { heap.Push(&p.scheduled, j) }
+
+// unschedule removes a job from those with occurrences that are not due yet, if it is one of them.
+func (p *Planner) unschedule(j *job) {
+	if j.scheduleIndex >= 0 {
+		heap.Remove(&p.scheduled, j.scheduleIndex)
+	}
+}
+
+// dueQueue is a heap of the jobs with occurrences that are not due yet, by the due time of the next one.
+type dueQueue []*job
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (q dueQueue) Len() int { return len(q) }
+
+func (q dueQueue) Less(a, b int) bool {
+	return q[a].spec.Due(q[a].nextDue).Before(q[b].spec.Due(q[b].nextDue))
+}
+
+func (q dueQueue) Swap(a, b int) {
+	q[a], q[b] = q[b], q[a]
+	q[a].scheduleIndex, q[b].scheduleIndex = a, b
+}
+
+func (q *dueQueue) Push(value any) {
+	j := value.(*job)
+	j.scheduleIndex = len(*q)
+	*q = append(*q, j)
+}
+
+func (q *dueQueue) Pop() any {
+	last := len(*q) - 1
+	j := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	j.scheduleIndex = -1
+	return j
+}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -36,38 +36,40 @@
 
 // Planner holds the jobs, tasks and workers of one leader's term.
 type Planner struct {
-	settings       Settings
-	termStart      time.Time // start of the term
-	now            time.Time // time of the newest event
-	runBase        int       // run numbers of this term are higher
-	claims         int       // number of claims of leadership, that of this term included
-	config         *oleanderline.CellConfig
-	queues         map[oleanderline.QueueID]oleanderline.Queue
-	jobs           map[oleanderline.JobID]*job
-	workers        map[oleanderline.WorkerID]*worker
-	ready          map[*group]struct{}               // groups with ready tasks
-	notDue         map[*group]struct{}               // groups that wait for their due time
-	dirty          map[*job]struct{}                 // jobs with progress that is not recorded yet
-	unreadRuns     map[oleanderline.RunKey]unreadRun // reported runs of jobs that have not been read yet
-	unexpected     map[oleanderline.TaskKey]int      // by task, the number of unexpected runs in the newest reports of all workers
-	pairs          *pairs.Learner
-	levels         map[oleanderline.QueueID]*ServiceLevel
-	headroom       map[oleanderline.PoolID]*headroom
-	meanWork       map[oleanderline.QueueID]workSum
-	pass           int64                     // number of the scheduling pass
-	consolidatedAt time.Time                 // when consolidate last ran
-	starvedAt      time.Time                 // when best-effort tasks were last starved
-	checkedAt      time.Time                 // when checkRunning last ran
-	lastTrial      map[pairs.Image]time.Time // last trial of each image of a best-effort task, beside tasks with which it probably interferes
-	advicePending  bool                      // a request to the adviser is pending
-	adviceRequests []AdviceRequest
-	firstStarts    []time.Duration // times from the arrival of a job to its first start
-	orders         []Order
-	notes          []Note
-	majorityAt     time.Time // when a majority of the inherited workers had reported in this term
-	firstTerm      bool      // this is the first term, so nothing was started before
-	batches        []*noteBatch
-	startState     StartState // of the last pass
+	settings  Settings
+	termStart time.Time // start of the term
+	now       time.Time // time of the newest event
+	runBase   int       // run numbers of this term are higher
+	claims    int       // number of claims of leadership, that of this term included
+	config    *oleanderline.CellConfig
+	queues    map[oleanderline.QueueID]oleanderline.Queue
+	jobs      map[oleanderline.JobID]*job
+	workers   map[oleanderline.WorkerID]*worker
+	ready     map[*group]struct{} // groups with ready tasks
+	scheduled dueQueue            // jobs with occurrences that are not due yet
+	// doneOccurrences are the held occurrences of jobs with due times that are done.
+	doneOccurrences map[*occurrence]struct{}
+	dirty           map[*job]struct{}                 // jobs with progress that is not recorded yet
+	unreadRuns      map[oleanderline.RunKey]unreadRun // reported runs of jobs that have not been read yet
+	unexpected      map[oleanderline.TaskKey]int      // by task, the number of unexpected runs in the newest reports of all workers
+	pairs           *pairs.Learner
+	levels          map[oleanderline.QueueID]*ServiceLevel
+	headroom        map[oleanderline.PoolID]*headroom
+	meanWork        map[oleanderline.QueueID]workSum
+	pass            int64                     // number of the scheduling pass
+	consolidatedAt  time.Time                 // when consolidate last ran
+	starvedAt       time.Time                 // when best-effort tasks were last starved
+	checkedAt       time.Time                 // when checkRunning last ran
+	lastTrial       map[pairs.Image]time.Time // last trial of each image of a best-effort task, beside tasks with which it probably interferes
+	advicePending   bool                      // a request to the adviser is pending
+	adviceRequests  []AdviceRequest
+	firstStarts     []time.Duration // times from the arrival of a job to its first start
+	orders          []Order
+	notes           []Note
+	majorityAt      time.Time // when a majority of the inherited workers had reported in this term
+	firstTerm       bool      // this is the first term, so nothing was started before
+	batches         []*noteBatch
+	startState      StartState // of the last pass
 	// startsNoted and unreportedNoted are whether noteStartsAllowed and noteUnreportedAllowed have done their part.
 	startsNoted, unreportedNoted bool
 }
@@ -76,26 +78,26 @@
 // included.
 func New(settings Settings, claims int, now time.Time) *Planner {
 	return &Planner{
-		settings:   settings,
-		termStart:  now,
-		now:        now,
-		runBase:    (claims - 1) * runsPerClaim,
-		claims:     claims,
-		firstTerm:  claims == 1,
-		config:     &oleanderline.CellConfig{},
-		queues:     map[oleanderline.QueueID]oleanderline.Queue{},
-		jobs:       map[oleanderline.JobID]*job{},
-		workers:    map[oleanderline.WorkerID]*worker{},
-		ready:      map[*group]struct{}{},
-		notDue:     map[*group]struct{}{},
-		dirty:      map[*job]struct{}{},
-		unreadRuns: map[oleanderline.RunKey]unreadRun{},
-		unexpected: map[oleanderline.TaskKey]int{},
-		pairs:      pairs.New(),
-		levels:     map[oleanderline.QueueID]*ServiceLevel{},
-		headroom:   map[oleanderline.PoolID]*headroom{},
-		meanWork:   map[oleanderline.QueueID]workSum{},
-		lastTrial:  map[pairs.Image]time.Time{},
+		settings:        settings,
+		termStart:       now,
+		now:             now,
+		runBase:         (claims - 1) * runsPerClaim,
+		claims:          claims,
+		firstTerm:       claims == 1,
+		config:          &oleanderline.CellConfig{},
+		queues:          map[oleanderline.QueueID]oleanderline.Queue{},
+		jobs:            map[oleanderline.JobID]*job{},
+		workers:         map[oleanderline.WorkerID]*worker{},
+		ready:           map[*group]struct{}{},
+		doneOccurrences: map[*occurrence]struct{}{},
+		dirty:           map[*job]struct{}{},
+		unreadRuns:      map[oleanderline.RunKey]unreadRun{},
+		unexpected:      map[oleanderline.TaskKey]int{},
+		pairs:           pairs.New(),
+		levels:          map[oleanderline.QueueID]*ServiceLevel{},
+		headroom:        map[oleanderline.PoolID]*headroom{},
+		meanWork:        map[oleanderline.QueueID]workSum{},
+		lastTrial:       map[pairs.Image]time.Time{},
 	}
 }
 
--- a/pkg/plan/unstarted.go
+++ b/pkg/plan/unstarted.go
@@ -36,9 +36,11 @@
 		if !j.active() || !open[j.queue.Pool] {
 			continue
 		}
+		count := 0
 		for _, o := range j.occurrences {
-			unstarted[j.queue.Priority] += o.unstarted(now)
+			count += o.unstarted(now)
 		}
+		unstarted[j.queue.Priority] += count
 	}
 	return unstarted
 }
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -193,6 +193,7 @@
 	w.tasks[t] = struct{}{}
 	w.countImage(t, 1)
 	t.group.job.placed++
+	t.group.occurrence.placed++
 	size := t.group.step.Size
 	if t.group.step.BestEffort {
 		w.bestEffortCPU += size.CPU
@@ -217,6 +218,7 @@
 	w.countImage(t, -1)
 	t.worker = nil
 	t.group.job.placed--
+	t.group.occurrence.placed--
 	size := t.group.step.Size
 	if t.group.step.BestEffort {
 		w.bestEffortEndedAt[imageOf(t)] = p.now
