Let the leases of answered runs expire on their own

Cause: a link had one bound for all leases on its worker. After a start without an answer that was the longest lease of the worker (10 s), because a worker that has restarted cuts a deadline on its former clock only to that. But then it runs nothing else, so the bound concerns the run of that start alone.

Change: a link reports the expiry of the leases of answered runs first, and that of all runs once the longest lease has passed. The planner releases all tasks but those whose start had no answer and which no report has listed since. Agents send it as an event of its own kind, which leaders of earlier versions ignore.

Tests that call LeaseExpired pass the same time in the new type.

--- a/pkg/agent/messages.go
+++ b/pkg/agent/messages.go
@@ -76,13 +76,14 @@
 // EventKind is the kind of an Event.
 type EventKind int
 
-// Kinds of events, one for each method of link.Events.
+// Kinds of events, one for each method of link.Events, and two for LeaseExpired.
 const (
 	EventReport EventKind = iota
 	EventResult
 	EventCallFailed
 	EventLeaseExpired
 	EventFenced
+	EventAnsweredLeasesExpired // a kind of its own, so that leaders of earlier versions ignore it
 )
 
 // Event is something that an agent has observed on a worker.
--- a/pkg/agent/reporter.go
+++ b/pkg/agent/reporter.go
@@ -39,8 +39,12 @@
 }
 
 // LeaseExpired implements link.Events.
-func (r *reporter) LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time) {
-	r.add(Event{Kind: EventLeaseExpired, Worker: id, LeaseEnd: r.session.leaderTime(leaseEnd)})
+func (r *reporter) LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry) {
+	kind := EventLeaseExpired
+	if expiry.AnsweredOnly {
+		kind = EventAnsweredLeasesExpired
+	}
+	r.add(Event{Kind: kind, Worker: id, LeaseEnd: r.session.leaderTime(expiry.End)})
 }
 
 // Fenced implements link.Events.
--- a/pkg/link/clock.go
+++ b/pkg/link/clock.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/plan"
 )
 
 // deadline returns a deadline one lease ahead on the worker's clock, and extends leaseEnd accordingly. The caller holds the
@@ -27,10 +28,19 @@
 	return common.Later(l.leaseEnd, l.restart.leaseEnd())
 }
 
-// expired returns the latest expiry of the leases on the worker, and reports whether it has passed.
-func (l *Link) expired(now time.Time) (leaseEnd time.Time, expired bool) {
-	end := l.LeaseEnd()
-	return end, !end.IsZero() && now.After(end)
+// expired returns which leases on the worker have expired. It reports false if there were none, or none is known to have expired.
+func (l *Link) expired(now time.Time) (expiry plan.Expiry, expired bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answered := common.Later(l.leaseEnd, l.restart.restartedEnd)
+	all := common.Later(answered, l.restart.unansweredEnd)
+	switch {
+	case all.IsZero() || !now.After(answered):
+		return plan.Expiry{}, false
+	case now.After(all):
+		return plan.Expiry{End: all}, true
+	}
+	return plan.Expiry{End: answered, AnsweredOnly: true}, true
 }
 
 // applyReport updates the worker's clock, incarnation and highest reported end from the answer to a renew call that was sent at sent
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -55,9 +55,9 @@
 	Result(result plan.Result)
 	// CallFailed reports that a renew call failed.
 	CallFailed(id oleanderline.WorkerID, err error)
-	// LeaseExpired reports that renew calls fail and that the leases of all runs on the worker have expired at leaseEnd. It is
-	// repeated while calls fail.
-	LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time)
+	// LeaseExpired reports that renew calls fail and that leases of runs on the worker have expired. It is repeated while calls
+	// fail.
+	LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry)
 	// Fenced reports that the worker has seen a newer term.
 	Fenced(id oleanderline.WorkerID)
 }
@@ -169,7 +169,8 @@
 }
 
 func (l *Link) renewLoop(ctx context.Context) {
-	var expiryReportedAt time.Time
+	var reported plan.Expiry // the last reported expiry
+	var reportedAt time.Time
 	failing := false
 	for ctx.Err() == nil {
 		now := l.clock.Now()
@@ -197,9 +198,10 @@
 		}
 		l.events.CallFailed(l.id, err)
 		now = l.clock.Now()
-		if leaseEnd, expired := l.expired(now); expired && now.Sub(expiryReportedAt) >= expiryRepeatInterval {
-			expiryReportedAt = now
-			l.events.LeaseExpired(l.id, leaseEnd)
+		expiry, expired := l.expired(now)
+		if expired && (expiry != reported || now.Sub(reportedAt) >= expiryRepeatInterval) {
+			reported, reportedAt = expiry, now
+			l.events.LeaseExpired(l.id, expiry)
 		}
 		l.sleep(ctx, retryDelay)
 	}
--- a/pkg/link/restart.go
+++ b/pkg/link/restart.go
@@ -17,8 +17,9 @@
 	maxLease     time.Duration
 	sentAt       time.Time // when a call with a deadline was last sent, or ended without an answer
 	unansweredAt time.Time // when a start last ended without an answer; zero if a later report came from the same incarnation
-	// unansweredEnd is the latest expiry of a lease that an unanswered call may have granted to a later incarnation that no answer
-	// has shown, and restartedEnd that of the leases granted to one that an answer has shown.
+	// unansweredEnd is the latest expiry of the lease of a run whose start had no answer and may have been carried out by a later
+	// incarnation that no answer has shown. Other runs have ended then, so it does not bound their leases. restartedEnd is the
+	// latest expiry of the leases granted to a later incarnation that an answer has shown.
 	unansweredEnd, restartedEnd time.Time
 }
 
--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -63,17 +63,22 @@
 
 // expiryRecorder records the results of orders and the expiry of leases.
 type expiryRecorder struct {
-	expired chan struct{}
-	results chan plan.Result
+	expired         chan struct{}
+	answeredExpired chan struct{} // the leases of runs whose start was answered have expired
+	results         chan plan.Result
 }
 
 func (r *expiryRecorder) Report(oleanderline.WorkerID, oleanderline.WorkerReport, time.Time) {}
 func (r *expiryRecorder) Result(result plan.Result)                                          { r.results <- result }
 func (r *expiryRecorder) CallFailed(oleanderline.WorkerID, error)                            {}
 func (r *expiryRecorder) Fenced(oleanderline.WorkerID)                                       {}
-func (r *expiryRecorder) LeaseExpired(oleanderline.WorkerID, time.Time) {
+func (r *expiryRecorder) LeaseExpired(_ oleanderline.WorkerID, expiry plan.Expiry) {
+	expired := r.expired
+	if expiry.AnsweredOnly {
+		expired = r.answeredExpired
+	}
 	select {
-	case r.expired <- struct{}{}:
+	case expired <- struct{}{}:
 	default:
 	}
 }
@@ -170,7 +175,7 @@
 	worker := cellfake.NewWorker("w", oleanderline.Size{}, maxLease, 1, longWork{})
 	c := &restartCase{
 		cancel: cancel, worker: worker, runner: &restartedRunner{worker: worker},
-		events: &expiryRecorder{expired: make(chan struct{}, 1), results: make(chan plan.Result, 1)},
+		events: &expiryRecorder{expired: make(chan struct{}, 1), answeredExpired: make(chan struct{}, 1), results: make(chan plan.Result, 1)},
 	}
 	c.link = link.New("w", c.runner, common.NewSystemClock(), link.Settings{
 		Term: 1, Lease: lease, MaxLease: maxLease, RenewWait: 600 * time.Millisecond, Authority: func(time.Time) bool { return true },
@@ -269,3 +274,26 @@
 	c.link.Order(plan.Order{Kind: plan.OrderStart, Worker: "w", Life: incarnation, Key: key})
 	return <-c.events.results
 }
+
+// Guards against a start without an answer that makes all runs on a lost worker wait for its longest lease: only the run of that start
+// may have it, because a worker that has restarted runs nothing else.
+func TestStartWithoutAnswerDoesNotProlongOtherLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestartCase()
+		time.Sleep(10 * time.Second)
+		c.start()
+		time.Sleep(time.Second)
+		c.runner.cut.Store(true)
+		cutAt := time.Now()
+		c.start()
+		<-c.events.answeredExpired
+		answered, running := time.Since(cutAt), c.worker.RunCount()
+		<-c.events.expired
+		all := time.Since(cutAt)
+		c.cancel()
+		c.wg.Wait()
+		require.LessOrEqual(t, answered, link.ExpiryBound(lease)+2*time.Second)
+		require.Zero(t, running)
+		require.GreaterOrEqual(t, all, maxLease)
+	})
+}
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -44,6 +44,7 @@
 	// startUnanswered is whether a call of the start of that run had no answer, so that the worker may still carry it out.
 	// stopFirst is whether the worker has restarted since, so that only a stop makes it refuse that call.
 	startUnanswered, stopFirst bool
+	listed                     bool                  // a report of its worker has listed the run in progress
 	avoidWorker                oleanderline.WorkerID // the worker of the last failed or stuck run
 	checkpoint                 string                // newest checkpoint
 	throttle                   int                   // last ordered throttle, in percent of full speed; -1 if unknown
--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -230,7 +230,7 @@
 		l.planner.CallFailed(id, oleanderline.ErrUncertain)
 	}
 	if l.deciding && m.leaseExpired(l, id) && !l.lastAppend.Before(link.leaseEnd) {
-		l.planner.LeaseExpired(id, link.leaseEnd, m.now)
+		l.planner.LeaseExpired(id, Expiry{End: link.leaseEnd}, m.now)
 		m.takeOrders(l)
 	}
 }
--- a/pkg/plan/note_test.go
+++ b/pkg/plan/note_test.go
@@ -48,7 +48,7 @@
 		}, func(c *testCell) Loss { return Loss{RequestedAt: c.now} }},
 		{"lease expired", func(c *testCell, _ oleanderline.RunKey) {
 			c.planner.CallFailed("w0", oleanderline.ErrUncertain)
-			c.planner.LeaseExpired("w0", c.now.Add(-time.Millisecond), c.now)
+			c.planner.LeaseExpired("w0", Expiry{End: c.now.Add(-time.Millisecond)}, c.now)
 		}, func(c *testCell) Loss { return Loss{LeaseEnd: c.now.Add(-time.Millisecond)} }},
 	} {
 		t.Run(s.name, func(t *testing.T) {
@@ -126,7 +126,7 @@
 		{"recorded as unreachable", listed, func(*testCell) {}, "unreported,inherited,listed"},
 		{"recorded as unreachable without tasks", emptyList, func(*testCell) {}, "unreported,inherited"},
 		{"call failed", inherited, func(c *testCell) { c.planner.CallFailed("w0", oleanderline.ErrUnavailable) }, "unreported,inherited,unreachable"},
-		{"lease of this term expired", inherited, func(c *testCell) { c.planner.LeaseExpired("w0", c.now, c.now) }, "unreported,inherited"},
+		{"lease of this term expired", inherited, func(c *testCell) { c.planner.LeaseExpired("w0", Expiry{End: c.now}, c.now) }, "unreported,inherited"},
 		{"horizon passed", inherited, func(c *testCell) {
 			c.advance(testSettings().Horizon)
 			c.planner.Place(c.now, c.now, maxStartsPerPass)
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -180,7 +180,7 @@
 	t.state, t.run, t.startedAt, t.progressAt, t.answeredAt = taskStarting, run, now, now, time.Time{}
 	t.throttle = throttleFull
 	t.unreported, t.adopted = false, false
-	t.startUnanswered, t.stopFirst = false, false
+	t.startUnanswered, t.stopFirst, t.listed = false, false, false
 	if t.group.step.BestEffort && p.interferes(w, t) {
 		p.lastTrial[imageOf(t)] = now
 	}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -191,7 +191,7 @@
 	if t.worker != w || t.run != status.Key.Run {
 		return false
 	}
-	t.unreported = false
+	t.unreported, t.listed = false, true
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
@@ -219,7 +219,7 @@
 	}
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
 	t.throttle, t.adopted = -1, true // the throttle is unknown
-	t.startUnanswered, t.stopFirst = false, false
+	t.startUnanswered, t.stopFirst, t.listed = false, false, true
 	w.adopted++
 	p.charge(t, w)
 	p.recordStart(t)
--- a/pkg/plan/takeover_model_test.go
+++ b/pkg/plan/takeover_model_test.go
@@ -50,7 +50,7 @@
 	if m.silent[id] {
 		m.planner.CallFailed(id, oleanderline.ErrUncertain)
 		if end := m.granted[id]; !end.IsZero() && m.now.After(end) {
-			m.planner.LeaseExpired(id, end, m.now)
+			m.planner.LeaseExpired(id, Expiry{End: end}, m.now)
 		}
 		return
 	}
--- a/pkg/plan/takeover_test.go
+++ b/pkg/plan/takeover_test.go
@@ -98,7 +98,7 @@
 				c.report(id)
 			}
 			if s.expire {
-				c.planner.LeaseExpired("w2", c.now.Add(-time.Second), c.now)
+				c.planner.LeaseExpired("w2", Expiry{End: c.now.Add(-time.Second)}, c.now)
 			}
 			var empty, takeover []Note
 			for range s.wait / maxNoteDelay {
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -145,11 +145,19 @@
 	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf("worker is unreachable: %v", cause))
 }
 
-// LeaseExpired releases all tasks of an unreachable worker on which the leases that this term has granted have expired at leaseEnd,
-// by which time the worker has stopped their runs. The caller makes sure that no later leader had begun its term by then, which could
-// have extended them. Runs of earlier leaders on a worker that has not reported in this term may continue: see expireUnreported. If the
-// worker has answered since, the expiry was reported by an earlier link and has no effect.
-func (p *Planner) LeaseExpired(id oleanderline.WorkerID, leaseEnd, now time.Time) {
+// Expiry tells when the leases of the runs on a worker have expired that this term has granted.
+type Expiry struct {
+	End time.Time
+	// AnsweredOnly is set if runs whose start had no answer may continue. The worker may have restarted before it carried out such a
+	// start; then it has granted its longest lease to that run, and all runs of before have ended.
+	AnsweredOnly bool
+}
+
+// LeaseExpired releases the tasks of an unreachable worker on which the leases that this term has granted have expired, by which time
+// the worker has stopped their runs. The caller makes sure that no later leader had begun its term by then, which could have extended
+// them. Runs of earlier leaders on a worker that has not reported in this term may continue: see expireUnreported. If the worker has
+// answered since, the expiry was reported by an earlier link and has no effect.
+func (p *Planner) LeaseExpired(id oleanderline.WorkerID, expiry Expiry, now time.Time) {
 	p.now = now
 	w := p.workers[id]
 	if w == nil || !w.unreachable {
@@ -162,7 +170,10 @@
 		if t.state == taskStarting {
 			continue // the result of the start decides
 		}
-		p.noteLost(t, "lease of the worker expired", Loss{LeaseEnd: leaseEnd})
+		if expiry.AnsweredOnly && t.startUnanswered && !t.listed {
+			continue
+		}
+		p.noteLost(t, "lease of the worker expired", Loss{LeaseEnd: expiry.End})
 		p.release(t)
 	}
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -246,7 +246,9 @@
 	case agent.EventCallFailed:
 		r.events.CallFailed(event.Worker, event.Failure.Err())
 	case agent.EventLeaseExpired:
-		r.events.LeaseExpired(event.Worker, event.LeaseEnd)
+		r.events.LeaseExpired(event.Worker, plan.Expiry{End: event.LeaseEnd})
+	case agent.EventAnsweredLeasesExpired:
+		r.events.LeaseExpired(event.Worker, plan.Expiry{End: event.LeaseEnd, AnsweredOnly: true})
 	case agent.EventFenced:
 		r.events.Fenced(event.Worker)
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -41,9 +41,9 @@
 	defer r.mu.Unlock()
 	r.results = append(r.results, result)
 }
-func (r *recorder) CallFailed(oleanderline.WorkerID, error)       {}
-func (r *recorder) LeaseExpired(oleanderline.WorkerID, time.Time) { r.expired++ }
-func (r *recorder) Fenced(oleanderline.WorkerID)                  {}
+func (r *recorder) CallFailed(oleanderline.WorkerID, error)         {}
+func (r *recorder) LeaseExpired(oleanderline.WorkerID, plan.Expiry) { r.expired++ }
+func (r *recorder) Fenced(oleanderline.WorkerID)                    {}
 
 // newTestRoster returns a roster whose leader always has one more second of authority.
 func newTestRoster(events *recorder) *Roster {
--- a/pkg/term/agent_pool.go
+++ b/pkg/term/agent_pool.go
@@ -11,6 +11,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/plan"
 )
 
 const (
@@ -99,7 +100,7 @@
 			delete(p.leaseEnds, id)
 		case !end.IsZero() && now.After(end) && p.session.ledAt(end):
 			planner.CallFailed(id, errUnserved)
-			planner.LeaseExpired(id, end, now)
+			planner.LeaseExpired(id, plan.Expiry{End: end}, now)
 		}
 	}
 }
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -41,7 +41,7 @@
 	case inviteAnswered:
 		s.agents.handleInviteAnswer(m.vm, m.err, now)
 	case leaseExpired:
-		s.handleLeaseExpired(m.id, m.leaseEnd, now)
+		s.handleLeaseExpired(m.id, m.expiry, now)
 	case ticked:
 		if until := s.planner.MajorityUntil(); !until.IsZero() {
 			s.majorityUntil.Store(until.UnixNano())
@@ -162,8 +162,8 @@
 }
 
 // LeaseExpired implements link.Events.
-func (s *Session) LeaseExpired(id oleanderline.WorkerID, leaseEnd time.Time) {
-	s.post(leaseExpired{id, leaseEnd})
+func (s *Session) LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry) {
+	s.post(leaseExpired{id, expiry})
 }
 
 // Fenced implements link.Events.
--- a/pkg/term/lease_expiry.go
+++ b/pkg/term/lease_expiry.go
@@ -4,23 +4,24 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/plan"
 )
 
 // handleLeaseExpired passes the expiry of a worker's leases to the planner. It waits until an append is stored that was sent after it:
 // a later leader, of which this one does not know, may have extended the runs before they expired.
-func (s *Session) handleLeaseExpired(id oleanderline.WorkerID, leaseEnd, now time.Time) {
-	if !s.ledAt(leaseEnd) {
-		s.expiries[id] = leaseEnd
+func (s *Session) handleLeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry, now time.Time) {
+	if !s.ledAt(expiry.End) {
+		s.expiries[id] = expiry
 		return
 	}
 	delete(s.expiries, id)
-	s.planner.LeaseExpired(id, leaseEnd, now)
+	s.planner.LeaseExpired(id, expiry, now)
 }
 
 // checkExpiries passes on the expiries that have waited for an append.
 func (s *Session) checkExpiries(now time.Time) {
-	for id, leaseEnd := range s.expiries {
-		s.handleLeaseExpired(id, leaseEnd, now)
+	for id, expiry := range s.expiries {
+		s.handleLeaseExpired(id, expiry, now)
 	}
 }
 
--- a/pkg/term/lease_expiry_test.go
+++ b/pkg/term/lease_expiry_test.go
@@ -24,26 +24,26 @@
 	report := oleanderline.WorkerReport{Life: 1}
 	for _, c := range []scenario{
 		{"no append since", func(s *Session, now time.Time) {
-			s.handleLeaseExpired(worker, now, now)
+			s.handleLeaseExpired(worker, plan.Expiry{End: now}, now)
 			s.checkExpiries(now)
 		}, false},
 		{"append sent before the expiry", func(s *Session, now time.Time) {
 			s.lastAppendSent.Store(now.UnixNano() - 1)
-			s.handleLeaseExpired(worker, now, now)
+			s.handleLeaseExpired(worker, plan.Expiry{End: now}, now)
 		}, false},
 		{"append sent after the expiry, then the expiry", func(s *Session, now time.Time) {
 			s.lastAppendSent.Store(now.UnixNano() + 1)
-			s.handleLeaseExpired(worker, now, now)
+			s.handleLeaseExpired(worker, plan.Expiry{End: now}, now)
 		}, true},
 		{"expiry, then the append", func(s *Session, now time.Time) {
-			s.handleLeaseExpired(worker, now, now)
+			s.handleLeaseExpired(worker, plan.Expiry{End: now}, now)
 			s.lastAppendSent.Store(now.UnixNano() + 1)
 			s.checkExpiries(now)
 		}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			s := &Session{planner: plan.New(plan.Settings{}, 1, now), expiries: map[oleanderline.WorkerID]time.Time{}}
+			s := &Session{planner: plan.New(plan.Settings{}, 1, now), expiries: map[oleanderline.WorkerID]plan.Expiry{}}
 			s.planner.SetWorkers([]oleanderline.WorkerEntry{{ID: worker, Pool: "pool", Capacity: oleanderline.Size{CPU: 4000, Memory: 8000}}}, now)
 			s.planner.SetServed(worker, true)
 			s.planner.Report(worker, report, now, now)
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -26,8 +26,8 @@
 		err error
 	}
 	leaseExpired struct {
-		id       oleanderline.WorkerID
-		leaseEnd time.Time
+		id     oleanderline.WorkerID
+		expiry plan.Expiry
 	}
 	inviteAnswered struct {
 		vm  oleanderline.VMID
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -35,7 +35,7 @@
 	loop     *eventloop.Loop
 	links    map[oleanderline.WorkerID]*connection // used only by the event loop
 	// expiries holds, by worker, the expiry of leases that waits for an append (handleLeaseExpired). It is used only by the event loop.
-	expiries        map[oleanderline.WorkerID]time.Time
+	expiries        map[oleanderline.WorkerID]plan.Expiry
 	roster          *roster.Roster
 	agents          *agentPool               // used only by the event loop
 	startWindow     *startwindow.Window      // used only by the event loop
@@ -70,7 +70,7 @@
 		common: c, settings: settings, ports: ports, replica: jobs, ctx: ctx, cancel: cancel,
 		planner:      plan.New(settings.Plan, settings.Leader.ClaimCount, c.Clock.Now()),
 		links:        map[oleanderline.WorkerID]*connection{},
-		expiries:     map[oleanderline.WorkerID]time.Time{},
+		expiries:     map[oleanderline.WorkerID]plan.Expiry{},
 		maintenance:  maintenance.New(settings.Maintenance.Duration),
 		startedAt:    c.Clock.Now(),
 		windowStates: make(chan windowState, windowStateQueueSize),
