Let stops and throttles extend no lease bound

Cause: a link computed a deadline for every order, and with it the time at which the leases on its worker count as expired. A stop or throttle carries no deadline and extends no lease.

Change: only a start has a deadline. The answer to a stop or throttle that may come from a later incarnation does not begin the wait for the longest lease either.

TestStopsDoNotProlongLeases fails before: the leases have not expired after three lease times.

--- a/pkg/link/execute.go
+++ b/pkg/link/execute.go
@@ -56,9 +56,7 @@
 		result.Err = errRestarted
 		return result, false
 	}
-	l.mu.Lock()
-	deadline, incarnation := l.deadline(now), l.incarnation
-	l.mu.Unlock()
+	deadline, incarnation := l.orderDeadline(next.order.Kind, now)
 	maxAttempts := otherAttempts
 	if next.order.Kind == plan.OrderStart {
 		maxAttempts = startAttempts
@@ -77,7 +75,7 @@
 		clock, err := l.call(ctx, next.order, deadline)
 		result.Err = err
 		if err == nil {
-			l.applyAnswer(clock, incarnation)
+			l.applyAnswer(next.order.Kind, clock, incarnation)
 			return result, false
 		}
 		if isFenced(err) {
@@ -96,17 +94,30 @@
 	return result, false
 }
 
+// orderDeadline returns the deadline of an order and the incarnation whose clock it is on. Only a start has a deadline: a stop or throttle
+// extends no lease, so it must not postpone the time at which the leases count as expired either.
+func (l *Link) orderDeadline(kind plan.OrderKind, now time.Time) (oleanderline.WorkerTime, oleanderline.WorkerIncarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if kind != plan.OrderStart {
+		return 0, l.incarnation
+	}
+	return l.deadline(now), l.incarnation
+}
+
 // applyAnswer updates the worker's clock from the answer to an order for an incarnation. If a later incarnation has reported since,
-// the answer may be of either one: its clock is not used, and the order may have carried a deadline on the earlier clock.
-func (l *Link) applyAnswer(clock oleanderline.WorkerTime, incarnation oleanderline.WorkerIncarnation) {
+// the answer may be of either one: its clock is not used, and a start may have carried a deadline on the earlier clock.
+func (l *Link) applyAnswer(kind plan.OrderKind, clock oleanderline.WorkerTime, incarnation oleanderline.WorkerIncarnation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.incarnation == incarnation {
 		l.updateClock(clock)
 		return
 	}
-	l.restart.sent(l.clock.Now())
-	l.restart.extend()
+	if kind == plan.OrderStart {
+		l.restart.sent(l.clock.Now())
+		l.restart.extend()
+	}
 }
 
 // noteSent records that a call with a deadline is about to be sent.
--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -297,3 +297,30 @@
 		require.GreaterOrEqual(t, all, maxLease)
 	})
 }
+
+// Guards against stops that make the runs on a lost worker wait: each one that was ordered from it began the wait for the leases anew,
+// so that a task was without a run for as long as cancellations went on.
+func TestStopsDoNotProlongLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestartCase()
+		time.Sleep(10 * time.Second)
+		c.start()
+		time.Sleep(time.Second)
+		c.runner.cut.Store(true)
+		cutAt := time.Now()
+		expired := false
+		for time.Since(cutAt) < 3*lease && !expired {
+			c.link.Order(plan.Order{Kind: plan.OrderStop, Worker: "w", Key: oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a", Index: 1}, Run: 1}})
+			<-c.events.results
+			select {
+			case <-c.events.expired:
+				expired = true
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+		c.cancel()
+		c.wg.Wait()
+		require.True(t, expired)
+		require.LessOrEqual(t, time.Since(cutAt), link.ExpiryBound(lease)+time.Second)
+	})
+}
