Release the runs of a worker that another incarnation has replaced

Cause: the refusal counted as a call that failed.

Change: a link reports it, also over an agent. The planner releases the worker's tasks, provided that the worker has reported at that address in this term and that no later call was answered: an address that the directory names by mistake tells nothing about the worker.

TestReplacedWorkerRunsNothing and TestReplacedWorkerIsReported guard it.

--- a/pkg/agent/messages.go
+++ b/pkg/agent/messages.go
@@ -84,6 +84,7 @@
 	EventLeaseExpired
 	EventFenced
 	EventAnsweredLeasesExpired // a kind of its own, so that leaders of earlier versions ignore it
+	EventReplaced
 )
 
 // Event is something that an agent has observed on a worker.
@@ -92,7 +93,7 @@
 	Worker oleanderline.WorkerID
 	Serves int64 // the assignment under which it was observed
 	Report oleanderline.WorkerReport
-	// Sent is when the report was requested, by the leader's clock. It may be earlier than the true time, but not later.
+	// Sent is when the report was requested or the refused call was sent, by the leader's clock. It may be earlier than the true time, but not later.
 	Sent     time.Time
 	Order    plan.Order // without payload
 	Attempts int
--- a/pkg/agent/reporter.go
+++ b/pkg/agent/reporter.go
@@ -38,6 +38,11 @@
 	r.add(Event{Kind: EventCallFailed, Worker: id, Failure: FailureOf(err)})
 }
 
+// Replaced implements link.Events.
+func (r *reporter) Replaced(id oleanderline.WorkerID, sent time.Time) {
+	r.add(Event{Kind: EventReplaced, Worker: id, Sent: r.session.leaderTime(sent)})
+}
+
 // LeaseExpired implements link.Events.
 func (r *reporter) LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry) {
 	kind := EventLeaseExpired
--- a/pkg/link/execute.go
+++ b/pkg/link/execute.go
@@ -147,7 +147,12 @@
 	return l.runner.Throttle(ctx, oleanderline.ThrottleRun{Key: order.Key, Percent: order.Percent, Term: l.settings.Term})
 }
 
-func isFenced(err error) bool {
+func isFenced(err error) bool { return isRefusal(err, oleanderline.RefusedTerm) }
+
+// isReplaced reports whether a call was refused because the worker's address belongs to another incarnation.
+func isReplaced(err error) bool { return isRefusal(err, oleanderline.RefusedIncarnation) }
+
+func isRefusal(err error, reason oleanderline.RefusalReason) bool {
 	var refused *oleanderline.RefusedError
-	return errors.As(err, &refused) && refused.Reason == oleanderline.RefusedTerm
+	return errors.As(err, &refused) && refused.Reason == reason
 }
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -55,6 +55,8 @@
 	Result(result plan.Result)
 	// CallFailed reports that a renew call failed.
 	CallFailed(id oleanderline.WorkerID, err error)
+	// Replaced reports that another incarnation has answered a renew call that was sent at sent, and has refused it.
+	Replaced(id oleanderline.WorkerID, sent time.Time)
 	// LeaseExpired reports that renew calls fail and that leases of runs on the worker have expired. It is repeated while calls
 	// fail.
 	LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry)
@@ -197,6 +199,9 @@
 			return
 		}
 		l.events.CallFailed(l.id, err)
+		if isReplaced(err) {
+			l.events.Replaced(l.id, now)
+		}
 		now = l.clock.Now()
 		expiry, expired := l.expired(now)
 		if expired && (expiry != reported || now.Sub(reportedAt) >= expiryRepeatInterval) {
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -80,6 +80,7 @@
 }
 func (r *recorder) Result(result plan.Result)                                { r.results <- result }
 func (r *recorder) CallFailed(oleanderline.WorkerID, error)                  {}
+func (r *recorder) Replaced(oleanderline.WorkerID, time.Time)                {}
 func (r *recorder) LeaseExpired(_ oleanderline.WorkerID, expiry plan.Expiry) { r.expired <- expiry.End }
 func (r *recorder) Fenced(oleanderline.WorkerID)                             {}
 
--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -21,6 +21,7 @@
 type restartedRunner struct {
 	worker           *cellfake.Worker
 	cut, renewalsCut atomic.Bool
+	replaced         atomic.Bool  // another incarnation answers at the worker's address
 	startsLost       atomic.Bool  // starts are neither carried out nor answered
 	startDelay       atomic.Int64 // of the answer to a start, in nanoseconds
 	deadline         atomic.Int64 // of the newest start, on the worker's clock
@@ -52,6 +53,9 @@
 	if r.cut.Load() || r.renewalsCut.Load() {
 		return oleanderline.WorkerReport{}, oleanderline.ErrUncertain
 	}
+	if r.replaced.Load() {
+		return oleanderline.WorkerReport{}, &oleanderline.RefusedError{Reason: oleanderline.RefusedIncarnation}
+	}
 	report, err := r.worker.Renew(ctx, order)
 	if r.cut.Load() || r.renewalsCut.Load() {
 		return oleanderline.WorkerReport{}, oleanderline.ErrUncertain
@@ -66,12 +70,15 @@
 	expired         chan struct{}
 	answeredExpired chan struct{} // the leases of runs whose start was answered have expired
 	results         chan plan.Result
+	replaced        atomic.Int64
 }
 
 func (r *expiryRecorder) Report(oleanderline.WorkerID, oleanderline.WorkerReport, time.Time) {}
 func (r *expiryRecorder) Result(result plan.Result)                                          { r.results <- result }
 func (r *expiryRecorder) CallFailed(oleanderline.WorkerID, error)                            {}
 func (r *expiryRecorder) Fenced(oleanderline.WorkerID)                                       {}
+func (r *expiryRecorder) Replaced(oleanderline.WorkerID, time.Time) { r.replaced.Add(1) }
+
 func (r *expiryRecorder) LeaseExpired(_ oleanderline.WorkerID, expiry plan.Expiry) {
 	expired := r.expired
 	if expiry.AnsweredOnly {
@@ -324,3 +331,17 @@
 		require.LessOrEqual(t, time.Since(cutAt), link.ExpiryBound(lease)+time.Second)
 	})
 }
+
+// Guards against a leader that is not told that another incarnation answers in place of its worker.
+func TestReplacedWorkerIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRestartCase()
+		time.Sleep(time.Second)
+		require.Zero(t, c.events.replaced.Load())
+		c.runner.replaced.Store(true)
+		time.Sleep(time.Second)
+		c.cancel()
+		c.wg.Wait()
+		require.Positive(t, c.events.replaced.Load())
+	})
+}
--- a/pkg/plan/expiry_test.go
+++ b/pkg/plan/expiry_test.go
@@ -52,3 +52,35 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for the leases of a worker although another incarnation has answered in its place, and against runs
+// that are given up because a call went to an address that is not that of the worker.
+func TestReplacedWorkerRunsNothing(t *testing.T) {
+	type scenario struct {
+		name     string
+		steps    func(c *testCell)
+		released bool
+	}
+	for _, s := range []scenario{
+		{"replaced", func(*testCell) {}, true},
+		{"a later call was answered", func(c *testCell) {
+			c.advance(time.Second)
+			c.report("w0")
+			c.planner.CallFailed("w0", oleanderline.ErrUncertain)
+			c.advance(-time.Second)
+		}, false},
+		{"no report since the address has changed", func(c *testCell) { c.planner.SetServed("w0", true) }, false},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			c.add("a", oleanderline.Step{Count: 2, Size: testSize, LongRunning: true})
+			c.place()
+			c.reportAll()
+			c.planner.CallFailed("w0", &oleanderline.RefusedError{Reason: oleanderline.RefusedIncarnation})
+			s.steps(c)
+			c.planner.Replaced("w0", c.now, c.now)
+			require.Equal(t, s.released, c.planner.task(taskOf("a", 0, 0)).worker == nil)
+			require.Equal(t, s.released, c.planner.task(taskOf("a", 0, 1)).worker == nil)
+		})
+	}
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -145,6 +145,26 @@
 	p.note(NoteWorker, oleanderline.RunKey{}, w, fmt.Sprintf("worker is unreachable: %v", cause))
 }
 
+// Replaced releases all tasks of a worker at whose address another incarnation has answered a call that was sent at sent: nothing of the
+// earlier one runs any more. It does so only if the address is known to be that of the incarnation that has reported last, and a later
+// call has not been answered: an address that the directory names by mistake tells nothing about the worker.
+func (p *Planner) Replaced(id oleanderline.WorkerID, sent, now time.Time) {
+	p.now = now
+	w := p.workers[id]
+	if w == nil || !w.unreachable || w.service != serviceOpen || sent.Before(w.callSentAt) {
+		return
+	}
+	w.unknownRuns = 0
+	p.forgetUnexpected(w)
+	for t := range w.tasks {
+		if t.state == taskStarting {
+			continue // the result of the start decides
+		}
+		p.noteLost(t, "another incarnation has taken the place of the worker", Loss{RequestedAt: sent})
+		p.release(t)
+	}
+}
+
 // Expiry tells when the leases of the runs on a worker have expired that this term has granted.
 type Expiry struct {
 	End time.Time
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -249,6 +249,8 @@
 		r.events.LeaseExpired(event.Worker, plan.Expiry{End: event.LeaseEnd})
 	case agent.EventAnsweredLeasesExpired:
 		r.events.LeaseExpired(event.Worker, plan.Expiry{End: event.LeaseEnd, AnsweredOnly: true})
+	case agent.EventReplaced:
+		r.events.Replaced(event.Worker, earlier(event.Sent, r.clock.Now()))
 	case agent.EventFenced:
 		r.events.Fenced(event.Worker)
 	}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -42,6 +42,7 @@
 	r.results = append(r.results, result)
 }
 func (r *recorder) CallFailed(oleanderline.WorkerID, error)         {}
+func (r *recorder) Replaced(oleanderline.WorkerID, time.Time)       {}
 func (r *recorder) LeaseExpired(oleanderline.WorkerID, plan.Expiry) { r.expired++ }
 func (r *recorder) Fenced(oleanderline.WorkerID)                    {}
 
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -40,6 +40,8 @@
 		s.planner.CallFailed(m.id, m.err)
 	case inviteAnswered:
 		s.agents.handleInviteAnswer(m.vm, m.err, now)
+	case replaced:
+		s.planner.Replaced(m.id, m.sent, now)
 	case leaseExpired:
 		s.handleLeaseExpired(m.id, m.expiry, now)
 	case ticked:
@@ -161,6 +163,11 @@
 	s.post(callFailed{id, err})
 }
 
+// Replaced implements link.Events.
+func (s *Session) Replaced(id oleanderline.WorkerID, sent time.Time) {
+	s.post(replaced{id, sent})
+}
+
 // LeaseExpired implements link.Events.
 func (s *Session) LeaseExpired(id oleanderline.WorkerID, expiry plan.Expiry) {
 	s.post(leaseExpired{id, expiry})
--- a/pkg/term/messages.go
+++ b/pkg/term/messages.go
@@ -25,6 +25,10 @@
 		id  oleanderline.WorkerID
 		err error
 	}
+	replaced struct {
+		id   oleanderline.WorkerID
+		sent time.Time
+	}
 	leaseExpired struct {
 		id     oleanderline.WorkerID
 		expiry plan.Expiry
