Bind starts, deadlines and acknowledgements to an incarnation

Cause: a worker that starts again begins its clock anew, and the header of a call names only its id. A call for the former life carries a deadline that is far ahead on the new clock, and the worker grants its longest lease (10 s) to all that runs there from then on. The leader that sent it knows; its successor does not reach the worker and waits 1.5 s and an ordinary lease (4 s).

Change: the runner asks on each connection which incarnation answers, and sends a start, a deadline or an acknowledgement only over a connection to the incarnation that the call names. A connection ends with the process that has accepted it, so none of these reaches a later incarnation.

TestLeaderIsLostAfterAWorkerHasRestarted failed in 3 of 3 cases while the model let such calls reach a later incarnation; the model now does what the runner does, which TestCallsReachNoLaterIncarnation checks with real connections.

--- a/pkg/cellfake/worker.go
+++ b/pkg/cellfake/worker.go
@@ -395,6 +395,9 @@
 	if r.Starts != nil {
 		r.Starts.wait(ctx)
 	}
+	if order.Incarnation != 0 && order.Incarnation != r.Worker.Incarnation() {
+		return 0, oleanderline.ErrUnavailable
+	}
 	sentAt := time.Now()
 	return r.order(ctx, func() (oleanderline.WorkerTime, error) { return r.Worker.StartSentAt(order, sentAt) })
 }
@@ -423,6 +426,9 @@
 
 // Renew implements oleanderline.Runner.
 func (r *Runner) Renew(ctx context.Context, order oleanderline.RenewRuns) (oleanderline.WorkerReport, error) {
+	if order.Incarnation != 0 && order.Incarnation != r.Worker.Incarnation() {
+		order = oleanderline.RenewRuns{Term: order.Term}
+	}
 	return callOver(ctx, r.Path, func(ctx context.Context) (oleanderline.WorkerReport, error) { return r.Worker.Renew(ctx, order) })
 }
 
--- a/pkg/link/execute.go
+++ b/pkg/link/execute.go
@@ -72,7 +72,7 @@
 		if next.order.Kind == plan.OrderStart {
 			l.noteSent(now)
 		}
-		clock, err := l.call(ctx, next.order, deadline)
+		clock, err := l.call(ctx, next.order, incarnation, deadline)
 		result.Err = err
 		if err == nil {
 			l.applyAnswer(next.order.Kind, clock, incarnation)
@@ -134,11 +134,11 @@
 	l.restart.unanswered(l.clock.Now(), start)
 }
 
-func (l *Link) call(ctx context.Context, order plan.Order, deadline oleanderline.WorkerTime) (oleanderline.WorkerTime, error) {
+func (l *Link) call(ctx context.Context, order plan.Order, incarnation oleanderline.WorkerIncarnation, deadline oleanderline.WorkerTime) (oleanderline.WorkerTime, error) {
 	switch order.Kind {
 	case plan.OrderStart:
 		return l.runner.Start(ctx, oleanderline.StartRun{
-			Key: order.Key, Payload: order.Payload, Deadline: deadline, Term: l.settings.Term,
+			Key: order.Key, Payload: order.Payload, Incarnation: incarnation, Deadline: deadline, Term: l.settings.Term,
 			Checkpoint: order.Checkpoint, Ticket: order.Ticket,
 		})
 	case plan.OrderStop:
--- a/pkg/link/restart_test.go
+++ b/pkg/link/restart_test.go
@@ -77,7 +77,7 @@
 func (r *expiryRecorder) Result(result plan.Result)                                          { r.results <- result }
 func (r *expiryRecorder) CallFailed(oleanderline.WorkerID, error)                            {}
 func (r *expiryRecorder) Fenced(oleanderline.WorkerID)                                       {}
-func (r *expiryRecorder) Replaced(oleanderline.WorkerID, time.Time) { r.replaced.Add(1) }
+func (r *expiryRecorder) Replaced(oleanderline.WorkerID, time.Time)                          { r.replaced.Add(1) }
 
 func (r *expiryRecorder) LeaseExpired(_ oleanderline.WorkerID, expiry plan.Expiry) {
 	expired := r.expired
--- a/pkg/plan/handover_cases_test.go
+++ b/pkg/plan/handover_cases_test.go
@@ -324,3 +324,39 @@
 	m.restart(m.worker("w2"), 1000)
 	return m, first
 }
+
+// Guards against a second run of tasks on a worker that was back under its id when an order of the leader for its former life arrived,
+// and is cut off when the leader is lost: the new incarnation granted its longest lease to all that ran there, of which the next leader
+// does not know.
+func TestLeaderIsLostAfterAWorkerHasRestarted(t *testing.T) {
+	type scenario struct {
+		name    string
+		outcome callOutcome // of the order for the former life
+	}
+	for _, s := range []scenario{{"answered", callAnswered}, {"answered late", callAnswerLate}, {"not answered", callAnswerLost}} {
+		t.Run(s.name, func(t *testing.T) {
+			m := newHandover(t, 3)
+			first := m.leader()
+			m.work(first)
+			m.listed["w1"], m.listed["w2"] = false, false
+			m.readDirectory(first)
+			m.submit(testJob("a"))
+			m.readJobs(first)
+			m.place(first)
+			m.crash(m.worker("w0"))
+			m.restart(m.worker("w0"), 1000)
+			m.deliver(first, "w0", s.outcome)
+			m.submit(testJob("b"))
+			m.workFor(time.Second, first)
+			require.NotEmpty(t, m.worker("w0").running)
+
+			m.listed["w1"], m.listed["w2"] = true, true
+			m.cut(first, "w0")
+			m.endTerm(false)
+			m.claim()
+			m.cut(m.leader(), "w0")
+			m.workFor(8*time.Second, m.leader())
+			require.Len(t, slices.Concat(m.worker("w1").running, m.worker("w2").running), 2)
+		})
+	}
+}
--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -63,8 +63,12 @@
 	restarted := next.order.Kind == OrderStart && link.clockKnown && next.order.Life != link.life
 	if m.authority(l) && m.now.Sub(next.at) <= modelOrderAge && !restarted {
 		w := m.worker(id)
-		link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
-		result = m.send(l, lateStart{next.order, l.term, w.life, m.now.Add(link.lease(w))}, outcome)
+		if next.order.Kind == OrderStart {
+			link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
+		}
+		if next.order.Kind != OrderStart || link.reaches(w) {
+			result = m.send(l, lateStart{next.order, l.term, w.life, m.now.Add(w.lease(link.life))}, outcome)
+		}
 	}
 	m.advance(modelCallTime)
 	m.answer(l, result, outcome == callAnswerLate)
@@ -135,7 +139,7 @@
 	}
 	sent := m.now
 	m.advance(modelCallTime)
-	extends := link.clockKnown && !link.failing
+	extends := link.clockKnown && !link.failing && link.reaches(w)
 	if extends {
 		link.leaseEnd = common.Later(link.leaseEnd, sent.Add(modelLeaseBound))
 	}
@@ -149,7 +153,7 @@
 	}
 	w.term = l.term
 	if extends {
-		w.deadline = common.Later(w.deadline, sent.Add(link.lease(w)))
+		w.deadline = common.Later(w.deadline, sent.Add(w.lease(link.life)))
 	}
 	if link.acked > 0 && link.life == w.life {
 		m.acknowledge(w, link.acked)
--- a/pkg/plan/handover_model_test.go
+++ b/pkg/plan/handover_model_test.go
@@ -19,7 +19,7 @@
 	modelLogOutage  = 10 * time.Second        // for which a leader gives orders without an answer of the log
 	modelLease      = 4080 * time.Millisecond // from a renewal to its expiry on the slowest worker
 	modelLeaseBound = 4150 * time.Millisecond // from a renewal to the time at which the leader regards it as expired
-	modelMaxLease   = 6 * time.Second         // to which a worker shortens a longer lease
+	modelMaxLease   = 10 * time.Second        // to which a worker shortens a longer lease
 	modelOrderAge   = time.Second             // highest age of an order when it is sent
 	modelStopGrace  = 500 * time.Millisecond  // bound of the time that a worker takes to stop a run
 	modelCallTime   = time.Millisecond        // duration of each action
@@ -119,15 +119,19 @@
 	sent   time.Time
 }
 
-// lease returns how long a lease lasts that is given over a link. The clock of a worker starts anew with each incarnation, so a
-// deadline on the clock of an earlier one is far ahead, and the worker shortens it to modelMaxLease.
-func (l *modelLink) lease(w *modelWorker) time.Duration {
-	if l.clockKnown && l.life != w.life {
+// lease returns how long a lease lasts that a call with a deadline on the clock of an incarnation gives. The clock of a worker starts anew
+// with each incarnation, so a deadline on the clock of an earlier one is far ahead, and the worker shortens it to modelMaxLease.
+func (w *modelWorker) lease(life oleanderline.WorkerIncarnation) time.Duration {
+	if life != w.life {
 		return modelMaxLease
 	}
 	return modelLease
 }
 
+// reaches reports whether a call for the incarnation that the link knows would reach the worker. Over the connections of a runner it
+// reaches no later incarnation: platform.TestCallsReachNoLaterIncarnation.
+func (l *modelLink) reaches(w *modelWorker) bool { return l.life == w.life }
+
 // lateStart is a start that reaches its worker late, unless the worker has restarted by then.
 type lateStart struct {
 	order    Order
--- a/runner.go
+++ b/runner.go
@@ -8,6 +8,9 @@
 // Runner is the agent on one worker VM of a cell. All its runs share one lease deadline, measured on the worker's own clock,
 // which start and renew orders extend. An error that matches ErrUncertain means that the order may have taken effect, or may do so
 // later.
+//
+// A start, a deadline and an acknowledgement reach only the incarnation of the worker that the order names: a later one begins its
+// clock anew, so that it would grant its longest lease, refuses no earlier leader, and numbers its ends anew.
 type Runner interface {
 	// Start begins a run. Like the other orders, it fails with a *RefusedError if the runner refuses the order.
 	Start(ctx context.Context, order StartRun) (WorkerTime, error)
@@ -16,7 +19,7 @@
 	// Throttle throttles a run to a percentage of its full speed.
 	Throttle(ctx context.Context, order ThrottleRun) (WorkerTime, error)
 	// Renew renews the lease: it extends the deadline, acknowledges ended runs and returns the runs in progress and those that
-	// have ended.
+	// have ended. If another incarnation than the one named by the order answers, it only returns the report of that one.
 	Renew(ctx context.Context, order RenewRuns) (WorkerReport, error)
 	// Close closes idle connections.
 	Close()
@@ -30,12 +33,14 @@
 
 // StartRun orders the start of a run of a task.
 type StartRun struct {
-	Key        RunKey
-	Payload    string
-	Deadline   WorkerTime // of all runs of the worker
-	Term       Term
-	Checkpoint string
-	Ticket     string // issued by the Adviser, if the queue needs one
+	Key     RunKey
+	Payload string
+	// Incarnation is the one that the order is meant for, and on whose clock the deadline is; zero for any.
+	Incarnation WorkerIncarnation
+	Deadline    WorkerTime // of all runs of the worker
+	Term        Term
+	Checkpoint  string
+	Ticket      string // issued by the Adviser, if the queue needs one
 }
 
 // StopRun orders the end of a run.
