Leave out odd entries of the directory of workers

One entry of another writer could end every leader: with an id of 254 or 255 bytes, the key of the worker's record is longer than the log accepts, so each append of the leader was refused, its heartbeats with it, and so for the next leader.

Cause: an entry was checked for its fields and types only.

The entry is logged, and its worker is not used.

The log of pkg/node's tests now refuses long keys, as the platform's client does.

--- a/job.go
+++ b/job.go
@@ -63,7 +63,7 @@
 const (
 	// maxTasks limits the memory that one submission can take up in a scheduler.
 	maxTasks = 20000
-	// maxAmount bounds the amount of a resource that a task requests. It is far above any VM, and no sum over tasks overflows.
+	// maxAmount bounds the amount of a resource that a task requests or a worker has. It is far above any VM, and no sum overflows.
 	maxAmount = 1 << 40
 	// maxSpan bounds the sum of the estimates, and the time from the first occurrence to the last.
 	maxSpan = 100 * 365 * 24 * time.Hour
@@ -119,9 +119,9 @@
 		return fmt.Errorf("count %d, want at least 1", s.Count)
 	case s.Count > maxTasks:
 		return fmt.Errorf("count %d, want at most %d", s.Count, maxTasks)
-	case s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0:
+	case !Size{}.Fits(s.Size):
 		return fmt.Errorf("size %s must not be negative", s.Size)
-	case s.Size.CPU > maxAmount || s.Size.Memory > maxAmount || s.Size.Accelerators > maxAmount:
+	case !s.Size.inRange():
 		return fmt.Errorf("size %s, want at most %d of each resource", s.Size, maxAmount)
 	case s.Estimate > maxSpan:
 		return fmt.Errorf("estimate %s, want at most %s", s.Estimate, maxSpan)
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -220,7 +220,13 @@
 	onClaim         func()
 }
 
+// maxKey is the length of the longest key that the log accepts, in bytes.
+const maxKey = 255
+
 func (l *failingLog) Append(ctx context.Context, stream oleanderline.Stream, records []oleanderline.KeyedRecord, condition oleanderline.AppendCondition) (oleanderline.Offset, error) {
+	if slices.ContainsFunc(records, func(rec oleanderline.KeyedRecord) bool { return len(rec.Key) > maxKey }) {
+		return 0, oleanderline.ErrUnavailable
+	}
 	offset, err := l.Log.Append(ctx, stream, records, condition)
 	if stream == record.StreamClaims && err == nil {
 		l.onClaim()
--- a/pkg/term/directory.go
+++ b/pkg/term/directory.go
@@ -42,6 +42,9 @@
 		return known
 	}
 	entry, err := s.ports.DecodeWorker(rec)
+	if err == nil {
+		err = entry.Validate()
+	}
 	if err != nil {
 		s.common.Event(common.EventWorkerMalformed).WithError(err).Warn("malformed entry in the directory of workers; worker not used")
 		delete(entries, id)
--- a/units.go
+++ b/units.go
@@ -41,6 +41,12 @@
 	return s.CPU <= capacity.CPU && s.Memory <= capacity.Memory && s.Accelerators <= capacity.Accelerators
 }
 
+// inRange reports whether no amount is negative or above maxAmount.
+func (s Size) inRange() bool {
+	limit := Size{CPU: maxAmount, Memory: maxAmount, Accelerators: maxAmount}
+	return Size{}.Fits(s) && s.Fits(limit)
+}
+
 // String formats the size for logs, such as "2000m 4096MB 1acc".
 func (s Size) String() string {
 	return fmt.Sprintf("%dm %dMB %dacc", s.CPU, s.Memory, s.Accelerators)
