Start nothing by the entry of a worker's former incarnation

Cause: the planner compared the worker's entry in the directory with the worker by id only. The report of the new incarnation arrives at once, its entry up to 250 ms later.

Change: a worker takes tasks only while its entry is that of the incarnation that has reported last, or names none.

TestNothingStartsByTheEntryOfAFormerIncarnation fails before in 2 of 4 cases.

--- a/pkg/plan/restart_test.go
+++ b/pkg/plan/restart_test.go
@@ -154,3 +154,30 @@
 		})
 	}
 }
+
+// Guards against tasks that start on a worker by the labels and the capacity of its former life: it has restarted as another kind, and
+// its report is read before its entry in the directory.
+func TestNothingStartsByTheEntryOfAFormerIncarnation(t *testing.T) {
+	type scenario struct {
+		name    string
+		entry   oleanderline.WorkerIncarnation // in the directory; 0 if it names none
+		reports oleanderline.WorkerIncarnation
+		starts  int
+	}
+	for _, s := range []scenario{
+		{"entry of the incarnation that reports", 7, 7, 1},
+		{"entry of the former incarnation", 7, 8, 0},
+		{"entry of a later incarnation that has not reported", 8, 7, 0},
+		{"entry without an incarnation", 0, 8, 1},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			c.entries[0].Incarnation, c.entries[0].Labels = s.entry, []string{"a"}
+			c.planner.SetWorkers(c.entries, c.now)
+			c.planner.Report("w0", oleanderline.WorkerReport{Life: s.reports}, c.now, c.now)
+			c.add("a", oleanderline.Step{Count: 1, Size: testSize, Label: "a"})
+			c.planner.Place(c.now, c.now, maxStartsPerPass)
+			require.Len(t, c.planner.Orders(), s.starts)
+		})
+	}
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -274,10 +274,16 @@
 
 // schedulable reports whether any new task may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.inDirectory && w.useRecorded && w.reported && w.service == serviceOpen && !w.unreachable && !w.evacuating() &&
+	return w.inDirectory && w.describesIncarnation() && w.useRecorded && w.reported && w.service == serviceOpen && !w.unreachable && !w.evacuating() &&
 		w.unknownRuns == 0 && !now.Before(w.backoffUntil) && w.health.admits(now)
 }
 
+// describesIncarnation reports whether the worker's entry in the directory is that of the incarnation that has reported last. Another one
+// may be of another kind and size. An entry that names no incarnation counts as that of any.
+func (w *worker) describesIncarnation() bool {
+	return w.entry.Incarnation == 0 || w.entry.Incarnation == w.incarnation
+}
+
 // backOff lets no task start on the worker until end, or until the end of an earlier backoff that is later.
 func (w *worker) backOff(end time.Time) { w.backoffUntil = common.Later(w.backoffUntil, end) }
 
