Keep records and appends within the limits of the log

Cause: the progress of a job had a bitmap for each finished step of each occurrence, and grew beyond the largest record of the log. A leader puts all records of a flush into one append and repeats it, so that one record that can never be stored kept out all others, the heartbeats included.

The limits of the log come from the settings. A flush and a batch of submissions are split into appends that fit; a record that does not fit is left out and logged; a job whose progress does not fit fails; a job whose record would not fit is answered 400. Failed runs of tasks that are done are dropped.

The log of pkg/node's tests refuses what is beyond 16 KiB a record and 64 KiB an append.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -79,7 +79,7 @@
 	}
 	n := node.New(c, node.Settings{
 		VM: settings.VM, Limits: settings.Limits, MaxLease: settings.MaxLease,
-		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention,
+		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention, LogLimits: settings.LogLimits,
 		Maintenance: term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 	}, node.Ports{
--- a/keyed_log.go
+++ b/keyed_log.go
@@ -26,6 +26,39 @@
 	Offset Offset // set only in results of Read and Newest
 }
 
+// Size returns the size of the record, as far as it counts towards the limits of a log.
+func (r *KeyedRecord) Size() ByteCount { return ByteCount(1 + len(r.Key) + len(r.Value)) }
+
+// Fits reports whether the record is within the size of the largest one that a log accepts. A limit of 0 means none.
+func (r *KeyedRecord) Fits(limit ByteCount) bool { return limit == 0 || r.Size() <= limit }
+
+// LogLimits are the limits of a KeyedLog; 0 means none. An append beyond them is refused each time.
+type LogLimits struct {
+	Record ByteCount // of one record
+	Append ByteCount // of all records of an append
+}
+
+// lengthSize is the size of the length that precedes a record in an append.
+const lengthSize = ByteCount(4)
+
+// Split splits records, in their order, into as few appends as the limit allows. A record that is too large is in one of its own.
+func (l LogLimits) Split(records []KeyedRecord) [][]KeyedRecord {
+	var appends [][]KeyedRecord
+	begin, size := 0, ByteCount(0)
+	for i := range records {
+		next := lengthSize + records[i].Size()
+		if l.Append > 0 && i > begin && size+next > l.Append {
+			appends = append(appends, records[begin:i])
+			begin, size = i, 0
+		}
+		size += next
+	}
+	if begin < len(records) {
+		appends = append(appends, records[begin:])
+	}
+	return appends
+}
+
 // KeyedBatch is the result of a read.
 type KeyedBatch struct {
 	Records []KeyedRecord
--- a/pkg/node/batcher.go
+++ b/pkg/node/batcher.go
@@ -22,6 +22,7 @@
 type batcher struct {
 	common  *common.Common
 	log     oleanderline.KeyedLog
+	limits  oleanderline.LogLimits
 	waiting chan pendingRecord
 	// failing is set while appends fail; probing is set while an append runs.
 	failing, probing atomic.Bool
@@ -36,8 +37,8 @@
 	done   chan error
 }
 
-func newBatcher(c *common.Common, log oleanderline.KeyedLog) *batcher {
-	return &batcher{common: c, log: log, waiting: make(chan pendingRecord, queueLength)}
+func newBatcher(c *common.Common, log oleanderline.KeyedLog, limits oleanderline.LogLimits) *batcher {
+	return &batcher{common: c, log: log, limits: limits, waiting: make(chan pendingRecord, queueLength)}
 }
 
 // store returns nil once the record is stored. ErrUnavailable guarantees that the record is not and will not be stored.
@@ -76,7 +77,11 @@
 		case <-ctx.Done():
 			return
 		case first := <-b.waiting:
-			b.append(ctx, b.fillBatch(first))
+			batch := b.fillBatch(first)
+			for _, records := range b.limits.Split(recordsOf(batch)) {
+				b.append(ctx, batch[:len(records)])
+				batch = batch[len(records):]
+			}
 		}
 	}
 }
--- a/pkg/node/batcher_test.go
+++ b/pkg/node/batcher_test.go
@@ -31,7 +31,7 @@
 	c := common.New("test", common.WithClock(common.NewSystemClock()), common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		b := newBatcher(c, silentLog{answersAfter: 3 * time.Second})
+		b := newBatcher(c, silentLog{answersAfter: 3 * time.Second}, oleanderline.LogLimits{})
 		go b.run(ctx)
 		caller, giveUp := context.WithTimeout(ctx, time.Second)
 		defer giveUp()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -62,7 +62,7 @@
 	n.replica = replica.New(func(err error) {
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("malformed record skipped")
 	})
-	n.batcher = newBatcher(c, ports.Log)
+	n.batcher = newBatcher(c, ports.Log, settings.LogLimits)
 	n.peers = peer.NewPool()
 	n.relay = relay.NewClient(func() []string { return n.replica.PeerAddresses(settings.VM) }, n.peers)
 	n.agents = ports.Agents
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -59,6 +59,10 @@
 	if err != nil {
 		return err
 	}
+	if !rec.Fits(n.settings.LogLimits.Record) {
+		n.logRefusal(callSubmit, job.ID, oleanderline.ErrTooLarge)
+		return oleanderline.ErrTooLarge
+	}
 	if err := n.store(ctx, rec); err != nil {
 		n.logRefusal(callSubmit, job.ID, err)
 		return err
--- a/pkg/node/service_test.go
+++ b/pkg/node/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,3 +70,26 @@
 	n := New(newCommons()[0], Settings{}, Ports{}) // without a log, so that a read would panic
 	require.ErrorIs(t, n.Cancel(t.Context(), "q", "none"), oleanderline.ErrNotReady)
 }
+
+// Guards against a job whose record is larger than the log accepts: the append with it is refused each time, and with it the other jobs
+// that came at the same moment.
+func TestJobTooLargeForTheLogIsRefused(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 0, commons)
+		defer c.close()
+		time.Sleep(4 * time.Second) // until there is a leader
+		job := func(id oleanderline.JobID, payload oleanderline.ByteCount) oleanderline.Job {
+			return oleanderline.Job{ID: id, Queue: testQueue.ID, Policy: testQueue, Payload: strings.Repeat("1", int(payload)), Steps: []oleanderline.Step{{Count: 1}}}
+		}
+		n := c.process(0).node
+		require.ErrorIs(t, n.Submit(c.ctx, job("large", testLimits.Record)), oleanderline.ErrTooLarge)
+		var submissions sync.WaitGroup
+		for i := range 10 { // together larger than an append
+			submissions.Go(func() {
+				require.NoError(t, n.Submit(c.ctx, job(oleanderline.JobID(rune('a'+i)), testLimits.Record*3/4)))
+			})
+		}
+		submissions.Wait()
+	})
+}
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -13,11 +13,12 @@
 // Settings of a Node.
 type Settings struct {
 	VM           oleanderline.VMID
-	Limits       capacity.VM   // capacity of this VM
-	PeerAddress  string        // where to serve the other processes of the cell; "" to serve none
-	MaxLease     time.Duration // the longest lease that workers accept
-	StopGrace    time.Duration // how long a worker may take to stop a run
-	JobRetention time.Duration // how long finished jobs are kept
+	Limits       capacity.VM            // capacity of this VM
+	PeerAddress  string                 // where to serve the other processes of the cell; "" to serve none
+	MaxLease     time.Duration          // the longest lease that workers accept
+	StopGrace    time.Duration          // how long a worker may take to stop a run
+	JobRetention time.Duration          // how long finished jobs are kept
+	LogLimits    oleanderline.LogLimits // of Ports.Log
 	Maintenance  term.Maintenance
 }
 
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -177,7 +177,7 @@
 	}
 	p.node = New(c.commons[index], Settings{
 		VM: oleanderline.VMID(fmt.Sprintf("n%d", index)), Limits: c.limits,
-		MaxLease: maxLease, StopGrace: stopGrace, JobRetention: time.Hour, PeerAddress: strconv.Itoa(index),
+		MaxLease: maxLease, StopGrace: stopGrace, JobRetention: time.Hour, LogLimits: testLimits, PeerAddress: strconv.Itoa(index),
 	}, Ports{
 		Agents: &cellfake.PeerClient{Path: p.peers, Find: c.backend},
 		Ports: term.Ports{
@@ -223,8 +223,17 @@
 // maxKey is the length of the longest key that the log accepts, in bytes.
 const maxKey = 255
 
+var testLimits = oleanderline.LogLimits{Record: 16 << 10, Append: 64 << 10}
+
+// accepts reports whether the log accepts an append.
+func accepts(records []oleanderline.KeyedRecord) bool {
+	return len(testLimits.Split(records)) <= 1 && !slices.ContainsFunc(records, func(rec oleanderline.KeyedRecord) bool {
+		return len(rec.Key) > maxKey || !rec.Fits(testLimits.Record)
+	})
+}
+
 func (l *failingLog) Append(ctx context.Context, stream oleanderline.Stream, records []oleanderline.KeyedRecord, condition oleanderline.AppendCondition) (oleanderline.Offset, error) {
-	if slices.ContainsFunc(records, func(rec oleanderline.KeyedRecord) bool { return len(rec.Key) > maxKey }) {
+	if !accepts(records) {
 		return 0, oleanderline.ErrUnavailable
 	}
 	offset, err := l.Log.Append(ctx, stream, records, condition)
--- a/pkg/plan/flush.go
+++ b/pkg/plan/flush.go
@@ -19,7 +19,7 @@
 func (p *Planner) Flush() ([]oleanderline.KeyedRecord, EndNumbers, error) {
 	records := make([]oleanderline.KeyedRecord, 0, len(p.dirty))
 	for j := range p.dirty {
-		rec, err := record.ForProgress(j.spec.ID, &j.progress)
+		rec, err := p.progressRecord(j)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -35,6 +35,22 @@
 	return records, ends, nil
 }
 
+// progressRecord returns the record of a job's progress. A job whose progress does not fit into a record fails: the log would refuse
+// that record, and all others of the same append, again and again.
+func (p *Planner) progressRecord(j *job) (oleanderline.KeyedRecord, error) {
+	rec, err := record.ForProgress(j.spec.ID, &j.progress)
+	if err != nil || rec.Fits(p.settings.MaxRecord) {
+		return rec, err
+	}
+	run := oleanderline.RunKey{Task: oleanderline.TaskKey{Job: j.spec.ID}}
+	p.notes = append(p.notes, Note{Kind: NoteJob, Run: run, Reason: "progress is too large for a record of the log"})
+	if j.active() {
+		p.finish(j, oleanderline.JobFailed)
+	}
+	j.progress = record.Progress{State: j.progress.State, Started: true}
+	return record.ForProgress(j.spec.ID, &j.progress)
+}
+
 // Flushed marks the records of a flush as stored. It returns the ends that may now be acknowledged to the workers.
 func (p *Planner) Flushed(ends EndNumbers) EndNumbers {
 	acked := EndNumbers{}
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 // group is the tasks of one step in one occurrence of its job.
@@ -74,11 +73,10 @@
 func newGroup(j *job, o *occurrence, stepIndex int) *group {
 	step := &j.spec.Steps[stepIndex]
 	g := &group{job: j, occurrence: o, stepIndex: stepIndex, step: step, tasks: make([]task, step.Count)}
-	done := j.progress.Done[g.number()]
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		t.group, t.index = g, i
-		t.done = record.Bit(done, i)
+		t.done = j.progress.IsDone(g.number(), i)
 		t.unreported = true
 		t.failures = len(j.progress.FailedRuns[failureKey(g, i)])
 		if !t.done {
@@ -232,11 +230,8 @@
 	t.done = true
 	g.unfinished--
 	g.occurrence.remainingStale = true
-	if g.job.progress.Done == nil {
-		g.job.progress.Done = map[int][]byte{}
-	}
-	number := g.number()
-	g.job.progress.Done[number] = record.SetBit(g.job.progress.Done[number], t.index, len(g.tasks))
+	g.job.progress.SetDone(g.number(), t.index, len(g.tasks))
+	delete(g.job.progress.FailedRuns, failureKey(g, t.index))
 	p.dirty[g.job] = struct{}{}
 }
 
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -60,6 +60,7 @@
 	if !j.active() {
 		return
 	}
+	j.progress.Compact(j.taskCount)
 	j.unfinished = j.countUnfinished()
 	if j.unfinished == 0 {
 		p.finish(j, oleanderline.JobCompleted)
@@ -73,6 +74,14 @@
 	p.enqueueOccurrence(p.occurrence(j, 0))
 }
 
+// taskCount returns the number of tasks of a step, numbered over all occurrences. Numbers come from records and may be invalid.
+func (j *job) taskCount(step int) int {
+	if step < 0 {
+		return 0
+	}
+	return j.spec.Steps[step%len(j.spec.Steps)].Count
+}
+
 // criticalPaths returns the estimated critical path from the start of each step to the end of the job.
 func criticalPaths(steps []oleanderline.Step) []time.Duration {
 	paths := make([]time.Duration, len(steps))
--- a/pkg/plan/occurrence.go
+++ b/pkg/plan/occurrence.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline/pkg/backlog"
-	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
 // occurrence is one run of all steps of a job. A job without due times has only one. The occurrences of a job with due times are
@@ -81,9 +80,8 @@
 // occurrenceDone reports whether the recorded progress says that all tasks of an occurrence are done.
 func (j *job) occurrenceDone(number int) bool {
 	for i := range j.spec.Steps {
-		bitmap := j.progress.Done[number*len(j.spec.Steps)+i]
 		for index := range j.spec.Steps[i].Count {
-			if !record.Bit(bitmap, index) {
+			if !j.progress.IsDone(number*len(j.spec.Steps)+i, index) {
 				return false
 			}
 		}
@@ -94,7 +92,7 @@
 // countUnfinished returns the number of occurrences that are not done.
 func (j *job) countUnfinished() int {
 	count := j.spec.Occurrences()
-	if len(j.progress.Done) == 0 {
+	if j.progress.Empty() {
 		return count
 	}
 	for number := range j.spec.Occurrences() {
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -30,6 +30,8 @@
 	Majority time.Duration
 	// Lease is how long a run may continue after the last order to its worker.
 	Lease time.Duration
+	// MaxRecord is the size of the largest record that the log accepts; 0 means no limit.
+	MaxRecord oleanderline.ByteCount
 	// StopGrace is how long after the answer to a stop its run may continue.
 	StopGrace time.Duration
 }
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -5,8 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -53,31 +51,6 @@
 	KindWindow
 )
 
-// Progress is the progress of a job as recorded by the leader.
-type Progress struct {
-	State   oleanderline.JobState `json:"s"`
-	Started bool                  `json:"b,omitempty"`
-	// Done holds a bitmap of finished tasks for each step. The steps are numbered over all occurrences of the job.
-	Done map[int][]byte `json:"d,omitempty"`
-	// FailedRuns holds the numbers of the failed runs of each task, by "step.index" with the step numbered over all occurrences.
-	// They are needed because a worker reports an end again to the next leader, which must not count it twice.
-	FailedRuns map[string][]int `json:"f,omitempty"`
-}
-
-// Clone returns a copy of the progress that shares no map or slice with it.
-func (p *Progress) Clone() Progress {
-	clone := *p
-	clone.Done = maps.Clone(p.Done)
-	for number, bitmap := range clone.Done {
-		clone.Done[number] = slices.Clone(bitmap)
-	}
-	clone.FailedRuns = maps.Clone(p.FailedRuns)
-	for key, runs := range clone.FailedRuns {
-		clone.FailedRuns[key] = slices.Clone(runs)
-	}
-	return clone
-}
-
 // Leader identifies the leader, which stores this record repeatedly as a heartbeat.
 type Leader struct {
 	Term       oleanderline.Term `json:"term"`
--- a/pkg/term/flush.go
+++ b/pkg/term/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
@@ -23,9 +24,20 @@
 	s.connectWorkers()
 	windows := s.maintenance.Changes()
 	records = append(append(append(append(records, workerRecords...), s.pairRecords()...), s.dropExpiredJobs()...), s.windowRecords(windows)...)
+	records = slices.DeleteFunc(records, s.isTooLarge)
 	reply <- flush{records: records, completion: flushStored{ends: ends, workers: workerIDs, windows: windows}}
 }
 
+// isTooLarge reports whether a record is larger than the log accepts. It would be refused each time, with all others of its append, so it
+// is left out.
+func (s *Session) isTooLarge(rec oleanderline.KeyedRecord) bool {
+	if rec.Fits(s.settings.LogLimits.Record) {
+		return false
+	}
+	s.common.Event(common.EventRecordTooLarge).WithField("key", rec.Key).WithField("size", rec.Size()).Error("record is larger than the log accepts; left out")
+	return true
+}
+
 // askAdviser sends a request to the adviser and posts the answer. It delays the post of a failure by adviceSlack.
 func (s *Session) askAdviser(request plan.AdviceRequest) {
 	askedAt := s.common.Clock.Now()
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -18,6 +18,8 @@
 	Lease     time.Duration // how long the runs on a worker continue without a renewal
 	MaxLease  time.Duration // the longest lease that workers accept
 	RenewWait time.Duration // how long a worker may delay its answer to a renew call (lease renewal) until a run ends
+	// LogLimits are those of Ports.Log.
+	LogLimits oleanderline.LogLimits
 	// MaxLogOutage is how long the leader may go on sending orders without an answer from the log.
 	MaxLogOutage time.Duration
 	// AppendValidity is how long after the sending of a confirmed append the leader may send orders without a majority of workers. A
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -94,8 +94,10 @@
 		return false
 	}
 	f.records = append(f.records, own...)
-	if len(f.records) > 0 && !w.appender.store(f.records, s.lastAppendSent.Store) {
-		return false
+	for _, records := range s.settings.LogLimits.Split(f.records) {
+		if !w.appender.store(records, s.lastAppendSent.Store) {
+			return false
+		}
 	}
 	if heartbeat {
 		w.lastHeartbeat, w.storedIntake = now, intake
--- a/units.go
+++ b/units.go
@@ -11,6 +11,9 @@
 // Accelerators counts whole accelerators.
 type Accelerators int64
 
+// ByteCount is a number of bytes.
+type ByteCount int64
+
 // Size is an amount of each resource: what a VM offers, or what a task requests.
 type Size struct {
 	CPU          Millicores   `json:"cpu"`
--- a/worker_entry.go
+++ b/worker_entry.go
@@ -21,6 +21,9 @@
 	Incarnation WorkerIncarnation
 }
 
+// maxAddress bounds the length of a worker's address, which is part of a record: a host name, a colon and a port.
+const maxAddress = 253 + 6 // bytes
+
 // maxWorkerID bounds the length of a worker's id, which is part of the keys of records. The log refuses a longer key, and with it all
 // records of the same append.
 const maxWorkerID = 200 // bytes
@@ -32,6 +35,8 @@
 		return fmt.Errorf("id has %d bytes, want 1 to %d", len(e.ID), maxWorkerID)
 	case strings.ContainsFunc(string(e.ID), func(r rune) bool { return r == unicode.ReplacementChar || !unicode.IsGraphic(r) }):
 		return fmt.Errorf("id %q has characters that cannot be printed", e.ID)
+	case len(e.Address) > maxAddress:
+		return fmt.Errorf("address has %d bytes, want at most %d", len(e.Address), maxAddress)
 	case !e.Capacity.inRange():
 		return fmt.Errorf("capacity %s, want 0 to %d of each resource", e.Capacity, maxAmount)
 	case e.Remaining < 0:
--- a/worker_entry_test.go
+++ b/worker_entry_test.go
@@ -23,6 +23,7 @@
 		{"no id", func(e *WorkerEntry) { e.ID = "" }, false},
 		{"id with a line break", func(e *WorkerEntry) { e.ID = "a\r\nb" }, false},
 		{"id that is not UTF-8", func(e *WorkerEntry) { e.ID = "a\xff" }, false},
+		{"address too long for a record", func(e *WorkerEntry) { e.Address = strings.Repeat("x", 300_000) + ":80" }, false},
 		{"capacity too large", func(e *WorkerEntry) { e.Capacity.CPU = math.MaxInt64 }, false},
 		{"capacity negative", func(e *WorkerEntry) { e.Capacity.Memory = -1 }, false},
 		{"remaining time negative", func(e *WorkerEntry) { e.Remaining = -1 }, false},
