Count tasks on machines that go down as unavailable

Cause: tasks counted as serving by the newest report, also after the leader had ordered their machine down, and the machines of a pass were judged one by one, without those that the same pass had chosen.

Change: the coordinator tells the planner of each machine that it takes down, and the tasks there no longer count as serving, until another incarnation reports or the order has had no effect.

TestVMsAreNotTakenDownTogetherBeyondTheirTasks and TestTasksOnATakenDownVMAreUnavailable guard it; the calls that they make do not exist in the code of before.

--- a/pkg/maintenance/coordinator.go
+++ b/pkg/maintenance/coordinator.go
@@ -34,6 +34,9 @@
 	Empty(id oleanderline.WorkerID) bool
 	// MayStopAll reports whether all tasks on the worker may be ended at once.
 	MayStopAll(id oleanderline.WorkerID) bool
+	// TakeDown records that the VM of a worker goes down: its tasks count as unavailable from now on. Spare takes that back.
+	TakeDown(id oleanderline.WorkerID)
+	Spare(id oleanderline.WorkerID)
 	// ShortOfCapacity reports whether long-running tasks wait for room, which vacated workers could provide.
 	ShortOfCapacity() bool
 }
@@ -226,6 +229,7 @@
 			d.Vacate = append(d.Vacate, v.worker)
 			if down < w.MaxDown && c.mayGoDown(w, v, cell, now) {
 				v.phase = intended
+				cell.TakeDown(v.worker)
 				c.dirty[w.ID] = true
 				down++
 			}
@@ -240,6 +244,7 @@
 			}
 			d.Vacate = append(d.Vacate, v.worker)
 			if c.mayGoDown(w, v, cell, now) {
+				cell.TakeDown(v.worker)
 				v.phase, v.since = ordered, now
 				d.Orders = append(d.Orders, Order{Window: w.ID, VM: id})
 			}
@@ -304,7 +309,7 @@
 }
 
 // HandleResult processes the outcome of an order.
-func (c *Coordinator) HandleResult(order Order, result Result, now time.Time) {
+func (c *Coordinator) HandleResult(order Order, result Result, cell Cell, now time.Time) {
 	w := c.windows[order.Window]
 	if w == nil || w.vms[order.VM] == nil {
 		return
@@ -318,9 +323,11 @@
 		v.phase, v.since = accepted, now
 		c.dirty[w.ID] = true
 	case Refused:
+		cell.Spare(v.worker)
 		v.phase = finished
 		c.dirty[w.ID] = true
 	case NotDone:
+		cell.Spare(v.worker)
 		v.phase = waiting
 		c.dirty[w.ID] = true
 	case Unknown: // advance repeats the order
--- a/pkg/maintenance/coordinator_test.go
+++ b/pkg/maintenance/coordinator_test.go
@@ -72,6 +72,10 @@
 func (f *fleet) Empty(id oleanderline.WorkerID) bool      { return !f.busy[id] }
 func (f *fleet) MayStopAll(id oleanderline.WorkerID) bool { return !f.protected[id] }
 
+func (f *fleet) TakeDown(oleanderline.WorkerID) {}
+
+func (f *fleet) Spare(oleanderline.WorkerID) {}
+
 func (f *fleet) ShortOfCapacity() bool { return f.shortOfCapacity }
 
 // delay returns the random delay after which a late order takes effect.
@@ -132,7 +136,7 @@
 				f.late = append(f.late, lateOrder{order, f.term, f.now.Add(f.delay())})
 				answer = Unknown
 			}
-			c.HandleResult(order, answer, f.now)
+			c.HandleResult(order, answer, f, f.now)
 		}
 		if !c.Open() {
 			return f.now.Sub(began)
@@ -222,3 +226,40 @@
 	c.Add(oleanderline.MaintenanceWindow{ID: 7, VMs: append(f.vms, "gone"), Duration: 10 * time.Second, MaxDown: 1})
 	require.Less(t, f.runWindow(t, c, 1, time.Minute, accept), 10*time.Second)
 }
+
+// oneStep is a cell in which each worker runs one task of a step of which one task may be unavailable.
+type oneStep struct {
+	taken map[oleanderline.WorkerID]bool
+}
+
+func (s oneStep) Empty(oleanderline.WorkerID) bool { return false }
+
+func (s oneStep) MayStopAll(id oleanderline.WorkerID) bool {
+	others := len(s.taken)
+	if s.taken[id] {
+		others--
+	}
+	return others == 0
+}
+
+func (s oneStep) ShortOfCapacity() bool             { return false }
+func (s oneStep) TakeDown(id oleanderline.WorkerID) { s.taken[id] = true }
+func (s oneStep) Spare(id oleanderline.WorkerID)    { delete(s.taken, id) }
+
+// Guards against two VMs that are taken down at once although only one of their tasks may be unavailable: each was allowed by itself.
+func TestVMsAreNotTakenDownTogetherBeyondTheirTasks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cell := oneStep{taken: map[oleanderline.WorkerID]bool{}}
+	list := []oleanderline.FleetVM{{ID: "m0", Worker: "w0"}, {ID: "m1", Worker: "w1"}, {ID: "m2", Worker: "w2"}}
+	c := New(testVMDuration)
+	c.Add(oleanderline.MaintenanceWindow{ID: 1, VMs: []oleanderline.VMID{"m0", "m1", "m2"}, MaxDown: 3, Duration: 30 * time.Second})
+	c.Decide(list, cell, now)
+	now = now.Add(maxVacateTime)
+	c.Decide(list, cell, now)
+	require.Len(t, cell.taken, 1)
+	orders := c.Stored(1, c.Changes()[1], now)
+	require.Len(t, orders, 1)
+
+	c.HandleResult(orders[0], NotDone, cell, now)
+	require.Empty(t, cell.taken, "a VM that stays up counts no longer")
+}
--- a/pkg/plan/replicas.go
+++ b/pkg/plan/replicas.go
@@ -59,5 +59,8 @@
 	return t.isServing() && now.Sub(t.progressAt) > reportLag && t.gauge > 0
 }
 
-// isServing reports whether a long-running task is running and ready to serve.
-func (t *task) isServing() bool { return t.state == taskRunning && t.percent >= percentComplete }
+// isServing reports whether a long-running task is running and ready to serve. By the newest report it may be, although this leader has
+// ordered that its VM goes down.
+func (t *task) isServing() bool {
+	return t.state == taskRunning && t.percent >= percentComplete && !t.worker.takenDown
+}
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -64,7 +64,7 @@
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "worker has restarted")
 	}
 	w.incarnation, w.processed, w.acked = incarnation, 0, 0
-	w.health = health{}
+	w.health, w.takenDown = health{}, false
 	for t := range w.tasks {
 		t.stopFirst = t.startUnanswered
 	}
--- a/pkg/plan/vacate.go
+++ b/pkg/plan/vacate.go
@@ -24,6 +24,21 @@
 	}
 }
 
+// TakeDown records that the VM of a worker goes down, so that the tasks there no longer count as serving: their end is reported late or
+// never.
+func (p *Planner) TakeDown(id oleanderline.WorkerID) {
+	if w := p.workers[id]; w != nil {
+		w.takenDown = true
+	}
+}
+
+// Spare takes back TakeDown: the VM of the worker does not go down.
+func (p *Planner) Spare(id oleanderline.WorkerID) {
+	if w := p.workers[id]; w != nil {
+		w.takenDown = false
+	}
+}
+
 // Empty reports whether no task runs on a worker, by its newest report.
 func (p *Planner) Empty(id oleanderline.WorkerID) bool {
 	w := p.workers[id]
--- a/pkg/plan/vacate_test.go
+++ b/pkg/plan/vacate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -107,3 +108,31 @@
 		require.True(t, c.planner.Empty(id), "everything there has expired")
 	}
 }
+
+// Guards against more unavailable tasks than a step may miss, because the tasks on a VM that this leader has ordered down still count as
+// serving: their worker reports nothing any more, and its leases last for seconds.
+func TestTasksOnATakenDownVMAreUnavailable(t *testing.T) {
+	one := 1
+	c := newCell(t, 4)
+	c.add("a", oleanderline.Step{Count: 4, Size: testSize, LongRunning: true, MaxUnavailable: &one, MaxPerWorker: 1})
+	c.place()
+	for id := range c.workers {
+		c.setGauges(id, 1)
+	}
+	c.reportAll()
+	kept := c.planner.task(taskOf("a", 0, 0))
+	require.True(t, c.planner.MayStopAll("w0"))
+	c.planner.TakeDown("w0")
+	require.True(t, c.planner.MayStopAll("w0"))
+	require.False(t, c.planner.MayStopAll("w1"))
+	require.False(t, kept.mayMove())
+	c.planner.Spare("w0")
+	require.True(t, c.planner.MayStopAll("w1"))
+	require.True(t, kept.mayMove())
+
+	c.planner.TakeDown("w0")
+	c.advance(time.Second)
+	c.planner.Report("w0", oleanderline.WorkerReport{Life: testIncarnation + 1}, c.now, c.now)
+	require.False(t, c.planner.MayStopAll("w1"), "the task has not started again")
+	require.False(t, c.planner.workers["w0"].takenDown, "a new incarnation is up")
+}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -34,6 +34,7 @@
 	reserved      oleanderline.Size // reserved for tasks that move here
 	reservedUntil time.Time
 	vacating      bool  // its tasks move away for maintenance
+	takenDown     bool  // its VM is about to go down, or has gone down since the incarnation that has reported last began
 	processed     int64 // highest number of a processed end
 	acked         int64 // highest number of a recorded end
 
--- a/pkg/term/maintenance.go
+++ b/pkg/term/maintenance.go
@@ -86,7 +86,7 @@
 	case errors.Is(m.err, oleanderline.ErrVMBusy), errors.Is(m.err, oleanderline.ErrUnavailable):
 		result = maintenance.NotDone
 	}
-	s.maintenance.HandleResult(m.order, result, now)
+	s.maintenance.HandleResult(m.order, result, s.planner, now)
 }
 
 // windowRecords returns the records of maintenance windows that have changed, and queues their states for publication.
