Bound the tasks of accepted jobs that a leader holds

Jobs that have ended give up their tasks as soon as none of them runs, and not after their retention.

--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -21,6 +21,7 @@
 	criticalPath  []time.Duration     // by step: the estimated critical path from its start to the end of the job
 	estimate      time.Duration       // the estimated critical path of the job
 	work          backlog.Work        // estimated work of one occurrence
+	tasks         int                 // of one occurrence
 	placed        int                 // tasks that hold room on a worker
 	unfinished    int                 // occurrences that are not done
 	nextDue       int                 // the first occurrence that has not been due yet, if the job has due times
@@ -54,6 +55,9 @@
 		j.queue = queue
 	}
 	j.criticalPath, j.dependents, j.work = criticalPaths(spec.Steps), j.dependentSteps(), totalWork(spec.Steps)
+	for i := range spec.Steps {
+		j.tasks += spec.Steps[i].Count
+	}
 	j.estimate = slices.Max(j.criticalPath)
 	p.jobs[spec.ID] = j
 	p.countWork(j)
@@ -127,7 +131,9 @@
 				p.stop(&g.tasks[i], "job "+state.String())
 			}
 		}
+		p.doneOccurrences[o] = struct{}{}
 	}
+	p.dropDoneOccurrences()
 }
 
 // failureKey returns the key of a task's failures in the progress record.
--- a/pkg/plan/occurrence.go
+++ b/pkg/plan/occurrence.go
@@ -71,6 +71,7 @@
 	}
 	o := newOccurrence(j, number)
 	j.occurrences[number] = o
+	p.heldTasks += j.tasks
 	if o.unfinished == 0 && j.spec.HasDueTimes() {
 		p.doneOccurrences[o] = struct{}{}
 	}
@@ -132,16 +133,24 @@
 	}
 }
 
-// dropDoneOccurrences drops the occurrences that are done and of which nothing runs any more.
+// dropDoneOccurrences drops the occurrences that are done, or whose job has ended, and of which nothing runs any more.
 func (p *Planner) dropDoneOccurrences() {
 	for o := range p.doneOccurrences {
 		if o.placed == 0 {
-			delete(o.job.occurrences, o.number)
-			delete(p.doneOccurrences, o)
+			p.dropOccurrence(o)
 		}
 	}
 }
 
+func (p *Planner) dropOccurrence(o *occurrence) {
+	delete(o.job.occurrences, o.number)
+	delete(p.doneOccurrences, o)
+	p.heldTasks -= o.job.tasks
+}
+
+// HeldTasks returns the number of tasks that take up memory: those of the occurrences of unfinished jobs that are due.
+func (p *Planner) HeldTasks() int { return p.heldTasks }
+
 // schedule adds a job to those with occurrences that are not due yet.
 func (p *Planner) schedule(j *job) { heap.Push(&p.scheduled, j) }
 
--- a/pkg/plan/occurrence_test.go
+++ b/pkg/plan/occurrence_test.go
@@ -111,3 +111,25 @@
 	require.Len(t, c.runsOf(occurrenceOf("a", 0)), 1)
 	require.Len(t, c.runsOf(occurrenceOf("c", 0)), 1)
 }
+
+// Guards against ended jobs that take up memory until their retention is over, and against a count of held tasks, by which new jobs are
+// refused, that does not return to zero.
+func TestEndedJobsHoldNoTasks(t *testing.T) {
+	c := newCell(t, 2)
+	step := oleanderline.Step{Count: 4, Size: testSize}
+	c.add("a", step, oleanderline.Step{Count: 100, Size: testSize, After: []int{0}})
+	c.add("b", step)
+	c.planner.AddJob(minutely(c, "c", 5, time.Hour), record.Progress{}, c.now, 0)
+	require.Equal(t, 108, c.planner.HeldTasks())
+	c.place()
+	c.planner.Cancel("a") // its tasks are held until their runs have ended
+	c.deliver()
+	for i := range step.Count {
+		c.endTask(taskOf("b", 0, i), oleanderline.EndDone)
+	}
+	c.reportAll()
+	require.Equal(t, oleanderline.JobCompleted, c.planner.jobs["b"].state())
+	c.place()
+	require.Zero(t, c.planner.HeldTasks())
+	require.Zero(t, c.heldOccurrences())
+}
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -49,7 +49,8 @@
 	workers   map[oleanderline.WorkerID]*worker
 	ready     map[*group]struct{} // groups with ready tasks
 	scheduled dueQueue            // jobs with occurrences that are not due yet
-	// doneOccurrences are the held occurrences of jobs with due times that are done.
+	heldTasks int                 // of all held occurrences
+	// doneOccurrences are the held occurrences of jobs with due times that are done, and those of jobs that have ended.
 	doneOccurrences map[*occurrence]struct{}
 	dirty           map[*job]struct{}                 // jobs with progress that is not recorded yet
 	unreadRuns      map[oleanderline.RunKey]unreadRun // reported runs of jobs that have not been read yet
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -112,7 +112,7 @@
 func (w *writer) ownRecord(resign bool, intake record.Intake) (oleanderline.KeyedRecord, error) {
 	leader := w.session.settings.Leader
 	leader.Resigned = resign
-	if intake.Rate > 0 {
+	if intake.Rate > 0 || intake.Refuse {
 		leader.Intake = &intake
 	}
 	return record.ForLeader(leader)
