Bound the objective of a job

The stretched critical path of a job with an estimate of decades overflowed, so that the job counted as missed and waited behind all others. Found by reading; TestObjectiveDoesNotOverflow guards it.

--- a/pkg/plan/backlog_test.go
+++ b/pkg/plan/backlog_test.go
@@ -24,3 +24,10 @@
 	require.Len(t, c.runsOf(taskOf("a", 0, 0)), 1)
 	require.Empty(t, c.runsOf(taskOf("b", 0, 0)))
 }
+
+// Guards against an objective that overflows to the past, so that the job counts as missed and waits behind all others.
+func TestObjectiveDoesNotOverflow(t *testing.T) {
+	j := &job{estimate: 100 * 365 * 24 * time.Hour, queue: oleanderline.Queue{Stretch: 1000, Latency: time.Second}}
+	require.Positive(t, j.objective())
+	require.Positive(t, lateFactor*j.objective())
+}
--- a/pkg/plan/job.go
+++ b/pkg/plan/job.go
@@ -38,9 +38,12 @@
 // objective returns the time in which the job should complete, from its arrival: the critical path times the queue's stretch
 // factor, plus the queue's latency.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.queue.Stretch*float64(j.estimate)) + j.queue.Latency
+	return time.Duration(min(j.queue.Stretch*float64(j.estimate), maxObjective)) + j.queue.Latency
 }
 
+// maxObjective bounds the stretched critical path in nanoseconds: sums and small multiples of objectives do not overflow.
+const maxObjective = 1 << 60
+
 // AddJob adds a recorded job with a copy of its recorded progress. age is the time since its arrival. It does nothing if the job
 // is known.
 func (p *Planner) AddJob(spec oleanderline.Job, progress record.Progress, now time.Time, age time.Duration) {
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -57,9 +57,10 @@
 	return report.Life != w.incarnation && sent.Before(w.callSentAt)
 }
 
-// newIncarnation records a new incarnation of a worker. Nothing starts there until the worker's record is stored again: the new incarnation
-// refuses no earlier leader, so this leader first has to learn from the log that it still leads. It keeps the worker's tasks, and the worker's reports decide which
-// of them are lost: a start that was ordered from the earlier incarnation may have been carried out by the new one.
+// newIncarnation records a new incarnation of a worker. Nothing starts there until the worker's record is stored again: the new
+// incarnation refuses no earlier leader, so this leader first has to learn from the log that it still leads. The worker keeps its tasks,
+// and its reports decide which of them are lost: a start that was ordered from the earlier incarnation may have been carried out by
+// the new one.
 func (p *Planner) newIncarnation(w *worker, incarnation oleanderline.WorkerIncarnation) {
 	if w.incarnation != 0 {
 		p.note(NoteWorker, oleanderline.RunKey{}, w, "worker has restarted")
