Start nothing in failure domains out of service

Each process that sends starts follows the requests and checks the domain of the worker before each call, so that an order that waits in a link, is repeated, or comes from a leader that does not know the request is not sent. A process that cannot read the stream asks peers. The planner leaves the workers out of starts, moves, admission, headroom, consolidation and the order of racks, notes which steps wait for such a domain, and lets load return with finished tasks. oleanderctl cell names the domains and the number of waiting tasks.

With the checks of planner and links switched off, TestEvacuation and TestSchedules report EVAC; with those of planner and agents off, the cases with agents do.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -92,6 +92,7 @@
 		},
 		Config: platform.StreamConfig, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		IsWindow: platform.IsWindow, DecodeWindow: platform.DecodeWindow,
+		IsEvacuation: platform.IsEvacuation, DecodeEvacuation: platform.DecodeEvacuation,
 	})
 	d := &daemon{common: c, opts: opts, settings: settings, path: path, node: n}
 	d.apply(&settings)
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -29,6 +29,8 @@
 	vm     oleanderline.VMID
 	dial   Dial
 	leader LeaderClient
+	// inService reports whether tasks may start in a failure domain, as far as this process knows.
+	inService func(domain oleanderline.DomainID) bool
 
 	mu      sync.Mutex
 	session *session
@@ -36,9 +38,21 @@
 	wg      sync.WaitGroup
 }
 
+// Option changes an agent in New.
+type Option func(*Agent)
+
+// WithDomains makes an agent start tasks only in failure domains of which inService reports that they are in service.
+func WithDomains(inService func(domain oleanderline.DomainID) bool) Option {
+	return func(a *Agent) { a.inService = inService }
+}
+
 // New returns an agent. It serves no workers until it is invited.
-func New(c *common.Common, vm oleanderline.VMID, dial Dial, leader LeaderClient) *Agent {
-	return &Agent{common: c, vm: vm, dial: dial, leader: leader}
+func New(c *common.Common, vm oleanderline.VMID, dial Dial, leader LeaderClient, options ...Option) *Agent {
+	a := &Agent{common: c, vm: vm, dial: dial, leader: leader}
+	for _, option := range options {
+		option(a)
+	}
+	return a
 }
 
 // Invite starts to serve a leader. A newer invitation ends the current session, even if it is of the same leader, which no longer
--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -209,3 +209,27 @@
 	require.ErrorAs(t, FailureOf(&oleanderline.RefusedError{Reason: oleanderline.RefusedCapacity}).Err(), &refused)
 	require.Equal(t, oleanderline.RefusedCapacity, refused.Reason)
 }
+
+// Guards against an agent that starts a task in a failure domain which its own reading says is out of service, on the order of a leader
+// that does not know of it.
+func TestAgentSendsNoStartToADomainOutOfService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		order := plan.Order{Kind: plan.OrderStart, Worker: "w", Domain: "north", Payload: "spec"}
+		leader, runner := &fakeLeader{items: []Item{{Number: 1, Kind: ItemAssign, Worker: "w"}}}, &fakeRunner{}
+		c := common.New("test", common.WithClock(common.NewSystemClock()), common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
+		dial := func(oleanderline.WorkerID, string) oleanderline.Runner { return runner }
+		a := New(c, "vm1", dial, leader, WithDomains(func(domain oleanderline.DomainID) bool { return domain == "south" }))
+		require.NoError(t, a.Invite(testInvitation))
+		defer a.Stop()
+		time.Sleep(500 * time.Millisecond)
+		leader.set(func() { leader.items = []Item{{Number: 2, Kind: ItemOrder, Worker: "w", At: time.Now(), Order: order}} })
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		require.Empty(t, runner.payloads)
+		order.Domain = "south"
+		leader.set(func() { leader.items = []Item{{Number: 3, Kind: ItemOrder, Worker: "w", At: time.Now(), Order: order}} })
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, []string{"spec"}, runner.payloads)
+	})
+}
--- a/pkg/agent/session.go
+++ b/pkg/agent/session.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	settings := link.Settings{
 		Term: s.invitation.Term, Lease: s.invitation.Lease, MaxLease: s.invitation.MaxLease, RenewWait: s.invitation.Hold,
-		Authority: s.authority, Acked: item.Acked,
+		Authority: s.authority, Acked: item.Acked, InService: s.agent.inService,
 	}
 	if item.LeaseLeft > 0 {
 		settings.LeaseEnd = s.now().Add(item.LeaseLeft)
--- a/pkg/cellfake/checker.go
+++ b/pkg/cellfake/checker.go
@@ -32,6 +32,7 @@
 //   - ORDER: a step starts after the completion of all steps that it depends on.
 //   - BUDGET: no task starts again after it has used up its attempts.
 //   - UNASKED: no task runs after the cancellation of its job, apart from a short delay.
+//   - EVAC: no task starts in a failure domain that operators have taken out of service, apart from a short delay.
 //   - LOST: an accepted job reaches the state that its tasks and cancellations imply.
 //   - MIXED: a job is completed only if all its tasks are done.
 type Checker struct {
@@ -48,6 +49,7 @@
 	acked          map[oleanderline.TaskKey]bool      // such an end has been acknowledged
 	// lateRuns holds the start times of active runs that a late order started after the cancellation of their job.
 	lateRuns   map[oleanderline.RunKey]time.Time
+	domains    domainRule
 	failed     map[oleanderline.TaskKey]map[oleanderline.RunKey]bool // acknowledged ends with EndFailed
 	violations []string
 }
@@ -70,6 +72,7 @@
 		doneRuns:    map[oleanderline.TaskKey]ActiveRun{},
 		acked:       map[oleanderline.TaskKey]bool{},
 		lateRuns:    map[oleanderline.RunKey]time.Time{},
+		domains:     newDomainRule(),
 		failed:      map[oleanderline.TaskKey]map[oleanderline.RunKey]bool{},
 	}
 }
@@ -163,6 +166,7 @@
 		c.duplicates = append(c.duplicates, Duplicate{Task: key.Task, First: c.doneRuns[key.Task], Second: run, FirstDone: true})
 	}
 	c.checkStart(key, sentAt)
+	c.checkDomain(worker, key, sentAt)
 	if c.active[key.Task] == nil {
 		c.active[key.Task] = map[oleanderline.RunKey]ActiveRun{}
 	}
--- a/pkg/cellfake/checker_test.go
+++ b/pkg/cellfake/checker_test.go
@@ -109,3 +109,54 @@
 		})
 	}
 }
+
+// Guards against a checker that misses a start in a failure domain out of service, and against one that reports starts within the bound,
+// elsewhere, sent in time but carried out late, after the request was removed, or while no process could learn of it.
+func TestStartsInADomainOutOfService(t *testing.T) {
+	type scenario struct {
+		name      string
+		worker    oleanderline.WorkerID
+		prepare   func(c *Checker) (sentAt time.Time)
+		violation string
+	}
+	after := func(d time.Duration) time.Time {
+		time.Sleep(d)
+		return time.Now()
+	}
+	for _, s := range []scenario{
+		{"too late", "w1", func(*Checker) time.Time { return after(evacuationLimit + 1) }, "EVAC"},
+		{"within the bound", "w1", func(*Checker) time.Time { return after(evacuationLimit) }, ""},
+		{"elsewhere", "w2", func(*Checker) time.Time { return after(time.Minute) }, ""},
+		{"carried out late", "w1", func(*Checker) time.Time { return after(time.Minute).Add(-58 * time.Second) }, ""},
+		{"removed", "w1", func(c *Checker) time.Time {
+			c.TakenBack("d")
+			return after(time.Minute)
+		}, ""},
+		{"requested again", "w1", func(c *Checker) time.Time {
+			c.Evacuated("d")
+			return after(evacuationLimit + 1)
+		}, "EVAC"},
+		{"not in touch", "w1", func(c *Checker) time.Time {
+			c.NoneInTouch(time.Now().Add(time.Minute))
+			return after(time.Minute + time.Second)
+		}, ""},
+		{"in touch again", "w1", func(c *Checker) time.Time {
+			c.NoneInTouch(time.Now().Add(time.Minute))
+			return after(time.Minute + contactTime + 1)
+		}, "EVAC"},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := NewChecker(1)
+				c.SetDomain("w1", "d")
+				c.Evacuated("d")
+				c.Started(s.worker, oleanderline.RunKey{Task: oleanderline.TaskKey{Job: "a"}, Run: 1}, 1, s.prepare(c))
+				if s.violation == "" {
+					require.Empty(t, c.Violations())
+					return
+				}
+				require.Contains(t, c.Violations(), s.violation)
+			})
+		})
+	}
+}
--- a/pkg/cellfake/peer_client.go
+++ b/pkg/cellfake/peer_client.go
@@ -2,22 +2,30 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 )
 
+// Peer is the RPC backend of a process.
+type Peer interface {
+	agentrpc.Backend
+	EvacuationsHere() (evacuation.Snapshot, time.Duration, error)
+}
+
 // PeerClient sends the agent calls of one process to other processes over a path.
 type PeerClient struct {
 	Path *Path
 	// Find returns the RPC backend of the process at an address, or nil if there is none.
-	Find func(address string) agentrpc.Backend
+	Find func(address string) Peer
 }
 
 // Invite sends an invitation to the process at address.
 func (a *PeerClient) Invite(ctx context.Context, address string, invitation agent.Invitation) error {
-	_, err := callPeer(ctx, a, address, func(_ context.Context, peer agentrpc.Backend) (struct{}, error) {
+	_, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (struct{}, error) {
 		return struct{}{}, peer.Invite(invitation)
 	})
 	return err
@@ -25,20 +33,33 @@
 
 // Pull implements agent.LeaderClient.
 func (a *PeerClient) Pull(ctx context.Context, address string, request agent.PullRequest) (agent.PullReply, error) {
-	return callPeer(ctx, a, address, func(ctx context.Context, peer agentrpc.Backend) (agent.PullReply, error) {
+	return callPeer(ctx, a, address, func(ctx context.Context, peer Peer) (agent.PullReply, error) {
 		return peer.Pull(ctx, request), nil
 	})
 }
 
 // Push implements agent.LeaderClient.
 func (a *PeerClient) Push(ctx context.Context, address string, request agent.PushRequest) (agent.PushReply, error) {
-	return callPeer(ctx, a, address, func(_ context.Context, peer agentrpc.Backend) (agent.PushReply, error) {
+	return callPeer(ctx, a, address, func(_ context.Context, peer Peer) (agent.PushReply, error) {
 		return peer.Push(request), nil
 	})
 }
 
+// Evacuations asks the process at address for the evacuation requests that it has read.
+func (a *PeerClient) Evacuations(ctx context.Context, address string) (evacuation.Snapshot, time.Duration, error) {
+	type reply struct {
+		requests evacuation.Snapshot
+		age      time.Duration
+	}
+	got, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (reply, error) {
+		requests, age, err := peer.EvacuationsHere()
+		return reply{requests, age}, err
+	})
+	return got.requests, got.age, err
+}
+
 // callPeer makes a call to the process at address.
-func callPeer[T any](ctx context.Context, a *PeerClient, address string, call func(context.Context, agentrpc.Backend) (T, error)) (T, error) {
+func callPeer[T any](ctx context.Context, a *PeerClient, address string, call func(context.Context, Peer) (T, error)) (T, error) {
 	return callOver(ctx, a.Path, func(ctx context.Context) (T, error) {
 		var zero T
 		peer := a.Find(address)
--- a/pkg/ctl/cell.go
+++ b/pkg/ctl/cell.go
@@ -21,6 +21,8 @@
 func (t *Tool) cell(ctx context.Context, c *CellCommand) int {
 	code := ExitOK
 	queues := map[string]*queueStats{}
+	domains := map[string]int{} // failure domains out of service, with the number of nodes that know it
+	waiting := 0.0
 	out := tabwriter.NewWriter(t.out, 0, 8, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(out, "node\tleads\tread\tstored\tnot stored\tunknown\tstarts\tlost\t")
 	for _, address := range c.Nodes {
@@ -33,8 +35,13 @@
 			page["oleander_cell_read_age_seconds"], page["oleander_cell_stored_total"], page["oleander_cell_not_stored_total"],
 			page["oleander_cell_unknown_jobs_total"], page["oleander_cell_starts_total"], page["oleander_cell_runs_lost_total"])
 		addQueueStats(queues, page)
+		for _, domain := range page.Labels("oleander_cell_domain_out", "domain") {
+			domains[domain]++
+		}
+		waiting += page["oleander_cell_domain_waiting_tasks"]
 	}
 	_ = out.Flush() // fails only if standard output is closed
+	t.printDomains(domains, waiting, len(c.Nodes))
 	for _, name := range slices.Sorted(maps.Keys(queues)) {
 		t.printQueueStats(name, queues[name], c.Target)
 	}
@@ -73,3 +80,13 @@
 		t.print("%s: %.0f s of long-running tasks, %.1f%% at work within target, burn rate %.2f\n", name, q.requestedSeconds, 100*good, (1-good)/(1-target))
 	}
 }
+
+// printDomains prints which failure domains are out of service, and how many tasks wait for them.
+func (t *Tool) printDomains(domains map[string]int, waiting float64, nodes int) {
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		t.print("failure domain %s: out of service, known to %d of %d nodes\n", domain, domains[domain], nodes)
+	}
+	if waiting > 0 {
+		t.print("%.0f tasks wait for failure domains out of service: no other worker can take them (E6064 of the leader names the steps)\n", waiting)
+	}
+}
--- a/pkg/ctl/cell_test.go
+++ b/pkg/ctl/cell_test.go
@@ -57,3 +57,21 @@
 		require.ErrorContains(t, settings.Validate(), s.want)
 	}
 }
+
+// Guards against an operator who is not told that a failure domain is out of service, which nodes do not know it, and what waits for it.
+func TestCellNamesDomainsOutOfService(t *testing.T) {
+	leader := serveMetrics(t, `oleander_cell_leads 1
+oleander_cell_domain_out{domain="north"} 1
+oleander_cell_domain_waiting_tasks 7
+`)
+	follower := serveMetrics(t, `oleander_cell_leads 0
+oleander_cell_domain_out{domain="north"} 1
+oleander_cell_domain_out{domain="south"} 1
+`)
+	var out, errs bytes.Buffer
+	s := Settings{Timeout: time.Second, Cell: &CellCommand{Nodes: AddressList{leader, follower}, Target: 0.95}}
+	require.Equal(t, ExitOK, New(s, WithStreams(nil, &out, &errs)).Run(context.Background()))
+	require.Contains(t, out.String(), "failure domain north: out of service, known to 2 of 2 nodes\n")
+	require.Contains(t, out.String(), "failure domain south: out of service, known to 1 of 2 nodes\n")
+	require.Contains(t, out.String(), "7 tasks wait for failure domains out of service")
+}
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -16,6 +16,7 @@
 	stream oleanderline.Stream
 	wait   time.Duration
 	next   oleanderline.Offset
+	end    oleanderline.Offset // of the stream at the newest successful read
 	loaded bool
 }
 
@@ -38,6 +39,9 @@
 		f.loaded = f.loaded && !errors.Is(err, oleanderline.ErrTrimmed)
 		return nil, false, err
 	}
-	f.loaded, f.next = true, batch.Next
+	f.loaded, f.next, f.end = true, batch.Next, batch.End
 	return batch.Records, snapshot, nil
 }
+
+// Position returns the offset from which the follower reads next, and whether that was the end of the stream at the newest read.
+func (f *Follower) Position() (next oleanderline.Offset, atEnd bool) { return f.next, f.next >= f.end }
--- a/pkg/link/execute.go
+++ b/pkg/link/execute.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// errOutOfService is the result of a start that was not sent because the worker's failure domain is out of service.
+var errOutOfService = fmt.Errorf("the failure domain of the worker is out of service: %w", oleanderline.ErrUnavailable)
+
+// isOutOfService reports whether an order is a start in a failure domain that is out of service. It is asked before each call, because
+// the order may have waited, or the request may be known here and not yet to the leader.
+func (l *Link) isOutOfService(order plan.Order) bool {
+	return order.Kind == plan.OrderStart && l.settings.InService != nil && !l.settings.InService(order.Domain)
+}
+
 // isForEarlierIncarnation reports whether an order is a start for an incarnation of the worker other than the one that has reported last.
 // Such a start is not sent: the new incarnation does not know which leaders and which runs the earlier one refused, so it would carry
 // out a start of a leader whose successor has started the task elsewhere.
@@ -56,6 +65,10 @@
 		result.Err = errRestarted
 		return result, false
 	}
+	if l.isOutOfService(next.order) {
+		result.Err = errOutOfService
+		return result, false
+	}
 	deadline, incarnation := l.orderDeadline(next.order.Kind, now)
 	maxAttempts := otherAttempts
 	if next.order.Kind == plan.OrderStart {
@@ -65,7 +78,7 @@
 		if now := l.clock.Now(); !l.settings.Authority(now) || now.Sub(next.decidedAt) > maxOrderAge {
 			break
 		}
-		if l.isForEarlierIncarnation(next.order) {
+		if l.isForEarlierIncarnation(next.order) || l.isOutOfService(next.order) {
 			break
 		}
 		result.Attempts++
--- a/pkg/link/link.go
+++ b/pkg/link/link.go
@@ -41,6 +41,8 @@
 	MaxLease time.Duration
 	// Authority reports whether calls may be sent at a given time.
 	Authority func(now time.Time) bool
+	// InService reports whether tasks may start in a failure domain now. It is nil if there are no requests to evacuate domains.
+	InService func(domain oleanderline.DomainID) bool
 	// LeaseEnd is the latest expiry of leases granted earlier over other links; zero if there were none.
 	LeaseEnd time.Time
 	// Acked tells which ends of runs are recorded already.
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -91,6 +91,7 @@
 // leaderPorts returns the ports of a session. Agents are invited only if this process has an address for peers.
 func (n *Node) leaderPorts() term.Ports {
 	ports := n.ports.Ports
+	ports.Evacuations = n.evacuations.current
 	if n.settings.PeerAddress != "" {
 		ports.Invite = n.agents.Invite
 	}
--- a/pkg/node/config.go
+++ b/pkg/node/config.go
@@ -8,12 +8,13 @@
 	"github.com/oleanderline/oleanderline/pkg/follow"
 )
 
-// followConfig reads the stream of the operators and applies configurations and maintenance windows.
+// followConfig reads the stream of the operators and applies configurations, maintenance windows and evacuation requests.
 func (n *Node) followConfig() {
 	follower := follow.New(n.ports.Log, n.ports.Config, maxReadWait)
 	reads := outageLogger{common: n.common, stream: "configuration"}
 	for n.ctx.Err() == nil {
-		records, _, err := follower.Next(n.ctx)
+		begun := n.common.Clock.Now()
+		records, snapshot, err := follower.Next(n.ctx)
 		if n.ctx.Err() != nil {
 			return
 		}
@@ -25,6 +26,7 @@
 			n.sleep(readRetryDelay)
 			continue
 		}
+		n.applyEvacuations(follower, records, snapshot, begun) // first, because a configuration permits a claim of leadership
 		for _, rec := range records {
 			switch {
 			case len(rec.Value) == 0:
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -26,9 +26,11 @@
 }
 
 func newNodeMetrics(set *metrics.Set, node *Node) *nodeMetrics {
-	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge)       // time since the last successful read of the records
-	set.GetOrCreateGauge("oleander_cell_records_age_seconds", node.recordsAge) // time since the process had read every record of the log
-	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)                 // 1 while this process is the leader
+	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge)           // time since the last successful read of the records
+	set.GetOrCreateGauge("oleander_cell_records_age_seconds", node.recordsAge)     // time since the process had read every record of the log
+	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)                     // 1 while this process is the leader
+	set.GetOrCreateGauge("oleander_cell_domains_out_of_service", node.domainsOut)  // failure domains that operators have taken out of service, as far as this process knows
+	set.GetOrCreateGauge("oleander_cell_domain_waiting_tasks", node.domainWaiting) // on the leader: tasks that wait because only workers in such domains can take them
 	return &nodeMetrics{
 		stored:      set.GetOrCreateCounter("oleander_cell_stored_total"),        // submissions and cancellations that were stored
 		unavailable: set.GetOrCreateCounter("oleander_cell_not_stored_total"),    // submissions and cancellations that were certainly not stored
@@ -83,3 +85,14 @@
 	}
 	return 0
 }
+
+// domainsOut is the value of a gauge: the number of failure domains out of service.
+func (n *Node) domainsOut() float64 { return float64(len(n.evacuations.current().Domains())) }
+
+// domainWaiting is the value of a gauge: on the leader, the number of tasks that wait for such domains.
+func (n *Node) domainWaiting() float64 {
+	if s := n.session.Load(); s != nil && !s.Ended() {
+		return float64(s.WaitingForDomains())
+	}
+	return 0
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,6 +34,7 @@
 	agent        *agent.Agent
 	config       atomic.Pointer[oleanderline.CellConfig]
 	windows      windows
+	evacuations  evacuations
 	stopping     atomic.Bool
 	readRequests chan struct{} // makes followRecords read without waiting for followerReadPause
 	ctx          context.Context
@@ -65,11 +66,15 @@
 	n.batcher = newBatcher(c, ports.Log, settings.LogLimits)
 	n.peers = peer.NewPool()
 	n.relay = relay.NewClient(func() []string { return n.replica.PeerAddresses(settings.VM) }, n.peers)
+	if n.ports.PeerEvacuations == nil {
+		n.ports.PeerEvacuations = n.relay.Evacuations
+	}
 	n.agents = ports.Agents
 	if n.agents == nil {
 		n.agents = agentrpc.NewClient(n.peers)
 	}
-	n.agent = agent.New(c, settings.VM, agent.Dial(ports.Dial), n.agents)
+	n.evacuations.common = c
+	n.agent = agent.New(c, settings.VM, agent.Dial(ports.Dial), n.agents, agent.WithDomains(n.evacuations.inService))
 	n.metrics = newNodeMetrics(c.Metrics, n)
 	n.recordReads = outageLogger{common: c, stream: "records"}
 	return n
@@ -78,6 +83,7 @@
 // Start starts the goroutines of the node.
 func (n *Node) Start() {
 	n.wg.Go(n.followConfig)
+	n.wg.Go(n.watchEvacuations)
 	n.wg.Go(n.followRecords)
 	n.wg.Go(func() { n.batcher.run(n.ctx) })
 	n.wg.Go(n.register)
--- a/pkg/node/schedule_test.go
+++ b/pkg/node/schedule_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strconv"
@@ -45,11 +46,14 @@
 	defer c.close()
 	time.Sleep(4 * time.Second) // until there is a leader
 	c.wg.Go(c.runCallers)
+	evacuating, stopEvacuating := context.WithCancel(c.ctx)
+	c.wg.Go(func() { c.runEvacuations(evacuating) })
 	for range faultsPerRun {
 		time.Sleep(time.Duration(c.faultRand.IntN(3000)) * time.Millisecond)
 		c.injectFault()
 	}
 	time.Sleep(12 * time.Second) // until the longest fault has ended
+	stopEvacuating()
 	c.clearFaults()
 	time.Sleep(recoveryTime)
 	c.checker.CheckFinal(func(id oleanderline.JobID) (oleanderline.JobState, error) {
@@ -84,6 +88,7 @@
 		for i := range processCount {
 			c.setStoreFault(i, fault, duration)
 		}
+		c.checker.NoneInTouch(time.Now().Add(duration)) // no process can learn what operators request
 	case 3:
 		c.setWorkerFaults(index, fault, 1+c.faultRand.IntN(workerCount), duration)
 	case 4:
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/capacity"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
@@ -35,6 +36,13 @@
 	// is set.
 	IsWindow     func(key string) bool
 	DecodeWindow func(oleanderline.KeyedRecord) (oleanderline.MaintenanceWindow, error)
+	// IsEvacuation and DecodeEvacuation recognize and decode the requests to take failure domains out of service in the Config
+	// stream. An error with a domain means that the request counts in spite of it.
+	IsEvacuation     func(key string) bool
+	DecodeEvacuation func(oleanderline.KeyedRecord) (oleanderline.DomainID, error)
+	// PeerEvacuations asks other processes for a list of these requests that was complete within maxAge, and returns its age; nil
+	// selects net/rpc.
+	PeerEvacuations func(ctx context.Context, maxAge time.Duration) (evacuation.Snapshot, time.Duration, error)
 }
 
 // AgentPort carries the calls between leaders and agents.
@@ -87,6 +95,8 @@
 	staleAge          = 1500 * time.Millisecond   // age of the records above which a peer is asked
 	maxRecentAge      = maxReadWait + time.Second // age of the records above which no job is reported as unknown
 	maxReadyAge       = 2500 * time.Millisecond   // age of the last read from which this process is not ready
+	evacuationsAge    = 2 * time.Second           // age of the list of evacuation requests above which peers are asked
+	evacuationsPoll   = time.Second               // between requests to peers for that list
 	registerRetry     = time.Second               // after a failure to store the record of this process or the shared key
 	appendRetryDelay  = 50 * time.Millisecond
 	probeInterval     = 250 * time.Millisecond // between appends while the log fails
--- a/pkg/node/testcell_test.go
+++ b/pkg/node/testcell_test.go
@@ -17,10 +17,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
@@ -54,6 +54,8 @@
 	fleet           *cellfake.Fleet // nil in tests without maintenance
 	window          oleanderline.MaintenanceWindow
 	failRecordReads atomic.Bool // makes reads of the records fail
+	// failConfigReads makes the reads of the operators' stream by a process fail; -1 for none.
+	failConfigReads atomic.Int64
 	// onClaim, if set, is called by a process that has stored a claim of leadership, before it leads.
 	onClaim func(index int)
 	// wrapRunner changes the client that a process uses for a worker. It is nil if there is nothing to change.
@@ -130,6 +132,7 @@
 		limits: vmLimits[seed%uint64(len(vmLimits))], jobs: jobsPerRun,
 		wall: func(int) time.Time { return time.Now() },
 	}
+	c.failConfigReads.Store(-1)
 	for range workerCount {
 		c.listWorker(c.addWorker())
 	}
@@ -151,6 +154,7 @@
 	id := oleanderline.WorkerID(fmt.Sprintf("w%d", i))
 	worker := cellfake.NewWorker(id, oleanderline.Size{CPU: 4000, Memory: 4000}, maxLease, rate, c.checker)
 	c.workers = append(c.workers, worker)
+	c.checker.SetDomain(id, domainOf(id))
 	c.wg.Go(func() { worker.Run(c.ctx) })
 	return id
 }
@@ -181,7 +185,7 @@
 	}, Ports{
 		Agents: &cellfake.PeerClient{Path: p.peers, Find: c.backend},
 		Ports: term.Ports{
-			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads, onClaim: func() { c.claimed(index) }}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
+			Log: &failingLog{Log: &cellfake.Log{Store: c.store, Path: p.store}, failRecordReads: &c.failRecordReads, failConfigReads: func() bool { return c.failConfigReads.Load() == int64(index) }, onClaim: func() { c.claimed(index) }}, Workers: streamWorkers, DecodeWorker: decodeTestWorker,
 			Dial: func(id oleanderline.WorkerID, _ string) oleanderline.Runner {
 				runner := &cellfake.Runner{Worker: byID[id], Path: p.paths[id], Starts: c.starts}
 				if c.wrapRunner == nil {
@@ -193,7 +197,11 @@
 		},
 		Config: streamConfig, ConfigKey: "config",
 		DecodeConfig: func([]byte) (*oleanderline.CellConfig, error) { return testConfig, nil },
+		IsEvacuation: isTestEvacuation, DecodeEvacuation: decodeTestEvacuation,
 	})
+	p.node.ports.PeerEvacuations = func(ctx context.Context, maxAge time.Duration) (evacuation.Snapshot, time.Duration, error) {
+		return c.peerEvacuations(ctx, index, p.peers, maxAge)
+	}
 	if c.fleet != nil {
 		p.node.settings.Maintenance = term.Maintenance{Duration: 2 * time.Second, StartDelay: 3 * time.Second}
 		p.node.ports.Fleet, p.node.ports.Status = c.fleet, streamStatus
@@ -213,10 +221,11 @@
 	}
 }
 
-// failingLog is a log whose reads of the records fail on demand, and which tells of claims.
+// failingLog is a log whose reads of the records or of the operators' stream fail on demand, and which tells of claims.
 type failingLog struct {
 	*cellfake.Log
 	failRecordReads *atomic.Bool
+	failConfigReads func() bool
 	onClaim         func()
 }
 
@@ -245,14 +254,14 @@
 
 func (l *failingLog) Read(ctx context.Context, stream oleanderline.Stream, from oleanderline.Offset, wait time.Duration) (oleanderline.KeyedBatch, error) {
 	batch, err := l.Log.Read(ctx, stream, from, wait)
-	if stream == record.Stream && l.failRecordReads.Load() {
+	if stream == record.Stream && l.failRecordReads.Load() || stream == streamConfig && l.failConfigReads() {
 		return oleanderline.KeyedBatch{}, oleanderline.ErrUnavailable
 	}
 	return batch, err
 }
 
 // backend returns the process at an address, or nil while it is down.
-func (c *testCell) backend(address string) agentrpc.Backend {
+func (c *testCell) backend(address string) cellfake.Peer {
 	index, err := strconv.Atoi(address)
 	require.NoError(c.t, err)
 	if p := c.process(index); p != nil {
@@ -273,7 +282,8 @@
 
 func decodeTestWorker(rec oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error) {
 	return oleanderline.WorkerEntry{
-		ID: oleanderline.WorkerID(rec.Key), Address: rec.Key, Pool: "pool", Capacity: oleanderline.Size{CPU: 4000, Memory: 4000},
+		ID: oleanderline.WorkerID(rec.Key), Address: rec.Key, Pool: "pool", Domain: domainOf(oleanderline.WorkerID(rec.Key)),
+		Labels: []string{string(domainOf(oleanderline.WorkerID(rec.Key)))}, Capacity: oleanderline.Size{CPU: 4000, Memory: 4000},
 	}, nil
 }
 
--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -28,7 +28,7 @@
 type consolidation struct {
 	demand   consolidate.Demand
 	workers  []consolidate.Worker // that may take tasks
-	known    int                  // workers of the pool
+	known    int                  // workers of the pool whose failure domain is in service
 	clearing int                  // workers with long-running tasks that are being moved away
 }
 
@@ -100,7 +100,7 @@
 func (p *Planner) addWorkers(pools map[oleanderline.PoolID]*consolidation, now time.Time) {
 	for _, w := range p.workers {
 		pool := pools[w.entry.Pool]
-		if pool == nil {
+		if pool == nil || w.outOfService {
 			continue
 		}
 		pool.known++
--- a/pkg/plan/evacuate.go
+++ b/pkg/plan/evacuate.go
@@ -38,7 +38,9 @@
 	p.updateHeadroom(since)
 	p.countLongRunning(min(since, maxCheckGap))
 	p.consolidate(now)
+	p.checkDomains(now)
 	for _, w := range p.workers {
+		w.endRamp(now)
 		if !w.reported || w.service != serviceOpen || w.unreachable {
 			continue
 		}
@@ -98,7 +100,7 @@
 		w.reserved = oleanderline.Size{}
 	}
 	reserved := w.reserved.Add(size)
-	if !w.used.Add(reserved).Fits(w.entry.Capacity) {
+	if !w.used.Add(reserved).Fits(w.entry.Capacity) || !w.rampAdmits(w.reserved.CPU, size.CPU) {
 		return false
 	}
 	w.reserved, w.reservedUntil = reserved, now.Add(reservationLifetime)
--- a/pkg/plan/gang.go
+++ b/pkg/plan/gang.go
@@ -40,6 +40,9 @@
 	}
 	free := map[oleanderline.RackID]oleanderline.Millicores{}
 	for _, w := range p.workers {
+		if w.outOfService {
+			continue
+		}
 		free[w.entry.Rack] += w.free().CPU
 	}
 	racks := make([]oleanderline.RackID, 0, len(free)+1)
--- a/pkg/plan/headroom.go
+++ b/pkg/plan/headroom.go
@@ -48,7 +48,7 @@
 	type sums struct{ capacity, free, running, waiting oleanderline.Millicores }
 	pools := map[oleanderline.PoolID]*sums{}
 	for _, w := range p.workers {
-		if !w.inDirectory || w.service == serviceNone || w.unreachable || w.evacuating() {
+		if !w.inDirectory || w.service == serviceNone || w.unreachable || w.evacuating() || w.outOfService {
 			continue
 		}
 		pool := pools[w.entry.Pool]
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -11,19 +11,22 @@
 
 // Kinds of notes.
 const (
-	NoteStart       NoteKind = iota // a start was ordered
-	NoteEnd                         // a worker reported the end of a run; the reason is how it ended
-	NoteStop                        // a stop was ordered, or a start failed
-	NoteLost                        // a run counts as ended without a report of its end
-	NoteJob                         // a job ended; the reason is its final state
-	NoteWorker                      // the state of a worker changed
-	NoteThrottle                    // a throttle was ordered; the reason is its percentage of full speed
-	NoteUnexpected                  // the stop of a run was ordered that a worker reports and the leader does not expect there
-	NoteInherited                   // workers whose records were read when the term began
-	NoteFirstReport                 // workers that have reported for the first time in this term
-	NoteEmpty                       // workers that count as empty although they have not reported in this term
-	NoteRecord                      // workers whose records are about to be stored or deleted
-	NoteTakeover                    // a restriction on starts after a change of leader has ended
+	NoteStart           NoteKind = iota // a start was ordered
+	NoteEnd                             // a worker reported the end of a run; the reason is how it ended
+	NoteStop                            // a stop was ordered, or a start failed
+	NoteLost                            // a run counts as ended without a report of its end
+	NoteJob                             // a job ended; the reason is its final state
+	NoteWorker                          // the state of a worker changed
+	NoteThrottle                        // a throttle was ordered; the reason is its percentage of full speed
+	NoteUnexpected                      // the stop of a run was ordered that a worker reports and the leader does not expect there
+	NoteInherited                       // workers whose records were read when the term began
+	NoteFirstReport                     // workers that have reported for the first time in this term
+	NoteEmpty                           // workers that count as empty although they have not reported in this term
+	NoteRecord                          // workers whose records are about to be stored or deleted
+	NoteTakeover                        // a restriction on starts after a change of leader has ended
+	NoteDomainAwaited                   // a step begins to wait for failure domains that are out of service
+	NoteDomainAwaitEnds                 // a step no longer waits for them
+	NoteDomainUnknown                   // a failure domain that is out of service has no worker in the directory
 )
 
 // Note is a decision or state change that the caller logs.
--- a/pkg/plan/obstacle.go
+++ b/pkg/plan/obstacle.go
@@ -9,6 +9,7 @@
 const (
 	obstacleNone         obstacle = iota
 	obstacleWorker                // no worker is usable: not served, unreachable, draining, in quarantine, or of another pool or label
+	obstacleDomain                // only workers are left whose failure domain is out of service
 	obstacleRoom                  // no usable worker has room
 	obstacleInterference          // it would interfere with long-running tasks on all workers with room
 	obstacleExposure              // the workers left have best-effort tasks about which too little is known yet
@@ -19,12 +20,14 @@
 
 // String returns the name used in logs.
 func (o obstacle) String() string {
-	return [...]string{"", "worker", "room", "interference", "exposure", "moving", "ticket", "headroom"}[o]
+	return [...]string{"", "worker", "domain", "room", "interference", "exposure", "moving", "ticket", "headroom"}[o]
 }
 
 // obstacleOn returns what keeps a task from being started on a worker now.
 func (p *Planner) obstacleOn(w *worker, t *task, now time.Time) obstacle {
 	switch {
+	case w.outOfService && w.inDirectory && w.matches(t.group):
+		return obstacleDomain
 	case !w.schedulable(now) || !w.matches(t.group):
 		return obstacleWorker
 	case !w.hasRoom(t.group):
--- a/pkg/plan/order.go
+++ b/pkg/plan/order.go
@@ -21,6 +21,7 @@
 type Order struct {
 	Kind       OrderKind
 	Worker     oleanderline.WorkerID
+	Domain     oleanderline.DomainID          // of the worker, for OrderStart
 	Life       oleanderline.WorkerIncarnation // zero for any
 	Key        oleanderline.RunKey
 	Payload    string
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -93,7 +93,7 @@
 	return started
 }
 
-// hasRoom reports whether the worker has room for one more task of the group, within the step's MaxPerWorker. A best-effort
+// hasRoom reports whether the worker has room for one more task of the group, within the step's MaxPerWorker and its own ramp. A best-effort
 // task is admitted if the leftover CPU suffices or the worker has no best-effort task yet.
 func (w *worker) hasRoom(g *group) bool {
 	need := g.step.Size
@@ -103,7 +103,7 @@
 		}
 		need.CPU = 0
 	}
-	if !w.used.Add(need).Fits(w.entry.Capacity) {
+	if !w.used.Add(need).Fits(w.entry.Capacity) || !w.rampAdmits(0, g.step.Size.CPU) {
 		return false
 	}
 	return g.step.MaxPerWorker == 0 || g.onWorker(w) < g.step.MaxPerWorker
@@ -190,7 +190,7 @@
 	p.charge(t, w)
 	value, _ := t.group.ticketFor(w, now)
 	p.orders = append(p.orders, Order{
-		Kind: OrderStart, Worker: w.entry.ID, Life: w.incarnation, Key: t.runKey(),
+		Kind: OrderStart, Worker: w.entry.ID, Domain: w.entry.Domain, Life: w.incarnation, Key: t.runKey(),
 		Payload: t.group.job.spec.Payload, Checkpoint: t.checkpoint, Ticket: value,
 	})
 	p.addNote(Note{
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -73,6 +73,7 @@
 	firstTerm       bool      // this is the first term, so nothing was started before
 	batches         []*noteBatch
 	startState      StartState // of the last pass
+	domains         domains
 	// startsNoted and unreportedNoted are whether noteStartsAllowed and noteUnreportedAllowed have done their part.
 	startsNoted, unreportedNoted bool
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -103,6 +103,7 @@
 	switch end.How {
 	case oleanderline.EndDone:
 		w.health.record(false, now)
+		w.rampFinished(t)
 		if !t.group.step.LongRunning {
 			p.complete(t)
 		}
@@ -200,6 +201,9 @@
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
 	}
+	if status.Percent >= percentComplete && t.percent < percentComplete && t.group.step.LongRunning {
+		w.rampFinished(t)
+	}
 	if status.Percent != t.percent {
 		t.percent, t.progressAt = status.Percent, now
 	}
--- a/pkg/plan/unstarted.go
+++ b/pkg/plan/unstarted.go
@@ -76,7 +76,7 @@
 	type sums struct{ used, capacity oleanderline.Size }
 	pools := map[oleanderline.PoolID]sums{}
 	for _, w := range p.workers {
-		if w.schedulable(now) || w.inDirectory && !w.reported {
+		if w.schedulable(now) || w.inDirectory && !w.reported && !w.outOfService {
 			sum := pools[w.entry.Pool]
 			sum.used, sum.capacity = sum.used.Add(w.used), sum.capacity.Add(w.entry.Capacity)
 			pools[w.entry.Pool] = sum
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/ramp"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -32,10 +33,13 @@
 	evacuateBy    time.Time         // when its tasks have to be gone, while it drains or is vacated
 	reserved      oleanderline.Size // reserved for tasks that move here
 	reservedUntil time.Time
-	vacating      bool  // its tasks move away for maintenance
-	takenDown     bool  // its VM is about to go down, or has gone down since the incarnation that has reported last began
-	processed     int64 // highest number of a processed end
-	acked         int64 // highest number of a recorded end
+	vacating      bool       // its tasks move away for maintenance
+	outOfService  bool       // operators have taken its failure domain out of service
+	returnedAt    time.Time  // when its failure domain last returned to service
+	ramp          *ramp.Ramp // bounds its load after that; nil if nothing does
+	takenDown     bool       // its VM is about to go down, or has gone down since the incarnation that has reported last began
+	processed     int64      // highest number of a processed end
+	acked         int64      // highest number of a recorded end
 
 	tasks            map[*task]struct{}
 	servingImages    map[pairs.Image]int                     // number of long-running tasks with a tail latency target
@@ -79,6 +83,7 @@
 		}
 		w.entry = entry
 		w.inDirectory = true
+		p.updateDomain(w, now)
 	}
 	for id, w := range p.workers {
 		if !listed[id] {
@@ -211,7 +216,7 @@
 
 // schedulable reports whether any new task may be placed on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return w.inDirectory && w.describesIncarnation() && w.useRecorded && w.reported && w.service == serviceOpen && !w.unreachable && !w.evacuating() &&
+	return w.inDirectory && w.describesIncarnation() && w.useRecorded && w.reported && w.service == serviceOpen && !w.unreachable && !w.evacuating() && !w.outOfService &&
 		w.unknownRuns == 0 && !now.Before(w.backoffUntil) && w.health.admits(now)
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay lets a process that cannot reach the log store records and read job states through another process of the
-// cell, over net/rpc.
+// Package relay lets a process that cannot reach the log store records, and read job states and evacuation requests, through another
+// process of the cell, over net/rpc.
 package relay
 
 import (
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 )
 
@@ -26,6 +27,9 @@
 	StoreHere(ctx context.Context, rec oleanderline.KeyedRecord) error
 	// StateHere returns the state of a job from the records that this process has read.
 	StateHere(id oleanderline.JobID) (oleanderline.JobState, error)
+	// EvacuationsHere returns the requests to evacuate failure domains that this process has read, and how long ago they were complete.
+	// It returns ErrNotReady if it has read none.
+	EvacuationsHere() (evacuation.Snapshot, time.Duration, error)
 }
 
 // Outcome is the result of a relayed call. It replaces the error, whose identity would be lost on the wire.
@@ -49,6 +53,13 @@
 	State   oleanderline.JobState
 }
 
+// EvacuationsReply is the reply to Evacuations.
+type EvacuationsReply struct {
+	Outcome  Outcome
+	Requests evacuation.Snapshot
+	Age      time.Duration // since Requests were complete
+}
+
 // Service is the net/rpc service for peers.
 type Service struct{ backend Backend }
 
@@ -67,6 +78,13 @@
 	return nil
 }
 
+// Evacuations returns the requests to evacuate failure domains to a peer.
+func (s *Service) Evacuations(_ struct{}, reply *EvacuationsReply) error {
+	requests, age, err := s.backend.EvacuationsHere()
+	*reply = EvacuationsReply{Outcome: outcomeOf(err), Requests: requests, Age: age}
+	return nil
+}
+
 // Register registers the backend with the server for peers.
 func Register(server *peer.Server, backend Backend) error {
 	return server.Register(serviceName, &Service{backend: backend})
@@ -139,6 +157,25 @@
 	return state, err
 }
 
+// Evacuations asks peers for the requests to evacuate failure domains, until one has a list that was complete within maxAge.
+func (c *Client) Evacuations(ctx context.Context, maxAge time.Duration) (evacuation.Snapshot, time.Duration, error) {
+	var reply EvacuationsReply
+	err := c.tryPeers(func(conn *peer.Client) error {
+		reply = EvacuationsReply{}
+		if err := c.call(ctx, conn, "Evacuations", struct{}{}, &reply); err != nil {
+			return err
+		}
+		if err := reply.Outcome.err(); err != nil {
+			return err
+		}
+		if reply.Age > maxAge {
+			return oleanderline.ErrNotReady
+		}
+		return nil
+	})
+	return reply.Requests, reply.Age, err
+}
+
 // tryPeers calls up to maxPeers peers in random order until one succeeds or returns ErrUnknownJob.
 func (c *Client) tryPeers(call func(conn *peer.Client) error) error {
 	err := fmt.Errorf("no peer to ask: %w", oleanderline.ErrUnavailable)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 )
 
@@ -19,6 +21,7 @@
 // backend is a Backend that returns fixed errors.
 type backend struct {
 	store, state error
+	age          time.Duration // of the evacuation requests
 	stored       []oleanderline.KeyedRecord
 }
 
@@ -31,6 +34,10 @@
 	return oleanderline.JobRunning, b.state
 }
 
+func (b *backend) EvacuationsHere() (evacuation.Snapshot, time.Duration, error) {
+	return evacuation.Snapshot{Out: map[oleanderline.DomainID]oleanderline.Offset{"a": 3}, Next: 4}, b.age, b.state
+}
+
 func serve(t *testing.T, b Backend) string {
 	t.Helper()
 	c := common.New("test", common.WithLogger(common.NewLogger(io.Discard, logrus.PanicLevel)))
@@ -99,3 +106,28 @@
 	require.ErrorIs(t, Outcome(99).err(), oleanderline.ErrUncertain)
 	require.ErrorIs(t, Outcome(-1).err(), oleanderline.ErrUncertain)
 }
+
+// Guards against a list of evacuation requests that a peer has read too long ago, or not at all, so that it may lack one.
+func TestEvacuationsOfAPeer(t *testing.T) {
+	type scenario struct {
+		name  string
+		age   time.Duration
+		state error
+		want  error
+	}
+	for _, s := range []scenario{
+		{"recent", time.Second, nil, nil},
+		{"old", 3 * time.Second, nil, oleanderline.ErrNotReady},
+		{"none", 0, oleanderline.ErrNotReady, oleanderline.ErrNotReady},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			client := newTestClient(t, serve(t, &backend{age: s.age, state: s.state}))
+			requests, age, err := client.Evacuations(context.Background(), 2*time.Second)
+			require.ErrorIs(t, err, s.want)
+			if s.want == nil {
+				require.Equal(t, s.age, age)
+				require.Equal(t, evacuation.Snapshot{Out: map[oleanderline.DomainID]oleanderline.Offset{"a": 3}, Next: 4}, requests)
+			}
+		})
+	}
+}
--- a/pkg/scrape/scrape.go
+++ b/pkg/scrape/scrape.go
@@ -66,3 +66,18 @@
 	}
 	return results
 }
+
+// Labels returns the values of the label of a metric with exactly that label, for those whose value is not 0.
+func (p Page) Labels(metric, label string) []string {
+	var values []string
+	for name, value := range p {
+		quoted, found := strings.CutPrefix(name, metric+"{"+label+"=")
+		if !found || value == 0 {
+			continue
+		}
+		if text, err := strconv.Unquote(strings.TrimSuffix(quoted, "}")); err == nil {
+			values = append(values, text)
+		}
+	}
+	return values
+}
--- a/pkg/term/connection.go
+++ b/pkg/term/connection.go
@@ -95,6 +95,7 @@
 	settings := link.Settings{
 		Term: s.settings.Leader.Term, Lease: s.settings.Lease, MaxLease: s.settings.MaxLease, RenewWait: s.settings.RenewWait,
 		Authority: s.Authority, LeaseEnd: leaseEnd, Acked: s.planner.Acked(id),
+		InService: s.inService,
 	}
 	l := link.New(id, s.ports.Dial(id, address), s.common.Clock, settings, s)
 	s.wg.Go(func() { l.Run(ctx) })
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -50,8 +50,10 @@
 		}
 		s.checkExpiries(now)
 		s.agents.check(now)
+		s.planner.SetEvacuations(s.ports.Evacuations(), now)
 		s.planner.Place(now, s.ports.Wall(), s.startWindow.Room(now))
 		s.updateIntake(now)
+		s.domainWaiting.Store(int64(s.planner.WaitingForDomains()))
 		s.tickPending.Store(false)
 	case adviceReceived:
 		s.planner.HandleAdvice(m.request, m.advice, m.err, m.askedAt)
@@ -177,3 +179,8 @@
 func (s *Session) Fenced(id oleanderline.WorkerID) {
 	s.end("worker " + string(id) + " has seen a newer term")
 }
+
+// inService reports whether tasks may start in a failure domain now.
+func (s *Session) inService(domain oleanderline.DomainID) bool {
+	return s.ports.Evacuations().InService(domain)
+}
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -24,6 +24,10 @@
 	plan.NoteEmpty:       common.EventWorkersEmpty,
 	plan.NoteRecord:      common.EventWorkersRecorded,
 	plan.NoteTakeover:    common.EventTakeover,
+
+	plan.NoteDomainAwaited:   common.EventDomainAwaited,
+	plan.NoteDomainAwaitEnds: common.EventDomainAwaitEnds,
+	plan.NoteDomainUnknown:   common.EventDomainUnknown,
 }
 
 // logNote logs a decision of the planner. Each note is one line, so that the limit of lines per second bounds them.
--- a/pkg/term/session.go
+++ b/pkg/term/session.go
@@ -58,6 +58,8 @@
 	// otherwise fill the mailbox, and reports and flushes wait behind them.
 	tickPending atomic.Bool
 	endedAt     atomic.Int64 // as Unix time in nanoseconds
+	// domainWaiting is the number of tasks that wait for failure domains out of service.
+	domainWaiting atomic.Int64
 	// majorityUntil is until when most workers are known to accept the calls of this term, as Unix time in nanoseconds.
 	majorityUntil atomic.Int64
 }
@@ -117,6 +119,9 @@
 	return s
 }
 
+// WaitingForDomains returns the number of tasks that wait because only workers in failure domains out of service can take them.
+func (s *Session) WaitingForDomains() int { return int(s.domainWaiting.Load()) }
+
 // Ended reports whether the term is over, because of a newer term or Stop.
 func (s *Session) Ended() bool { return s.ended.Load() }
 
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -7,6 +7,7 @@
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/capacity"
+	"github.com/oleanderline/oleanderline/pkg/evacuation"
 	"github.com/oleanderline/oleanderline/pkg/plan"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
@@ -50,6 +51,8 @@
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
 	// Invite asks the process at an address to serve workers for this leader.
 	Invite func(ctx context.Context, address string, invitation agent.Invitation) error
+	// Evacuations returns the newest requests to take failure domains out of service.
+	Evacuations func() *evacuation.View
 	// Adviser is nil if there is none.
 	Adviser oleanderline.Adviser
 	// Fleet is nil if there is none.
