--- a/pkg/cellfake/path.go
+++ b/pkg/cellfake/path.go
@@ -93,7 +93,7 @@
 
 // Log is a client for a store that is reached over a path.
 type Log struct {
-	Store *Store
+	Store oleanderline.KeyedLog
 	Path  *Path
 }
 
