Store the records of many nodes through one appender while the log is slow

Cause: every node appended its own submissions and cancellations. At 120 ms an append 43 nodes need 5 s for one append each: callers got 503 and 504, and the leader's heartbeats waited in the same queue.

While appends are answered slowly, nodes hand their records to the leader over net/rpc, or to the next node by rendezvous hashing. The decisions (when, to whom, how long to wait, when to refuse, whose turn it is to append for itself) are pkg/groupcommit. A record that cannot be stored in time is refused at once; one that is still queued at its deadline is withdrawn.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -82,6 +82,7 @@
 		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention, LogLimits: settings.LogLimits,
 		Maintenance: term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		OwnAppends:  opts.OwnAppends,
 	}, node.Ports{
 		Ports: term.Ports{
 			Log: store, Workers: platform.StreamWorkers, DecodeWorker: platform.DecodeWorker,
--- a/cmd/oleander-node/main.go
+++ b/cmd/oleander-node/main.go
@@ -20,10 +20,11 @@
 
 // options are the command-line options. All other settings are in the platform's settings file.
 type options struct {
-	LogLevel string `arg:"--log-level,env:OLEANDER_LOG_LEVEL" help:"debug, info, warning or error" default:"info"`
-	LogLines int    `arg:"--log-lines,env:OLEANDER_LOG_LINES" help:"maximum number of log lines per second" default:"1000"`
-	Metrics  int    `arg:"--metrics-port,env:OLEANDER_METRICS_PORT" help:"port of the metrics page" default:"9100"`
-	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+	LogLevel   string `arg:"--log-level,env:OLEANDER_LOG_LEVEL" help:"debug, info, warning or error" default:"info"`
+	LogLines   int    `arg:"--log-lines,env:OLEANDER_LOG_LINES" help:"maximum number of log lines per second" default:"1000"`
+	Metrics    int    `arg:"--metrics-port,env:OLEANDER_METRICS_PORT" help:"port of the metrics page" default:"9100"`
+	OwnAppends bool   `arg:"--own-appends,env:OLEANDER_OWN_APPENDS" help:"append all submissions and cancellations in this process, also while the log answers slowly"`
+	Check      bool   `arg:"--check" help:"check the settings file and exit"`
 }
 
 func main() {
--- a/pkg/cellfake/append_queue.go
+++ b/pkg/cellfake/append_queue.go
@@ -13,7 +13,7 @@
 const maxQueued = 2 * time.Second
 
 // AppendQueue is a KeyedLog that carries out the appends to one stream one at a time, as the partition of a store does. An append that
-// was taken is carried out even if its caller gives up.
+// was taken is carried out even if its caller gives up. Reads take the same time, but do not wait for each other.
 type AppendQueue struct {
 	*Store
 
@@ -26,12 +26,13 @@
 	refused atomic.Int64
 }
 
-// NewAppendQueue returns a queue in front of the stream of a store. Each append takes the time that SetAnswerTime sets; at first none.
+// NewAppendQueue returns a queue in front of the stream of a store. Each append and read takes the time that SetAnswerTime sets; at first
+// none.
 func NewAppendQueue(store *Store, stream oleanderline.Stream) *AppendQueue {
 	return &AppendQueue{Store: store, stream: stream}
 }
 
-// SetAnswerTime sets how long each append takes.
+// SetAnswerTime sets how long each append and each read takes.
 func (q *AppendQueue) SetAnswerTime(answer time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -73,6 +74,26 @@
 	}
 }
 
+// Read implements oleanderline.KeyedLog.
+func (q *AppendQueue) Read(ctx context.Context, name oleanderline.Stream, from oleanderline.Offset, wait time.Duration) (oleanderline.KeyedBatch, error) {
+	q.delay()
+	return q.Store.Read(ctx, name, from, wait)
+}
+
+// Newest implements oleanderline.KeyedLog.
+func (q *AppendQueue) Newest(ctx context.Context, name oleanderline.Stream) (oleanderline.KeyedBatch, error) {
+	q.delay()
+	return q.Store.Newest(ctx, name)
+}
+
+// delay waits for the time that a read takes, which is that of an append.
+func (q *AppendQueue) delay() {
+	q.mu.Lock()
+	answer := q.answer
+	q.mu.Unlock()
+	time.Sleep(answer)
+}
+
 // take returns when the next append is done, or false if too much work waits.
 func (q *AppendQueue) take() (time.Time, bool) {
 	q.mu.Lock()
--- a/pkg/cellfake/peer_client.go
+++ b/pkg/cellfake/peer_client.go
@@ -8,21 +8,32 @@
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/evacuation"
+	"github.com/oleanderline/oleanderline/pkg/relay"
 )
 
-// Peer is the RPC backend of a process.
+// Peer is the backend of the calls between processes.
 type Peer interface {
 	agentrpc.Backend
-	EvacuationsHere() (evacuation.Snapshot, time.Duration, error)
+	relay.Backend
 }
 
-// PeerClient sends the agent calls of one process to other processes over a path.
+// PeerClient sends the calls of one process to other processes over a path.
 type PeerClient struct {
 	Path *Path
-	// Find returns the RPC backend of the process at an address, or nil if there is none.
+	// Find returns the backend of the process at an address, or nil if there is none.
 	Find func(address string) Peer
 }
 
+// Append has the process at an address store a record.
+func (a *PeerClient) Append(ctx context.Context, address string, request relay.AppendRequest) error {
+	_, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (struct{}, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), request.Wait)
+		defer cancel()
+		return struct{}{}, peer.AppendHere(ctx, request.Record)
+	})
+	return err
+}
+
 // Invite sends an invitation to the process at address.
 func (a *PeerClient) Invite(ctx context.Context, address string, invitation agent.Invitation) error {
 	_, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (struct{}, error) {
--- /dev/null
+++ b/pkg/groupcommit/choice.go
@@ -0,0 +1,63 @@
+package groupcommit
+
+import (
+	"time"
+
+	"github.com/oleanderline/oleanderline"
+)
+
+// penalty keeps an appender that has failed from being asked.
+type penalty struct {
+	until  time.Time
+	length time.Duration
+}
+
+// Choose returns the first of maxCandidates candidates that has not just failed, and whether there is one.
+func (p *Policy) Choose(candidates []oleanderline.VMID, now time.Time) (oleanderline.VMID, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, vm := range candidates[:min(len(candidates), maxCandidates)] {
+		if !now.Before(p.penalties[vm].until) {
+			return vm, true
+		}
+	}
+	return "", false
+}
+
+// MayAppend reports whether this node may append for itself now, although the log is slow and appenders have not stored the record. Each of a
+// number of nodes has its turn so rarely that their appends leave a part of the log's time to the appender and the leader, at a random phase.
+func (p *Policy) MayAppend(nodes int, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.failedAt) < p.backoff(nodes) {
+		return false
+	}
+	answer := p.answer(now)
+	if answer == 0 {
+		answer = unknownAnswer
+	}
+	interval := time.Duration(float64(nodes) * float64(answer) / ownShare)
+	if p.nextOwn.IsZero() || now.Sub(p.nextOwn) > interval+slowHold {
+		p.nextOwn = now.Add(time.Duration(p.random() * float64(interval)))
+	}
+	if now.Before(p.nextOwn) {
+		return false
+	}
+	p.nextOwn = now.Add(interval)
+	return true
+}
+
+// backoff returns how long after the last failure this node does not append for itself.
+func (p *Policy) backoff(nodes int) time.Duration {
+	if p.failures == 0 {
+		return 0
+	}
+	most := max(minBackoff, time.Duration(nodes)*nodeBackoff)
+	backoff := minBackoff
+	for range p.failures - 1 {
+		if backoff = min(2*backoff, most); backoff == most {
+			break
+		}
+	}
+	return time.Duration((1 + p.spread) * float64(backoff))
+}
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -17,8 +17,12 @@
 )
 
 // claimDelay returns how long this process delays its claim: the random jitter, plus smallVMDelay if this VM has much fewer
-// cores than the largest one, so that the larger VMs claim first.
+// cores than the largest one, so that the larger VMs claim first, plus slowLogDelay while the log answers slowly.
+// While the log answers slowly, the records of a leader that is alive arrive late, and a claim costs several calls more.
 func (n *Node) claimDelay(jitter time.Duration) time.Duration {
+	if n.policy.CertainlySlow(n.common.Clock.Now()) {
+		jitter += slowLogDelay
+	}
 	if n.settings.Limits.Cores < minCoreShare*n.replica.MaxCores() {
 		return jitter + smallVMDelay
 	}
@@ -33,13 +37,14 @@
 	return n.detector.ShouldClaim(n.common.Clock.Now(), n.claimDelay(jitter))
 }
 
-// claim makes this process the leader unless another process claims first. The log decides the order of claims.
-func (n *Node) claim() {
+// claim makes this process the leader unless another process claims first, or the log turns out to be slow and the claim not to be due.
+// The log decides the order of claims.
+func (n *Node) claim(jitter time.Duration) {
 	n.metrics.claims.Inc()
 	start := n.common.Clock.Now()
 	old := n.replica.Leader()
 	n.logClaim(old, n.detector.Evidence(start))
-	leader, err := n.appendClaim()
+	leader, err := n.appendClaim(jitter)
 	if err == nil {
 		n.ownTerm = leader.Term
 		err = n.fence(leader)
@@ -47,6 +52,9 @@
 	if err == nil {
 		err = n.catchUp()
 	}
+	if errors.Is(err, errLogSlow) {
+		return
+	}
 	if err != nil {
 		n.common.Event(common.EventClaimFailed).WithError(err).Warn("leadership claim failed; next attempt after the leader timeout at the earliest")
 		n.detector.ObserveLeader(false, n.common.Clock.Now()) // restarts the leader timeout
@@ -92,6 +100,7 @@
 func (n *Node) leaderPorts() term.Ports {
 	ports := n.ports.Ports
 	ports.Evacuations = n.evacuations.current
+	ports.AppendAnswer = func() time.Duration { return n.policy.Answer(n.common.Clock.Now()) }
 	if n.settings.PeerAddress != "" {
 		ports.Invite = n.agents.Invite
 	}
@@ -102,6 +111,9 @@
 // the full leader timeout before this one claims again.
 var errClaimedByOther = errors.New("another process has claimed leadership")
 
+// errLogSlow means that the log answers slowly, so that the records of the leader may arrive late: the claim is not due yet.
+var errLogSlow = errors.New("the log answers slowly")
+
 // claimRecord is the value of a record in the stream of claims.
 type claimRecord struct {
 	record.Leader
@@ -110,11 +122,16 @@
 
 // appendClaim appends a claim on the condition that the stream of claims has not grown since it was read. The term is the
 // offset of the claim plus one.
-func (n *Node) appendClaim() (record.Leader, error) {
+func (n *Node) appendClaim(jitter time.Duration) (record.Leader, error) {
+	begun := n.common.Clock.Now()
 	batch, err := n.ports.Log.Newest(n.ctx, record.StreamClaims)
 	if err != nil {
 		return record.Leader{}, err
 	}
+	now := n.common.Clock.Now()
+	if n.policy.ObserveRead(now.Sub(begun), now); !n.detector.ShouldClaim(now, n.claimDelay(jitter)) {
+		return record.Leader{}, errLogSlow
+	}
 	claims := 0
 	for _, rec := range batch.Records {
 		last, err := record.Decode[claimRecord](rec)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/common"
+	"github.com/oleanderline/oleanderline/pkg/groupcommit"
 	"github.com/oleanderline/oleanderline/pkg/lead"
 	"github.com/oleanderline/oleanderline/pkg/peer"
 	"github.com/oleanderline/oleanderline/pkg/record"
@@ -28,8 +30,11 @@
 	replica      *replica.Replica
 	detector     *lead.FailureDetector
 	batcher      *batcher
+	policy       *groupcommit.Policy
 	peers        *peer.Pool
 	relay        *relay.Client
+	appenders    AppendPort
+	sharing      atomic.Bool // whether records go through appenders, for the log lines
 	agents       AgentPort
 	agent        *agent.Agent
 	config       atomic.Pointer[oleanderline.CellConfig]
@@ -63,12 +68,22 @@
 	n.replica = replica.New(func(err error) {
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("malformed record skipped")
 	})
-	n.batcher = newBatcher(c, ports.Log, settings.LogLimits)
+	n.policy = groupcommit.New(rand.Float64)
+	n.ports.Log = &timedLog{KeyedLog: ports.Log, clock: c.Clock, policy: n.policy}
+	tries := 1
+	if settings.OwnAppends {
+		tries = appendAttempts
+	}
+	n.batcher = newBatcher(c, n.ports.Log, settings.LogLimits, n.policy, tries)
 	n.peers = peer.NewPool()
 	n.relay = relay.NewClient(func() []string { return n.replica.PeerAddresses(settings.VM) }, n.peers)
 	if n.ports.PeerEvacuations == nil {
 		n.ports.PeerEvacuations = n.relay.Evacuations
 	}
+	n.appenders = ports.Appenders
+	if n.appenders == nil {
+		n.appenders = n.relay
+	}
 	n.agents = ports.Agents
 	if n.agents == nil {
 		n.agents = agentrpc.NewClient(n.peers)
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -72,35 +72,15 @@
 	return "", n.ctx.Err()
 }
 
-// store stores a record directly, or through a peer if that fails, and counts the result.
+// store stores a record, directly or through another process, and counts the result.
 func (n *Node) store(ctx context.Context, rec oleanderline.KeyedRecord) error {
 	start := n.common.Clock.Now()
-	err := n.storeOrRelay(ctx, rec)
+	err := n.storeByPolicy(ctx, rec)
 	n.metrics.storeTime.Update(n.common.Clock.Now().Sub(start).Seconds())
 	n.metrics.countStore(err)
 	return err
 }
 
-// storeOrRelay stores a record directly or, if that fails, through a peer. If both fail, it returns ErrUncertain if either attempt
-// may have stored the record.
-func (n *Node) storeOrRelay(ctx context.Context, rec oleanderline.KeyedRecord) error {
-	err := n.batcher.store(ctx, rec)
-	if err == nil || ctx.Err() != nil {
-		return err
-	}
-	n.metrics.relayed.Inc()
-	relayErr := n.relay.Store(ctx, rec)
-	if relayErr != nil && errors.Is(err, oleanderline.ErrUncertain) {
-		return err
-	}
-	return relayErr
-}
-
-// StoreHere implements relay.Backend.
-func (n *Node) StoreHere(ctx context.Context, rec oleanderline.KeyedRecord) error {
-	return n.batcher.store(ctx, rec)
-}
-
 // StateHere implements relay.Backend.
 func (n *Node) StateHere(id oleanderline.JobID) (oleanderline.JobState, error) {
 	if age, known := n.replica.Age(n.common.Clock.Now()); !known || age > staleAge {
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -43,7 +43,7 @@
 		n.apply(changes)
 		n.dropEndedSession()
 		if n.shouldClaim(jitter) {
-			n.claim()
+			n.claim(jitter)
 			jitter = rand.N(maxClaimJitter)
 		}
 		if !more {
@@ -138,6 +138,7 @@
 		case record.KindLeader:
 			n.logLeader(change.Leader)
 			n.observeLeader(change.Leader)
+			n.observeAnswer(change.Leader)
 		case record.KindJob:
 			if entry, ok := n.replica.Job(change.Job); ok && s != nil {
 				s.AddJob(entry)
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -218,9 +218,10 @@
 }
 
 // RetryAfter implements oleanderline.JobService. It grows with the outage of the log, which is expected to last about as long
-// again as it has lasted so far, and with the tasks that wait for a start.
+// again as it has lasted so far, with the time that a record takes to be stored, and with the tasks that wait for a start.
 func (n *Node) RetryAfter() time.Duration {
-	return max(minRetryAfter, min(n.batcher.outage(), maxRetryAfter), min(n.backlogDelay(), maxBacklogDelay))
+	storeDelay := min(max(n.batcher.outage(), n.batcher.wait()), maxRetryAfter)
+	return max(minRetryAfter, storeDelay, min(n.backlogDelay(), maxBacklogDelay))
 }
 
 // MaxBody implements oleanderline.JobService.
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -8,6 +8,7 @@
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/capacity"
 	"github.com/oleanderline/oleanderline/pkg/evacuation"
+	"github.com/oleanderline/oleanderline/pkg/relay"
 	"github.com/oleanderline/oleanderline/pkg/term"
 )
 
@@ -21,6 +22,8 @@
 	JobRetention time.Duration          // how long finished jobs are kept
 	LogLimits    oleanderline.LogLimits // of Ports.Log
 	Maintenance  term.Maintenance
+	// OwnAppends makes this process store all records itself, also while the log answers slowly.
+	OwnAppends bool
 }
 
 // Ports are the external services of a node: those of a session, and the stream of the operators.
@@ -30,8 +33,9 @@
 	Config       oleanderline.Stream // holds configurations and maintenance windows
 	ConfigKey    string
 	DecodeConfig func(value []byte) (*oleanderline.CellConfig, error)
-	// Agents calls the leaders and agents of other processes; nil selects net/rpc.
-	Agents AgentPort
+	// Agents calls the leaders and agents of other processes, and Appenders those that append for this one; nil selects net/rpc.
+	Agents    AgentPort
+	Appenders AppendPort
 	// IsWindow and DecodeWindow recognize and decode the maintenance windows in the Config stream. They are used only if Fleet
 	// is set.
 	IsWindow     func(key string) bool
@@ -51,6 +55,13 @@
 	Invite(ctx context.Context, address string, invitation agent.Invitation) error
 }
 
+// AppendPort stores records through other processes.
+type AppendPort interface {
+	// Append stores a record through the process at an address. ErrUnavailable and relay.ErrNotInTime guarantee that it has not stored the
+	// record and will not store it.
+	Append(ctx context.Context, address string, request relay.AppendRequest) error
+}
+
 // Timing and thresholds of a node.
 const (
 	// leaderTimeout is how long no leader record may be read before another process claims leadership.
@@ -61,6 +72,8 @@
 	// that is alive claims first.
 	smallVMDelay = maxClaimJitter + 100*time.Millisecond
 	minCoreShare = 0.75
+	// slowLogDelay delays claims while the log answers slowly: the heartbeats of the leader then wait in the log's queue.
+	slowLogDelay = time.Second
 
 	// runLease is how long a run continues without contact to a leader. It covers the loss of a leader and the start of the
 	// next one.
@@ -100,4 +113,5 @@
 	registerRetry     = time.Second               // after a failure to store the record of this process or the shared key
 	appendRetryDelay  = 50 * time.Millisecond
 	probeInterval     = 250 * time.Millisecond // between appends while the log fails
+	noDeadline        = time.Minute            // the time that a caller without a deadline waits, for decisions that need one
 )
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/capacity"
@@ -58,8 +59,12 @@
 	ClaimCount int               `json:"n"` // the number of claims so far, including this one
 	Resigned   bool              `json:"gone,omitempty"`
 	Intake     *Intake           `json:"intake,omitempty"` // absent until the rate of starts is known
+	AnswerMS   int64             `json:"ans,omitempty"`    // answer time of the leader's appends lately, in milliseconds; 0 if it is below 1 or not known
 }
 
+// Answer returns the answer time of the leader's appends.
+func (l Leader) Answer() time.Duration { return time.Duration(l.AnswerMS) * time.Millisecond }
+
 // Intake is the leader's verdict on new jobs, by the tasks that wait for a start and the rate at which it starts tasks.
 type Intake struct {
 	Rate   float64 `json:"rate,omitempty"`   // starts per second while tasks waited for nothing else; 0 if not measured
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -25,6 +25,8 @@
 type Backend interface {
 	// StoreHere stores a record in the log directly, without a relay.
 	StoreHere(ctx context.Context, rec oleanderline.KeyedRecord) error
+	// AppendHere is StoreHere for a process that has chosen this one as its appender. It returns before ctx is done.
+	AppendHere(ctx context.Context, rec oleanderline.KeyedRecord) error
 	// StateHere returns the state of a job from the records that this process has read.
 	StateHere(id oleanderline.JobID) (oleanderline.JobState, error)
 	// EvacuationsHere returns the requests to evacuate failure domains that this process has read, and how long ago they were complete.
@@ -42,6 +44,7 @@
 	OutcomeUncertain
 	OutcomeUnknownJob
 	OutcomeNotReady
+	OutcomeNotInTime
 )
 
 // StoreReply is the reply to Store.
@@ -100,6 +103,8 @@
 		return OutcomeNotReady
 	case errors.Is(err, oleanderline.ErrUncertain):
 		return OutcomeUncertain
+	case errors.Is(err, ErrNotInTime):
+		return OutcomeNotInTime
 	}
 	return OutcomeUnavailable
 }
@@ -107,7 +112,7 @@
 // err returns the error of an outcome. An unknown outcome, from a process of another version, leaves open whether the call took
 // effect.
 func (o Outcome) err() error {
-	errs := [...]error{nil, oleanderline.ErrUnavailable, oleanderline.ErrUncertain, oleanderline.ErrUnknownJob, oleanderline.ErrNotReady}
+	errs := [...]error{nil, oleanderline.ErrUnavailable, oleanderline.ErrUncertain, oleanderline.ErrUnknownJob, oleanderline.ErrNotReady, ErrNotInTime}
 	if o < 0 || int(o) >= len(errs) {
 		return oleanderline.ErrUncertain
 	}
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -49,6 +49,9 @@
 	Workers      oleanderline.Stream
 	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
+	// AppendAnswer returns the answer time of this process's appends lately, which the leader's record tells all processes. It is nil if
+	// nobody measures it.
+	AppendAnswer func() time.Duration
 	// Invite asks the process at an address to serve workers for this leader.
 	Invite func(ctx context.Context, address string, invitation agent.Invitation) error
 	// Evacuations returns the newest requests to take failure domains out of service.
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -115,6 +115,9 @@
 	if intake.Rate > 0 || intake.Refuse {
 		leader.Intake = &intake
 	}
+	if answer := w.session.ports.AppendAnswer; answer != nil {
+		leader.AnswerMS = answer().Milliseconds()
+	}
 	return record.ForLeader(leader)
 }
 
