--- a/pkg/capacity/vm.go
+++ b/pkg/capacity/vm.go
@@ -33,6 +33,18 @@
 // MaxWorkersAsAgent returns how many workers an agent can serve.
 func (v VM) MaxWorkersAsAgent() int { return v.workers(agentCoreShare, agentOtherShare) }
 
+// minClientConnections is left to clients on a VM with fewer descriptors than a process needs.
+const minClientConnections = 16
+
+// MaxClientConnections returns how many connections of clients leave enough descriptors for the workers that a leader serves, for
+// other processes and for the log. 0 means no limit.
+func (v VM) MaxClientConnections() int {
+	if v.Files <= 0 {
+		return 0
+	}
+	return max(minClientConnections, v.Files-reservedFiles-filesPerWorker*v.MaxWorkersAsLeader())
+}
+
 func (v VM) workers(coreShare, otherShare float64) int {
 	count := coreShare * v.Cores / coresPerWorker
 	if v.Mbps > 0 {
