Bound what clients take up in oleander-node

Cause: the handler read any number of bodies at once with io.ReadAll, each without end to its time; net/http allowed headers of 1 MB, waited without end for answers to be read, and read the rest of refused bodies; nothing limited the connections, so the descriptors of peers, workers and the store were taken.

Change: the client listener is limited by connlimit, bodies are read by bodyreader, and decoded jobs have two budgets, so that small jobs do not wait for large ones.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -59,6 +61,7 @@
 	applied  platform.Settings // read last; used only by watchSettings once the process runs
 	path     string            // of the settings file
 	node     *node.Node
+	clients  *clients
 	servers  []*http.Server
 	stopping atomic.Bool
 	// gracePeriod is the time from the stop signal to the end of the process, in nanoseconds.
@@ -95,7 +98,7 @@
 		IsWindow: platform.IsWindow, DecodeWindow: platform.DecodeWindow,
 		IsEvacuation: platform.IsEvacuation, DecodeEvacuation: platform.DecodeEvacuation,
 	})
-	d := &daemon{common: c, opts: opts, settings: settings, path: path, node: n}
+	d := &daemon{common: c, opts: opts, settings: settings, path: path, node: n, clients: newClients(c, opts, &settings)}
 	d.apply(&settings)
 	return d
 }
@@ -104,7 +107,7 @@
 func (d *daemon) run(ctx context.Context) error {
 	stop, cancel := d.common.StopContext()
 	defer cancel()
-	handler := platform.NewHandler(d.node)
+	handler := platform.NewHandler(d.node, d.clients.reader, d.clients.decoding)
 	failed := make(chan error, 3)
 	for _, s := range []struct {
 		address string
@@ -138,7 +141,15 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: d.closeOnStop(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: d.closeOnStop(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: log.New(io.Discard, "", 0), // clients can cause any number of its messages
+	}
+	if address == d.settings.ClientAddress {
+		if listener, err = d.clients.listen(d.common, &d.settings, listener, server); err != nil {
+			return err
+		}
+	}
 	d.servers = append(d.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/oleander-node/main.go
+++ b/cmd/oleander-node/main.go
@@ -24,7 +24,10 @@
 	LogLines   int    `arg:"--log-lines,env:OLEANDER_LOG_LINES" help:"maximum number of log lines per second" default:"1000"`
 	Metrics    int    `arg:"--metrics-port,env:OLEANDER_METRICS_PORT" help:"port of the metrics page" default:"9100"`
 	OwnAppends bool   `arg:"--own-appends,env:OLEANDER_OWN_APPENDS" help:"append all submissions and cancellations in this process, also while the log answers slowly"`
-	Check      bool   `arg:"--check" help:"check the settings file and exit"`
+	// Connections and BodyMemory replace limits that follow from the settings file.
+	Connections int  `arg:"--max-connections,env:OLEANDER_MAX_CONNECTIONS" help:"maximum number of clients' connections; 0 derives it from the memory and the descriptors of the VM" default:"0"`
+	BodyMemory  int  `arg:"--body-memory,env:OLEANDER_BODY_MEMORY" help:"memory in MiB for bodies above 8 KiB that are being received; 0 derives it from the memory of the VM" default:"0"`
+	Check       bool `arg:"--check" help:"check the settings file and exit"`
 }
 
 func main() {
--- a/cmd/oleander-node/reload.go
+++ b/cmd/oleander-node/reload.go
@@ -66,6 +66,7 @@
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * megabyte))
 	}
+	d.clients.apply(settings)
 	d.gracePeriod.Store(int64(settings.GracePeriod))
 	d.applied = *settings
 }
