Close connections without any request before idle ones in use

Cause: at the limit on connections, a connection that a client keeps between its requests was closed before one that never sent a byte, if it had been idle for longer. A crowd that only opens connections could close those of ordinary clients.

--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -19,6 +19,7 @@
 	phase     atomic.Int32
 	since     atomic.Int64 // when the phase began, in Unix nanoseconds
 	header    atomic.Int64 // bytes of the header that is being received
+	used      atomic.Bool  // a request has been answered
 	closeSoon atomic.Bool  // the next Close leaves the client time to read the answer
 	closing   sync.Once
 	closed    sync.Once
@@ -30,7 +31,7 @@
 }
 
 func (c *conn) candidate(now time.Time) candidate {
-	return candidate{phase: phase(c.phase.Load()), age: now.Sub(time.Unix(0, c.since.Load()))}
+	return candidate{phase: phase(c.phase.Load()), used: c.used.Load(), age: now.Sub(time.Unix(0, c.since.Load()))}
 }
 
 // Read implements net.Conn. It counts the bytes of headers.
@@ -131,6 +132,7 @@
 		c.endHeader()
 		c.phase.Store(int32(phaseWorking))
 	case http.StateIdle:
+		c.used.Store(true)
 		c.enter(phaseWaiting, c.listener.clock.Now())
 	}
 }
--- a/pkg/connlimit/victim.go
+++ b/pkg/connlimit/victim.go
@@ -21,6 +21,7 @@
 // candidate is a connection that may be closed in favor of a new one.
 type candidate struct {
 	phase phase
+	used  bool          // whether a request has been answered on it
 	age   time.Duration // since the phase began; since the first byte of the request if one is being received
 }
 
@@ -29,14 +30,17 @@
 	rankNever  = iota
 	rankYoung  // a request that has just begun
 	rankIdle   // an idle connection, which a client keeps for its next request
-	rankStale  // an unfinished request or an answer that is not taken
+	rankStale  // an unfinished request, an answer that is not taken, or a connection without any request
 	rankClosed // a connection that has been answered for the last time
 )
 
 func (c candidate) rank() int {
 	switch c.phase {
 	case phaseWaiting:
-		return rankIdle
+		if c.used || c.age < youth {
+			return rankIdle
+		}
+		return rankStale
 	case phaseHeader, phaseReceiving, phaseSending:
 		if c.age >= youth {
 			return rankStale
--- a/pkg/connlimit/victim_test.go
+++ b/pkg/connlimit/victim_test.go
@@ -16,14 +16,15 @@
 		candidates []candidate
 		want       int
 	}{
-		{"a closed one first", []candidate{{phaseReceiving, old}, {phaseClosing, young}, {phaseWaiting, old}}, 1},
-		{"an unfinished body rather than an idle connection", []candidate{{phaseWaiting, 10 * old}, {phaseReceiving, old}}, 1},
-		{"an unfinished header rather than an idle connection", []candidate{{phaseHeader, old}, {phaseWaiting, 10 * old}}, 0},
-		{"an answer that is not taken rather than an idle connection", []candidate{{phaseWaiting, 10 * old}, {phaseSending, old}}, 1},
-		{"an idle connection rather than a request that has just begun", []candidate{{phaseReceiving, young}, {phaseWaiting, old}}, 1},
-		{"the longest unfinished", []candidate{{phaseReceiving, old}, {phaseHeader, 2 * old}, {phaseSending, old}}, 1},
-		{"the longest idle", []candidate{{phaseWaiting, young}, {phaseWaiting, old}}, 1},
-		{"a request that has just begun, if there is nothing else", []candidate{{phaseWorking, old}, {phaseHeader, young}}, 1},
+		{"a closed one first", []candidate{{phase: phaseReceiving, age: old}, {phase: phaseClosing, age: young}, {phase: phaseWaiting, age: old}}, 1},
+		{"an unfinished body rather than an idle connection", []candidate{{phase: phaseWaiting, used: true, age: 10 * old}, {phase: phaseReceiving, age: old}}, 1},
+		{"an unfinished header rather than an idle connection", []candidate{{phase: phaseHeader, age: old}, {phase: phaseWaiting, used: true, age: 10 * old}}, 0},
+		{"an answer that is not taken rather than an idle connection", []candidate{{phase: phaseWaiting, used: true, age: 10 * old}, {phase: phaseSending, age: old}}, 1},
+		{"an idle connection rather than a request that has just begun", []candidate{{phase: phaseReceiving, age: young}, {phase: phaseWaiting, age: old}}, 1},
+		{"the longest unfinished", []candidate{{phase: phaseReceiving, age: old}, {phase: phaseHeader, age: 2 * old}, {phase: phaseSending, age: old}}, 1},
+		{"one without any request rather than one that waits for the next", []candidate{{phase: phaseWaiting, used: true, age: 10 * old}, {phase: phaseWaiting, age: old}}, 1},
+		{"the longest idle", []candidate{{phase: phaseWaiting, used: true, age: young}, {phase: phaseWaiting, used: true, age: old}}, 1},
+		{"a request that has just begun, if there is nothing else", []candidate{{phase: phaseWorking, age: old}, {phase: phaseHeader, age: young}}, 1},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			for i, c := range s.candidates {
@@ -34,5 +35,5 @@
 			}
 		})
 	}
-	require.Equal(t, rankNever, candidate{phaseWorking, old}.rank())
+	require.Equal(t, rankNever, candidate{phase: phaseWorking, age: old}.rank())
 }
