Bound what callers take up in oleander-entry

Cause: an entry had fixed limits whatever its VM: 20,000 connections, beyond which it refused new ones, and 256 MiB of heads of bodies, which stalled callers kept for up to 64 s. Bodies of requests that are refused early were read to their end by net/http without a limit on the time.

The listener is that of connlimit, so that a new connection takes the place of an unfinished one. Heads above 8 KiB take their memory from a bodygate: a stalled one gives way after 1 s, and others wait up to 2 s before they are refused as `memory`. The bodies of refused requests are not read.

--- a/cmd/oleander-entry/main.go
+++ b/cmd/oleander-entry/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	c := common.New("oleander-entry", common.WithLogger(common.NewLogger(os.Stderr, level)))
 	daemon, err := entry.New(c, settings)
 	if err != nil {
--- a/pkg/bodyreader/stream.go
+++ b/pkg/bodyreader/stream.go
@@ -88,3 +88,10 @@
 	connlimit.SetReceiving(r.Context())
 	newStream(w, r, timeout).extendDeadline()
 }
+
+// Abandon keeps net/http from reading the rest of the body of a request that is refused. The answer must close the connection.
+func Abandon(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		newStream(w, r, 0).abandon()
+	}
+}
--- a/pkg/caller/body.go
+++ b/pkg/caller/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/bodygate"
+	"github.com/oleanderline/oleanderline/pkg/connlimit"
 )
 
 // Body is the body of a caller's request. Its first part, the head, is kept in memory so that a request that did not run
@@ -17,7 +20,8 @@
 type Body struct {
 	Length int64 // -1: unknown
 	head   []byte
-	rest   *limitedReader // nil if the head is the complete body
+	rest   *limitedReader  // nil if the head is the complete body
+	grant  *bodygate.Grant // for the memory of the head; nil if it is small
 
 	mu          sync.Mutex
 	restStarted bool // whether any of the rest has been read
@@ -40,6 +44,9 @@
 	if b.rest != nil {
 		b.rest.close()
 	}
+	if b.grant != nil {
+		b.grant.Release()
+	}
 }
 
 // Reader returns a reader of the body from its start, or nil if there is no body. It may be called only while Replayable
@@ -67,6 +74,7 @@
 
 // limitedReader returns an error for a body that arrives more slowly than the minimum rate or exceeds the size limit.
 type limitedReader struct {
+	ctx        context.Context // of the request
 	body       io.Reader
 	controller *http.ResponseController
 	settings   *Settings
@@ -74,8 +82,23 @@
 	bytesRead  int64
 	err        error
 
-	mu     sync.Mutex
-	closed bool
+	mu      sync.Mutex
+	closed  bool
+	evicted bool
+}
+
+// evict ends the current read and all later ones, because the body has to give way to others.
+func (r *limitedReader) evict() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evicted = true
+	_ = r.controller.SetReadDeadline(r.startTime)
+}
+
+func (r *limitedReader) isEvicted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evicted
 }
 
 // close disables setDeadline. A transport may still read the body after the handler has returned, when the deadline of the
@@ -89,7 +112,7 @@
 func (r *limitedReader) setDeadline(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.closed {
+	if !r.closed && !r.evicted {
 		_ = r.controller.SetReadDeadline(at)
 	}
 }
@@ -101,7 +124,9 @@
 	}
 	allowed := r.settings.BodyGrace + time.Duration(r.bytesRead)*time.Second/time.Duration(r.settings.MinBodyRate)
 	r.setDeadline(r.startTime.Add(allowed))
+	connlimit.SetReceiving(r.ctx)
 	n, err := r.body.Read(p)
+	connlimit.SetWorking(r.ctx)
 	r.bytesRead += int64(n)
 	if r.bytesRead > r.settings.MaxBodyBytes {
 		err = badRequest(http.StatusRequestEntityTooLarge, ReasonBodySize, "body is longer than %d bytes", r.settings.MaxBodyBytes)
@@ -121,6 +146,8 @@
 	switch {
 	case err == io.EOF, errors.As(err, &problem):
 		return err
+	case r.isEvicted():
+		return errMemory
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return badRequest(http.StatusRequestTimeout, ReasonSlowBody, "body arrives at less than %d bytes a second", r.settings.MinBodyRate)
 	default:
@@ -128,7 +155,16 @@
 	}
 }
 
-// readBody reads the head of the request's body.
+// errMemory refuses a body for which there is no memory.
+var errMemory = &Problem{
+	Result: oleanderline.ResultNotRun, Status: http.StatusServiceUnavailable, Reason: ReasonMemory,
+	Detail: "too many bodies are being received", RetryAfter: time.Second,
+}
+
+// streamWindow is the size of the receive buffer for a body that is streamed to a minion.
+const streamWindow = 256 << 10
+
+// readBody reads the head of the request's body. The body has to be closed, also after a problem.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) (*Body, *Problem) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &Body{}, nil
@@ -141,26 +177,61 @@
 		size = int(r.ContentLength)
 	}
 	limited := &limitedReader{
+		ctx:        r.Context(),
 		body:       r.Body,
 		controller: http.NewResponseController(w),
 		settings:   &h.settings,
 		startTime:  time.Now(),
 	}
+	grant, err := h.reserve(r.Context(), size, limited.evict)
+	if err != nil {
+		return nil, errMemory
+	}
+	body, err := readHead(limited, r.ContentLength, size)
+	if err == nil && grant != nil && !grant.Complete() {
+		err = errMemory
+	}
+	if err == nil {
+		body.grant = grant
+		if body.rest != nil {
+			connlimit.SetReadBuffer(r.Context(), streamWindow)
+		}
+		return body, nil
+	}
+	if grant != nil {
+		grant.Release()
+	}
+	var problem *Problem
+	if !errors.As(err, &problem) {
+		problem = badRequest(http.StatusBadRequest, ReasonBadBody, "body cannot be read: %v", err)
+	}
+	refused := *problem
+	refused.Result = oleanderline.ResultNotRun
+	return nil, &refused
+}
+
+// readHead reads up to size bytes of a body of the given length (-1: unknown).
+func readHead(limited *limitedReader, length int64, size int) (*Body, error) {
 	head := make([]byte, size+1)
 	n, err := io.ReadFull(limited, head)
-	body := &Body{Length: r.ContentLength, head: head[:n]}
-	switch {
-	case err == nil:
+	body := &Body{Length: length, head: head[:n]}
+	switch err {
+	case nil:
 		body.rest = limited
 		return body, nil
-	case err == io.EOF, err == io.ErrUnexpectedEOF:
+	case io.EOF, io.ErrUnexpectedEOF:
 		body.Length = int64(n)
 		return body, nil
 	}
-	var problem *Problem
-	if !errors.As(err, &problem) {
-		problem = badRequest(http.StatusBadRequest, ReasonBadBody, "body cannot be read: %v", err)
+	return nil, err
+}
+
+// reserve waits for the memory for a head. It returns nil for a small one, which the limit on connections bounds.
+func (h *Handler) reserve(ctx context.Context, size int, evict func()) (*bodygate.Grant, error) {
+	if size <= smallHead {
+		return nil, nil
 	}
-	problem.Result = oleanderline.ResultNotRun
-	return nil, problem
+	ctx, cancel := context.WithTimeout(ctx, memoryTimeout)
+	defer cancel()
+	return h.memory.Acquire(ctx, oleanderline.ByteCount(size), evict)
 }
--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -7,12 +7,13 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/bodygate"
+	"github.com/oleanderline/oleanderline/pkg/bodyreader"
 	"github.com/oleanderline/oleanderline/pkg/common"
 )
 
@@ -21,7 +22,7 @@
 	common    *common.Common
 	settings  Settings
 	exchanger Exchanger
-	buffered  atomic.Int64                 // bytes reserved for the heads of all bodies
+	memory    *bodygate.Gate               // for the heads of all bodies
 	logLimits map[common.Event]*logLimiter // by event, so that lines of one do not keep out those of another
 	answered  *metrics.Counter
 	notRun    *metrics.Counter
@@ -35,6 +36,7 @@
 		common:    c,
 		settings:  settings,
 		exchanger: exchanger,
+		memory:    bodygate.New(common.NewSystemClock(), oleanderline.ByteCount(settings.MaxBuffered), headGrace),
 		logLimits: newLogLimits(common.EventBadRequest, common.EventServiceUnknown, common.EventAnswerTruncated),
 		answered:  c.Metrics.NewCounter("oleander_caller_answered_total"),    // requests whose complete answer was forwarded to the caller
 		notRun:    c.Metrics.NewCounter("oleander_caller_not_run_total"),     // requests refused without having run, invalid ones included
@@ -43,6 +45,15 @@
 	}
 }
 
+const (
+	// smallHead is the size up to which a head is not counted, because the limit on connections bounds the sum of such heads.
+	smallHead = 8 << 10
+	// headGrace is how long a head is not evicted. Callers are a few milliseconds away.
+	headGrace = time.Second
+	// memoryTimeout is how long a head waits for memory. A stalled head gives way before.
+	memoryTimeout = 2 * headGrace
+)
+
 // maxLogLinesPerSecond limits the log lines of each event that callers can cause.
 const maxLogLinesPerSecond = 5
 
@@ -61,11 +72,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	bodyreader.Expect(w, r, h.settings.BodyGrace)
 	call, problem := h.parse(r, h.common.Clock.Now())
 	if problem == nil {
-		reserved := h.reserve(r)
-		defer h.buffered.Add(-reserved)
-		problem = h.admitBody(w, r, call, reserved)
+		call.Body, problem = h.readBody(w, r)
 	}
 	if problem != nil {
 		h.refuse(w, r, problem)
@@ -84,31 +94,6 @@
 	h.writeReply(w, r, reply)
 }
 
-// reserve adds the maximum size of the body's head to the buffered bytes and returns it.
-func (h *Handler) reserve(r *http.Request) int64 {
-	size := int64(h.settings.MaxHeadBytes)
-	if r.ContentLength >= 0 && r.ContentLength < size {
-		size = r.ContentLength
-	}
-	h.buffered.Add(size)
-	return size
-}
-
-// admitBody reads the head of the body, unless the limit on buffered bodies is exceeded.
-func (h *Handler) admitBody(w http.ResponseWriter, r *http.Request, call *Call, reserved int64) (problem *Problem) {
-	if reserved > 0 && h.buffered.Load() > h.settings.MaxBuffered {
-		return &Problem{
-			Result:     oleanderline.ResultNotRun,
-			Status:     http.StatusServiceUnavailable,
-			Reason:     ReasonMemory,
-			Detail:     "too many bodies are being received",
-			RetryAfter: time.Second,
-		}
-	}
-	call.Body, problem = h.readBody(w, r)
-	return problem
-}
-
 // refuse counts and logs a problem and writes it as the response.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, problem *Problem) {
 	if problem.Result == oleanderline.ResultNotRun {
@@ -118,9 +103,10 @@
 	}
 	h.logRefusal(r, problem)
 	switch problem.Reason {
-	case ReasonBodySize, ReasonSlowBody, ReasonBadBody:
+	case ReasonBodySize, ReasonSlowBody, ReasonBadBody, ReasonMemory:
 		// The rest of the body is not read, so the connection cannot carry another request.
 		w.Header().Set("Connection", "close")
+		bodyreader.Abandon(w, r)
 	}
 	problem.write(w)
 }
--- a/pkg/entry/daemon.go
+++ b/pkg/entry/daemon.go
@@ -80,6 +80,7 @@
 	for _, option := range options {
 		option(&d.config)
 	}
+	d.limitHeads()
 	if d.config.vmList == nil {
 		d.config.vmList = vmlist.NewClient(settings.VMList, platform.WithByteCounter(c.PlatformBytes()))
 	}
@@ -207,7 +208,10 @@
 	for _, run := range []func(context.Context){d.poller.run, d.membership.run, d.loans.run, d.followRules, d.sweep} {
 		d.background.Go(func() { run(ctx) })
 	}
-	callers := &limitListener{Listener: d.listeners[0], limit: maxCallerConnections}
+	callers, err := d.listenForCallers()
+	if err != nil {
+		return err
+	}
 	d.serve("callers", func() error { return d.callerServer.Serve(callers) })
 	d.serve("peers", func() error { return d.peerServer.Serve(d.listeners[1]) })
 	d.serve("operators", func() error { return d.operatorServer.Serve(d.listeners[2]) })
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/oleanderline/oleanderline/pkg/setting"
@@ -14,6 +15,8 @@
 	DrainDelay   time.Duration `arg:"--drain-delay,env:OLEANDER_DRAIN_DELAY" help:"how long a planned stop keeps serving after readiness has failed"`
 	Heartbeat    time.Duration `arg:"--heartbeat,env:OLEANDER_HEARTBEAT" help:"time between heartbeats to other entries; an entry that misses three counts as failed"`
 	VMListPoll   time.Duration `arg:"--vm-list-poll,env:OLEANDER_VM_LIST_POLL" help:"time between reads of the VM list"`
+	Memory       int           `arg:"--memory,env:OLEANDER_MEMORY" help:"memory in MiB that this process may use; the limits on what callers take up follow from it. 0 selects limits for a VM with 2 GiB or more"`
+	Descriptors  int           `arg:"--descriptors,env:OLEANDER_DESCRIPTORS" help:"file descriptors that this process may open; 0 means that they do not limit the callers' connections"`
 	KeyRetention time.Duration `arg:"--key-keep,env:OLEANDER_KEY_KEEP" help:"how long the result of an idempotency key is kept"`
 }
 
@@ -48,8 +51,17 @@
 		setting.CheckRange("--drain-delay", s.DrainDelay, 0, maxDrainDelay),
 		setting.CheckRange("--heartbeat", s.Heartbeat, 10*time.Millisecond, maxHeartbeat),
 		setting.CheckRange("--vm-list-poll", s.VMListPoll, 10*time.Millisecond, maxVMListPoll),
+		checkNotNegative("--memory", s.Memory),
+		checkNotNegative("--descriptors", s.Descriptors),
 		setting.CheckRange("--key-keep", s.KeyRetention, time.Second, maxKeyRetention),
 	)
 }
 
+func checkNotNegative(flag string, value int) error {
+	if value < 0 {
+		return fmt.Errorf("%s=%d: must not be negative", flag, value)
+	}
+	return nil
+}
+
 func (s *Settings) heartbeatTimeout() time.Duration { return maxMissedHeartbeats * s.Heartbeat }
