--- a/pkg/bodyreader/reader_test.go
+++ b/pkg/bodyreader/reader_test.go
@@ -41,10 +41,10 @@
 	timeout time.Duration
 }
 
-func newBench(t *testing.T, total oleanderline.ByteCount, timeout time.Duration) *bench {
+func newBench(t *testing.T, total oleanderline.ByteCount, grace, timeout time.Duration) *bench {
 	c := common.New("test")
 	c.Log.Logger.SetOutput(io.Discard)
-	b := &bench{t: t, gate: bodygate.New(common.NewSystemClock(), total, testGrace), results: make(chan result, 10), timeout: timeout}
+	b := &bench{t: t, gate: bodygate.New(common.NewSystemClock(), total, grace), results: make(chan result, 100), timeout: timeout}
 	reader := New(c, b.gate, testLimit)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -95,7 +95,7 @@
 
 // Guards against a body inside the limit that is refused or damaged, whatever its size and form, and against memory that is kept.
 func TestWholeBodies(t *testing.T) {
-	b := newBench(t, testLimit, noTimeout)
+	b := newBench(t, testLimit, testGrace, noTimeout)
 	for _, size := range []int{0, 1, smallBody - 1, smallBody, smallBody + 1, testLimit - 1, testLimit} {
 		text := strings.Repeat("x", size)
 		forms := []struct{ name, field, text string }{
@@ -138,7 +138,7 @@
 		{"large chunks, stalled", chunked, chunk(large), testGrace, false, ErrTooSlow},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			b := newBench(t, testLimit, s.timeout)
+			b := newBench(t, testLimit, testGrace, s.timeout)
 			conn := b.send(s.field, s.text)
 			if s.cutOff {
 				require.NoError(t, conn.(*net.TCPConn).CloseWrite())
@@ -152,7 +152,7 @@
 
 // Guards against stalled bodies that keep out others: one of them gives way, and its client gets an answer.
 func TestAStalledBodyGivesWay(t *testing.T) {
-	b := newBench(t, testLimit, noTimeout)
+	b := newBench(t, testLimit, testGrace, noTimeout)
 	stalled := b.send(withLength(testLimit), strings.Repeat("x", testLimit-1))
 	require.Eventually(t, func() bool { return b.gate.Used() == testLimit }, 10*time.Second, time.Millisecond)
 	text := strings.Repeat("y", testLimit)
@@ -166,10 +166,31 @@
 
 // Guards against a small body that waits for memory which large ones have taken.
 func TestASmallBodyDoesNotWait(t *testing.T) {
-	b := newBench(t, testLimit, noTimeout)
+	b := newBench(t, testLimit, testGrace, noTimeout)
 	grant, err := b.gate.Acquire(context.Background(), testLimit, func() {})
 	require.NoError(t, err)
 	require.True(t, grant.Complete(), "it does not give way")
 	b.send(withLength(1), "x")
 	require.Equal(t, result{data: "x"}, <-b.results)
 }
+
+// Guards against whole bodies that are refused or end because more arrive at the same time than the memory holds: they wait for one
+// another.
+func TestABurstOfWholeBodiesIsServed(t *testing.T) {
+	const clients = 16
+	b := newBench(t, 2*testLimit, noTimeout, noTimeout)
+	text := strings.Repeat("x", testLimit)
+	var conns []net.Conn
+	for range clients {
+		conns = append(conns, b.send(withLength(testLimit), ""))
+	}
+	for _, conn := range conns {
+		go func() { _, _ = io.WriteString(conn, text) }() // the answer shows whether the body arrived
+	}
+	for range clients {
+		require.Equal(t, result{data: text}, <-b.results)
+	}
+	for _, conn := range conns {
+		require.Equal(t, http.StatusOK, b.status(conn))
+	}
+}
