Count and show submissions that wait for memory to be decoded

A submission that found no memory to be decoded got 503 without a count or a log line. It is counted and logged like a refused body, and a gauge shows the memory of submissions that are being stored. Tests of platform, pkg/bodyreader and pkg/catalogue pass with the race detector.

--- a/cmd/oleander-node/clients.go
+++ b/cmd/oleander-node/clients.go
@@ -45,6 +45,9 @@
 			Small: bodygate.New(clock, limits.SmallJobs, noEviction), Large: bodygate.New(clock, limits.LargeJobs, noEviction),
 		},
 	}
+	c.Metrics.GetOrCreateGauge("oleander_submissions_bytes", func() float64 { // estimated memory of the jobs that are being decoded and stored
+		return float64(cl.decoding.Small.Used() + cl.decoding.Large.Used())
+	})
 	cl.reader = bodyreader.New(c, cl.bodies, oleanderline.ByteCount(largestBodyShare*float64(limits.Bodies)))
 	return cl
 }
--- a/pkg/bodyreader/reader.go
+++ b/pkg/bodyreader/reader.go
@@ -55,7 +55,7 @@
 	return &Reader{
 		common: c, gate: gate, largest: int64(largest),
 		tooSlow: c.Metrics.GetOrCreateCounter("oleander_bodies_slow_total"),    // bodies that were ended because they made too little progress
-		refused: c.Metrics.GetOrCreateCounter("oleander_bodies_refused_total"), // bodies that were refused or ended because the memory for bodies was used up
+		refused: c.Metrics.GetOrCreateCounter("oleander_bodies_refused_total"), // requests that were refused or ended because the memory for bodies or for jobs was used up
 	}
 }
 
@@ -89,7 +89,7 @@
 	body, err := rd.read(in, limit)
 	if err != nil {
 		in.abandon()
-		return nil, rd.classify(err)
+		return nil, rd.Refuse(err)
 	}
 	in.end()
 	return body, nil
@@ -159,8 +159,9 @@
 	return n, false, nil
 }
 
-// classify counts an error and replaces an exceeded deadline by ErrTooSlow.
-func (rd *Reader) classify(err error) error {
+// Refuse counts and logs a request that is refused for lack of memory or of progress, and returns its error. An exceeded deadline is replaced
+// by ErrTooSlow, and other errors are only returned.
+func (rd *Reader) Refuse(err error) error {
 	switch {
 	case errors.Is(err, bodygate.ErrFull):
 		rd.refused.Inc()
