Judge the age of connections by the steady clock

The beginning of a phase was kept as a time of day, so that a jump of it made requests that had just begun seem old at the limit on connections. Tests of pkg/connlimit and pkg/bodygate pass three times with the race detector.

--- a/pkg/bodygate/gate.go
+++ b/pkg/bodygate/gate.go
@@ -52,9 +52,9 @@
 	return g.budget.Used()
 }
 
-// Acquire waits until a body of the given size may be held. It fails with ErrFull when ctx is done before, and at
-// once if too many wait. evict is called at most
-// once, between the admission and Complete or Release, if the body has to give way; it must not call methods of the Gate or the Grant.
+// Acquire waits until a body of the given size may be held. It fails with ErrFull when ctx is done before, and at once if too many wait.
+// evict is called at most once, between the admission and Complete or Release, if the body has to give way; it must not call methods of
+// the Gate or the Grant.
 func (g *Gate) Acquire(ctx context.Context, size oleanderline.ByteCount, evict func()) (*Grant, error) {
 	grant := &Grant{gate: g, evict: evict, admitted: make(chan struct{})}
 	g.mu.Lock()
--- a/pkg/connlimit/conn.go
+++ b/pkg/connlimit/conn.go
@@ -17,7 +17,7 @@
 	listener *Listener
 	// phase is changed by the goroutine that serves the connection, and by Close.
 	phase     atomic.Int32
-	since     atomic.Int64 // when the phase began, in Unix nanoseconds
+	since     atomic.Int64 // when the phase began, in nanoseconds since the start of the listener, which jumps of the time of day do not change
 	header    atomic.Int64 // bytes of the header that is being received
 	used      atomic.Bool  // a request has been answered
 	closeSoon atomic.Bool  // the next Close leaves the client time to read the answer
@@ -26,12 +26,13 @@
 }
 
 func (c *conn) enter(p phase, now time.Time) {
-	c.since.Store(now.UnixNano())
+	c.since.Store(int64(now.Sub(c.listener.start)))
 	c.phase.Store(int32(p))
 }
 
 func (c *conn) candidate(now time.Time) candidate {
-	return candidate{phase: phase(c.phase.Load()), used: c.used.Load(), age: now.Sub(time.Unix(0, c.since.Load()))}
+	age := now.Sub(c.listener.start) - time.Duration(c.since.Load())
+	return candidate{phase: phase(c.phase.Load()), used: c.used.Load(), age: age}
 }
 
 // Read implements net.Conn. It counts the bytes of headers.
--- a/pkg/connlimit/listener.go
+++ b/pkg/connlimit/listener.go
@@ -36,6 +36,7 @@
 	*net.TCPListener
 	common       *common.Common
 	clock        oleanderline.Clock
+	start        time.Time
 	writeTimeout time.Duration
 	sendBuffer   int          // 0 selects that of the system
 	limit        atomic.Int64 // of open connections; 0 means no limit
@@ -75,7 +76,8 @@
 // New returns a Listener that accepts connections of inner. It sets the size of their buffers, as far as the system allows that.
 func New(c *common.Common, clock oleanderline.Clock, inner *net.TCPListener, options ...Option) *Listener {
 	l := &Listener{
-		TCPListener: inner, common: c, clock: clock, writeTimeout: defaultWriteTimeout, sendBuffer: bufferSize, conns: map[*conn]struct{}{},
+		TCPListener: inner, common: c, clock: clock, start: clock.Now(), writeTimeout: defaultWriteTimeout, sendBuffer: bufferSize,
+		conns: map[*conn]struct{}{},
 		closed: map[reason]*metrics.Counter{
 			reasonCrowded: c.Metrics.GetOrCreateCounter(`oleander_connections_closed_total{reason="connections"}`), // clients' connections that were closed in favor of new ones
 			reasonBusy:    c.Metrics.GetOrCreateCounter(`oleander_connections_closed_total{reason="busy"}`),        // clients' connections that were closed at once, because all others were being answered
