--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -100,7 +100,9 @@
 func (n *Node) leaderPorts() term.Ports {
 	ports := n.ports.Ports
 	ports.Evacuations = n.evacuations.current
-	ports.AppendAnswer = func() time.Duration { return n.policy.Answer(n.common.Clock.Now()) }
+	if !n.settings.OwnAppends {
+		ports.AppendAnswer = func() time.Duration { return n.policy.Answer(n.common.Clock.Now()) }
+	}
 	if n.settings.PeerAddress != "" {
 		ports.Invite = n.agents.Invite
 	}
--- a/pkg/term/settings.go
+++ b/pkg/term/settings.go
@@ -49,8 +49,8 @@
 	Workers      oleanderline.Stream
 	DecodeWorker func(oleanderline.KeyedRecord) (oleanderline.WorkerEntry, error)
 	Dial         func(id oleanderline.WorkerID, address string) oleanderline.Runner
-	// AppendAnswer returns the answer time of this process's appends lately, which the leader's record tells all processes. It is nil if
-	// nobody measures it.
+	// AppendAnswer returns the answer time of this process's appends lately, which the leader's record tells all processes and its
+	// flushes follow. It is nil if nobody measures it.
 	AppendAnswer func() time.Duration
 	// Invite asks the process at an address to serve workers for this leader.
 	Invite func(ctx context.Context, address string, invitation agent.Invitation) error
@@ -72,6 +72,7 @@
 	tickInterval          = 20 * time.Millisecond
 	heartbeatInterval     = 400 * time.Millisecond
 	flushInterval         = 25 * time.Millisecond
+	maxFlushPause         = heartbeatInterval
 	flushRetryDelay       = 100 * time.Millisecond
 	directoryPollInterval = 250 * time.Millisecond
 	directoryReadWait     = 1500 * time.Millisecond
--- a/pkg/term/writer.go
+++ b/pkg/term/writer.go
@@ -49,10 +49,19 @@
 		case <-ticker.C:
 		}
 		w.flush(false)
-		w.session.sleep(flushInterval)
+		w.session.sleep(w.flushPause())
 	}
 }
 
+// flushPause returns the pause between two flushes. While the log answers slowly it is as long as an append takes, so that an append of
+// submissions finds the log free half of the time.
+func (w *writer) flushPause() time.Duration {
+	if w.session.ports.AppendAnswer == nil {
+		return flushInterval
+	}
+	return min(max(w.session.ports.AppendAnswer(), flushInterval), maxFlushPause)
+}
+
 // resign stores the remaining records and the leader's resignation.
 func (w *writer) resign(ctx context.Context) {
 	done := make(chan struct{})
