Tell all nodes of a slow log, and bound the memory of an appender

The leader, which appends all the time, tells all nodes when an append has had no answer for 60 ms.

An appender refuses beyond 16 MB of waiting records. Nodes register through an appender too. A cell without peers appends for itself.

--- a/pkg/cellfake/peer_client.go
+++ b/pkg/cellfake/peer_client.go
@@ -34,6 +34,15 @@
 	return err
 }
 
+// Slow tells the process at an address of a slow log.
+func (a *PeerClient) Slow(ctx context.Context, address string, notice relay.SlowNotice) error {
+	_, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (struct{}, error) {
+		peer.ObserveSlow(notice.Answer)
+		return struct{}{}, nil
+	})
+	return err
+}
+
 // Invite sends an invitation to the process at address.
 func (a *PeerClient) Invite(ctx context.Context, address string, invitation agent.Invitation) error {
 	_, err := callPeer(ctx, a, address, func(_ context.Context, peer Peer) (struct{}, error) {
--- a/pkg/groupcommit/choice.go
+++ b/pkg/groupcommit/choice.go
@@ -29,15 +29,12 @@
 func (p *Policy) MayAppend(nodes int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.failedAt) < p.backoff(nodes) {
-		return false
-	}
 	answer := p.answer(now)
 	if answer == 0 {
 		answer = unknownAnswer
 	}
 	interval := time.Duration(float64(nodes) * float64(answer) / ownShare)
-	if p.nextOwn.IsZero() || now.Sub(p.nextOwn) > interval+slowHold {
+	if p.nextOwn.IsZero() || now.Sub(p.nextOwn) > interval+SlowHold {
 		p.nextOwn = now.Add(time.Duration(p.random() * float64(interval)))
 	}
 	if now.Before(p.nextOwn) {
@@ -46,18 +43,3 @@
 	p.nextOwn = now.Add(interval)
 	return true
 }
-
-// backoff returns how long after the last failure this node does not append for itself.
-func (p *Policy) backoff(nodes int) time.Duration {
-	if p.failures == 0 {
-		return 0
-	}
-	most := max(minBackoff, time.Duration(nodes)*nodeBackoff)
-	backoff := minBackoff
-	for range p.failures - 1 {
-		if backoff = min(2*backoff, most); backoff == most {
-			break
-		}
-	}
-	return time.Duration((1 + p.spread) * float64(backoff))
-}
--- a/pkg/groupcommit/policy.go
+++ b/pkg/groupcommit/policy.go
@@ -22,10 +22,7 @@
 	penalties     map[oleanderline.VMID]penalty
 	random        func() float64 // from 0 to 1
 	nextOwn       time.Time      // when this node may append a record that no appender has stored
-	failures      int            // appends that have failed since the last one that was answered
-	lost          int            // of these, those without an answer
-	failedAt      time.Time      // when the last one failed
-	spread        float64        // the random part of the backoff after it
+	lost          int            // appends without an answer since the last one that was answered
 	slowReadUntil time.Time      // until when the last slow read counts
 	readBegun     time.Time      // when the open read was sent; zero if there is none or its answer may wait for records
 }
@@ -55,23 +52,15 @@
 	switch result {
 	case Answered:
 		p.own.observe(took, now)
-		p.failures, p.lost = 0, 0
+		p.lost = 0
 	case Lost:
 		p.lost++
-		p.fail(now)
-	case Refused:
-		p.fail(now)
 	}
-	if result == Refused || took >= slowAnswer {
-		p.slowUntil = common.Later(p.slowUntil, now.Add(slowHold))
+	if result == Refused || took >= SlowAnswer {
+		p.slowUntil = common.Later(p.slowUntil, now.Add(SlowHold))
 	}
 }
 
-func (p *Policy) fail(now time.Time) {
-	p.failures++
-	p.failedAt, p.spread = now, p.random()
-}
-
 // BeginRead records that this node has sent a read of the records. quick says that the log holds records for it, as far as is known, so
 // that a late answer is a sign of a slow log. The returned function records its end.
 func (p *Policy) BeginRead(quick bool, now time.Time) (end func(now time.Time)) {
@@ -94,8 +83,8 @@
 func (p *Policy) ObserveRead(took time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if took >= slowAnswer {
-		p.slowReadUntil = now.Add(slowHold)
+	if took >= SlowAnswer {
+		p.slowReadUntil = now.Add(SlowHold)
 		p.slowUntil = common.Later(p.slowUntil, p.slowReadUntil)
 	}
 }
@@ -105,8 +94,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cell = answerTime{value: answer, at: now}
-	if answer >= slowAnswer {
-		p.slowUntil = common.Later(p.slowUntil, now.Add(slowHold))
+	if answer >= SlowAnswer {
+		p.slowUntil = common.Later(p.slowUntil, now.Add(SlowHold))
 	}
 }
 
@@ -116,7 +105,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if result != HandOverStored || took >= slowRead {
-		p.slowUntil = common.Later(p.slowUntil, now.Add(slowHold))
+		p.slowUntil = common.Later(p.slowUntil, now.Add(SlowHold))
 	}
 	if result != HandOverFailed {
 		delete(p.penalties, vm)
--- a/pkg/groupcommit/policy_test.go
+++ b/pkg/groupcommit/policy_test.go
@@ -43,8 +43,8 @@
 		{"nothing is known", func(*fixture) {}, false},
 		{"fast appends", func(f *fixture) { f.append(fast, Answered) }, false},
 		{"a slow append", func(f *fixture) { f.append(slow, Answered) }, true},
-		{"a slow append a while ago", func(f *fixture) { f.append(slow, Answered); f.now = f.now.Add(slowHold) }, false},
-		{"an open append without an answer", func(f *fixture) { f.Begin(f.now); f.now = f.now.Add(slowAnswer) }, true},
+		{"a slow append a while ago", func(f *fixture) { f.append(slow, Answered); f.now = f.now.Add(SlowHold) }, false},
+		{"an open append without an answer", func(f *fixture) { f.Begin(f.now); f.now = f.now.Add(SlowAnswer) }, true},
 		{"a refused append", func(f *fixture) { f.append(fast, Refused) }, true},
 		{"a lost answer", func(f *fixture) { f.append(minTimeout, Lost) }, true},
 		{"the leader's appends are slow", func(f *fixture) { f.ObserveCell(slow, f.now) }, true},
@@ -142,7 +142,7 @@
 }
 
 // Guards against nodes that keep the queue of a log full which refuses or loses their appends, so that its answer time is not known.
-func TestOwnAppendsBackOff(t *testing.T) {
+func TestOwnAppendsAtUnknownAnswerTime(t *testing.T) {
 	for _, result := range []Result{Refused, Lost} {
 		f := newFixture()
 		const nodes = 43
--- a/pkg/groupcommit/slow.go
+++ b/pkg/groupcommit/slow.go
@@ -9,7 +9,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lateRead := !p.readBegun.IsZero() && now.Sub(p.readBegun) >= slowRead
-	return now.Before(p.slowUntil) || p.longestOpen(now) >= slowAnswer || lateRead
+	return now.Before(p.slowUntil) || p.longestOpen(now) >= SlowAnswer || lateRead
 }
 
 // CertainlySlow reports whether the log has answered slowly: appends of this node or of the leader, or a read that did not wait for
@@ -18,7 +18,7 @@
 func (p *Policy) CertainlySlow(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.answer(now) >= slowAnswer || now.Before(p.slowReadUntil)
+	return p.answer(now) >= SlowAnswer || now.Before(p.slowReadUntil)
 }
 
 // Congested reports whether a refusal of the log means that too many appends wait, and not that it refuses this node: it is slow, and has
@@ -26,6 +26,6 @@
 func (p *Policy) Congested(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slow := p.answer(now) >= slowAnswer || now.Before(p.slowReadUntil)
+	slow := p.answer(now) >= SlowAnswer || now.Before(p.slowReadUntil)
 	return slow && !p.own.at.IsZero() && now.Sub(p.own.at) < servedHold
 }
--- a/pkg/groupcommit/timing.go
+++ b/pkg/groupcommit/timing.go
@@ -6,15 +6,15 @@
 
 // Timing and thresholds.
 const (
-	// slowAnswer is the answer time of appends from which on nodes hand their records to an appender: several times that of a call to
+	// SlowAnswer is the answer time of appends from which on nodes hand their records to an appender: several times that of a call to
 	// another node.
-	slowAnswer = 60 * time.Millisecond
-	// slowHold is how long the log counts as slow after the last sign of it. It is longer than the interval of the leader's records, which
+	SlowAnswer = 60 * time.Millisecond
+	// SlowHold is how long the log counts as slow after the last sign of it. It is longer than the interval of the leader's records, which
 	// tell nodes without own appends of the answer time.
-	slowHold = 2 * time.Second
-	// slowRead is the same for a read whose answer needs no wait for records. slowReadHold is shorter than slowHold, because a read can take
+	SlowHold = 2 * time.Second
+	// slowRead is the same for a read whose answer needs no wait for records. slowReadHold is shorter than SlowHold, because a read can take
 	// long for another reason: the records that were expected have not been appended.
-	slowRead     = slowAnswer
+	slowRead     = SlowAnswer
 	slowReadHold = time.Second
 	// servedHold is how long after an answered append the log is known to serve this node.
 	servedHold = 3 * time.Second
@@ -42,9 +42,4 @@
 	ownShare = 0.25
 	// unknownAnswer is taken for the answer time if that is not known.
 	unknownAnswer = 100 * time.Millisecond
-	// minBackoff is how long this node does not append such a record after an append that has failed. It doubles with each further failure
-	// up to nodeBackoff for each node of the cell, so that the nodes together do not keep the queue of the log full. Up to as much again
-	// is added at random.
-	minBackoff  = 500 * time.Millisecond
-	nodeBackoff = 200 * time.Millisecond
 )
--- a/pkg/groupcommit/wait.go
+++ b/pkg/groupcommit/wait.go
@@ -44,7 +44,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now.Before(p.slowReadUntil) {
-		return remaining / 2
+		return min(maxTimeout, remaining/2)
 	}
-	return min(max(waitFactor*p.answer(now), minWait), remaining/2)
+	return min(max(waitFactor*p.answer(now), minWait), maxTimeout, remaining/2)
 }
--- a/pkg/node/appender.go
+++ b/pkg/node/appender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -82,16 +83,28 @@
 		n.logSharing(false, self)
 		return self, "", true
 	}
-	nodes, leader := n.replica.Nodes(), n.replica.Leader()
+	nodes := n.replica.Nodes()
+	limits := n.appenderLimits(nodes, tried)
+	if len(limits) == 0 && len(tried) == 0 {
+		return self, "", true // there is nobody to share appends with
+	}
+	vm, ok = n.policy.Choose(groupcommit.Candidates(n.replica.Leader().VM, limits), now)
+	n.logSharing(slow, vm)
+	return vm, nodes[vm].Address, ok
+}
+
+// appenderLimits returns the capacity of the nodes that other processes reach and that have not been tried, without a leader that has
+// resigned.
+func (n *Node) appenderLimits(nodes map[oleanderline.VMID]record.Node, tried map[oleanderline.VMID]bool) map[oleanderline.VMID]capacity.VM {
+	leader := n.replica.Leader()
 	limits := make(map[oleanderline.VMID]capacity.VM, len(nodes))
 	for id, node := range nodes {
-		if node.Address != "" && !tried[id] && (id != leader.VM || !leader.Resigned) {
+		resigned := id == leader.VM && leader.Resigned
+		if node.Address != "" && !tried[id] && !resigned {
 			limits[id] = node.VM
 		}
 	}
-	vm, ok = n.policy.Choose(groupcommit.Candidates(leader.VM, limits), now)
-	n.logSharing(slow, vm)
-	return vm, nodes[vm].Address, ok
+	return limits
 }
 
 // logSharing logs when this process begins or ends to hand its records to appenders.
@@ -165,3 +178,24 @@
 		n.policy.ObserveCell(leader.Answer(), n.common.Clock.Now())
 	}
 }
+
+// ObserveSlow implements relay.Backend.
+func (n *Node) ObserveSlow(answer time.Duration) { n.policy.ObserveCell(answer, n.common.Clock.Now()) }
+
+// announceSlow tells all processes, on the leader, that the log has become slow. The leader appends all the time and notices first; by its
+// records alone, the others would learn of it only after many of them have appended for themselves.
+func (n *Node) announceSlow(answer time.Duration) {
+	now := n.common.Clock.Now().UnixNano()
+	last := n.announced.Load()
+	if n.settings.OwnAppends || n.session.Load() == nil || now-last < int64(groupcommit.SlowHold) || !n.announced.CompareAndSwap(last, now) {
+		return
+	}
+	for vm, node := range n.replica.Nodes() {
+		if vm == n.settings.VM || node.Address == "" {
+			continue
+		}
+		go func() {
+			_ = n.appenders.Slow(n.ctx, node.Address, relay.SlowNotice{Answer: answer}) // a peer that is not reached notices by itself
+		}()
+	}
+}
--- a/pkg/node/batcher.go
+++ b/pkg/node/batcher.go
@@ -17,6 +17,9 @@
 	queueLength    = 512 // submissions and cancellations that wait for an append
 	maxBatch       = 256 // records per append
 	maxOpenAppends = 4   // appends without an answer
+	// maxPending is the size of all records whose callers wait. It is a small part of a small VM's memory: an appender holds the records of
+	// many nodes.
+	maxPending = oleanderline.ByteCount(16 << 20)
 	// appendAttempts is how often a process appends a batch that it stores alone. One that shares appenders tries once: a repeat would wait
 	// in the queue of a slow log behind the first try, and an appender can repeat the records of many processes in one append.
 	appendAttempts = 2
@@ -32,6 +35,7 @@
 	policy  *groupcommit.Policy
 	tries   int // of an append
 	waiting chan *pendingRecord
+	pending atomic.Int64 // size of the records whose callers wait
 	// failing is set while appends fail; open counts the batches that are being appended.
 	failing atomic.Bool
 	open    atomic.Int32
@@ -52,6 +56,11 @@
 	if b.wait() > timeLeft(ctx) {
 		return relay.ErrNotInTime
 	}
+	size := int64(rec.Size())
+	defer b.pending.Add(-size)
+	if b.pending.Add(size) > int64(maxPending) {
+		return relay.ErrNotInTime
+	}
 	p := newPendingRecord(ctx, rec)
 	select {
 	case b.waiting <- p:
@@ -92,6 +101,9 @@
 		open = b.awaitTurn(ctx, ended, open)
 		select {
 		case <-ctx.Done():
+			for ; open > 0; open-- {
+				<-ended
+			}
 			return
 		case <-ended:
 			open--
--- a/pkg/node/batcher_test.go
+++ b/pkg/node/batcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"sync/atomic"
@@ -75,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		policy := groupcommit.New(rand.Float64)
-		b := newBatcher(c, &timedLog{KeyedLog: log, clock: c.Clock, policy: policy}, oleanderline.LogLimits{}, policy, 1)
+		b := newBatcher(c, &timedLog{KeyedLog: log, clock: c.Clock, policy: policy, onLate: func(time.Duration) {}}, oleanderline.LogLimits{}, policy, 1)
 		go b.run(ctx)
 		play(ctx, b)
 		cancel()
@@ -123,3 +124,67 @@
 		require.Zero(t, time.Since(begun))
 	})
 }
+
+// Guards against an appender on a small VM that holds the large records of many nodes until it is out of memory.
+func TestRecordsBeyondTheMemoryBoundAreRefused(t *testing.T) {
+	log := &lossyLog{answersAfter: time.Second}
+	log.appends.Add(1) // no answer is lost
+	runBatcher(t, log, func(ctx context.Context, b *batcher) {
+		large := oleanderline.KeyedRecord{Key: "j/a", Value: make([]byte, maxPending/4)}
+		var stored, refused atomic.Int64
+		for range 10 {
+			go func() {
+				if err := b.store(ctx, large); err != nil {
+					refused.Add(1)
+					return
+				}
+				stored.Add(1)
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 3, stored.Load())
+		require.EqualValues(t, 7, refused.Load())
+		require.NoError(t, b.store(ctx, large), "the memory is free again")
+	})
+}
+
+// Guards against a withdrawn record that is appended, and a record in an append that is reported as withdrawn.
+func TestWithdrawnOrTaken(t *testing.T) {
+	withdrawn, taken := newPendingRecord(t.Context(), oleanderline.KeyedRecord{}), newPendingRecord(t.Context(), oleanderline.KeyedRecord{})
+	require.True(t, withdrawn.withdraw())
+	require.False(t, withdrawn.take())
+	require.True(t, taken.take())
+	require.False(t, taken.withdraw())
+}
+
+// refusingLog is a log that refuses appends once refuses is set.
+type refusingLog struct {
+	oleanderline.KeyedLog
+	answersAfter time.Duration
+	refuses      atomic.Bool
+}
+
+func (l *refusingLog) Append(context.Context, oleanderline.Stream, []oleanderline.KeyedRecord, oleanderline.AppendCondition) (oleanderline.Offset, error) {
+	if l.refuses.Load() {
+		return 0, oleanderline.ErrUnavailable
+	}
+	time.Sleep(l.answersAfter)
+	return 0, nil
+}
+
+// Guards against processes that send a record on when a slow log has refused it because of its queue, which would keep the queue full; and
+// against a process that the log refuses for another reason and whose records are not sent on.
+func TestRefusalOfASlowLogIsFinal(t *testing.T) {
+	for _, answer := range []time.Duration{5 * time.Millisecond, 200 * time.Millisecond} {
+		log := &refusingLog{answersAfter: answer}
+		runBatcher(t, log, func(ctx context.Context, b *batcher) {
+			require.NoError(t, b.store(ctx, oleanderline.KeyedRecord{Key: "j/a"}))
+			log.refuses.Store(true)
+			for range 2 { // the second one is refused by the circuit breaker
+				err := b.store(ctx, oleanderline.KeyedRecord{Key: "j/b"})
+				require.ErrorIs(t, err, oleanderline.ErrUnavailable)
+				require.Equal(t, answer > 100*time.Millisecond, errors.Is(err, relay.ErrNotInTime))
+			}
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,7 +34,8 @@
 	peers        *peer.Pool
 	relay        *relay.Client
 	appenders    AppendPort
-	sharing      atomic.Bool // whether records go through appenders, for the log lines
+	announced    atomic.Int64 // when the peers were last told of a slow log, in Unix nanoseconds
+	sharing      atomic.Bool  // whether records go through appenders, for the log lines
 	agents       AgentPort
 	agent        *agent.Agent
 	config       atomic.Pointer[oleanderline.CellConfig]
@@ -69,7 +70,7 @@
 		c.Event(common.EventRecordMalformed).WithError(err).Warn("malformed record skipped")
 	})
 	n.policy = groupcommit.New(rand.Float64)
-	n.ports.Log = &timedLog{KeyedLog: ports.Log, clock: c.Clock, policy: n.policy}
+	n.ports.Log = &timedLog{KeyedLog: ports.Log, clock: c.Clock, policy: n.policy, onLate: n.announceSlow}
 	tries := 1
 	if settings.OwnAppends {
 		tries = appendAttempts
@@ -113,7 +114,7 @@
 		return
 	}
 	for n.ctx.Err() == nil {
-		if err := n.batcher.store(n.ctx, rec); err == nil {
+		if err := n.storeByPolicy(n.ctx, rec); err == nil {
 			return
 		}
 		n.sleep(registerRetry)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -60,6 +60,8 @@
 	// Append stores a record through the process at an address. ErrUnavailable and relay.ErrNotInTime guarantee that it has not stored the
 	// record and will not store it.
 	Append(ctx context.Context, address string, request relay.AppendRequest) error
+	// Slow tells the process at an address that the log has become slow.
+	Slow(ctx context.Context, address string, notice relay.SlowNotice) error
 }
 
 // Timing and thresholds of a node.
--- a/pkg/node/timed_log.go
+++ b/pkg/node/timed_log.go
@@ -17,7 +17,8 @@
 
 	clock  oleanderline.Clock
 	policy *groupcommit.Policy
-	busy   atomic.Bool // whether the last read of the records found some without waiting, so that the next one is likely to
+	onLate func(answer time.Duration) // called when an append has had no answer for groupcommit.SlowAnswer
+	busy   atomic.Bool                // whether the last read of the records found some without waiting, so that the next one is likely to
 }
 
 // quickRead is the time up to which a read has not waited for records.
@@ -32,11 +33,25 @@
 		return l.KeyedLog.Append(ctx, stream, records, condition)
 	}
 	end := l.policy.Begin(now)
+	answered := make(chan struct{})
+	defer close(answered)
+	go l.watch(answered)
 	offset, err := l.KeyedLog.Append(ctx, stream, records, condition)
 	end(resultOf(err), l.clock.Now())
 	return offset, err
 }
 
+// watch calls onLate if an append is late.
+func (l *timedLog) watch(answered <-chan struct{}) {
+	timer := l.clock.NewTimer(groupcommit.SlowAnswer)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		l.onLate(groupcommit.SlowAnswer)
+	case <-answered:
+	}
+}
+
 // resultOf returns the result of an append by its error.
 func resultOf(err error) groupcommit.Result {
 	switch {
--- a/pkg/relay/append.go
+++ b/pkg/relay/append.go
@@ -58,3 +58,26 @@
 		return oleanderline.ErrUncertain
 	}
 }
+
+// noticeTimeout limits the call that tells one peer of a slow log. A later notice says nothing that the peer does not know.
+const noticeTimeout = 300 * time.Millisecond
+
+// SlowNotice tells a process that appends to the log have begun to take long.
+type SlowNotice struct{ Answer time.Duration } // how long an append has had no answer
+
+// Slow takes a notice of the leader.
+func (s *Service) Slow(notice SlowNotice, _ *struct{}) error {
+	s.backend.ObserveSlow(notice.Answer)
+	return nil
+}
+
+// Slow sends a notice to the process at an address.
+func (c *Client) Slow(ctx context.Context, address string, notice SlowNotice) error {
+	conn := c.pool.Client(address)
+	if conn == nil {
+		return oleanderline.ErrUnavailable // there is no key for peers yet
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	return conn.Call(ctx, serviceName+".Slow", notice, &struct{}{})
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -27,6 +27,8 @@
 	StoreHere(ctx context.Context, rec oleanderline.KeyedRecord) error
 	// AppendHere is StoreHere for a process that has chosen this one as its appender. It returns before ctx is done.
 	AppendHere(ctx context.Context, rec oleanderline.KeyedRecord) error
+	// ObserveSlow takes the notice that an append of the leader has had no answer for some time.
+	ObserveSlow(answer time.Duration)
 	// StateHere returns the state of a job from the records that this process has read.
 	StateHere(id oleanderline.JobID) (oleanderline.JobState, error)
 	// EvacuationsHere returns the requests to evacuate failure domains that this process has read, and how long ago they were complete.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -23,6 +23,7 @@
 	store, state error
 	age          time.Duration // of the evacuation requests
 	stored       []oleanderline.KeyedRecord
+	slow         time.Duration
 }
 
 func (b *backend) StoreHere(_ context.Context, rec oleanderline.KeyedRecord) error {
@@ -34,6 +35,8 @@
 	return b.StoreHere(ctx, rec)
 }
 
+func (b *backend) ObserveSlow(answer time.Duration) { b.slow = answer }
+
 func (b *backend) StateHere(oleanderline.JobID) (oleanderline.JobState, error) {
 	return oleanderline.JobRunning, b.state
 }
@@ -138,3 +141,11 @@
 		})
 	}
 }
+
+// Guards against a notice of a slow log that does not arrive.
+func TestSlowNotice(t *testing.T) {
+	b := &backend{}
+	address := serve(t, b)
+	require.NoError(t, newTestClient(t, address).Slow(t.Context(), address, SlowNotice{Answer: time.Second}))
+	require.Equal(t, time.Second, b.slow)
+}
