Replace a leader that has resigned without delay, also while the log is slow

Cause: the second by which claims wait while the log is slow applied as well to leaders that had resigned or whose VM had restarted, which are certain to have ended. Found by reading; a table guards the four cases.

--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -17,16 +17,23 @@
 )
 
 // claimDelay returns how long this process delays its claim: the random jitter, plus smallVMDelay if this VM has much fewer
-// cores than the largest one, so that the larger VMs claim first, plus slowLogDelay while the log answers slowly.
-// While the log answers slowly, the records of a leader that is alive arrive late, and a claim costs several calls more.
+// cores than the largest one, so that the larger VMs claim first, plus slowDelay.
 func (n *Node) claimDelay(jitter time.Duration) time.Duration {
-	if n.policy.CertainlySlow(n.common.Clock.Now()) {
-		jitter += slowLogDelay
-	}
+	now := n.common.Clock.Now()
+	delay := jitter + slowDelay(n.detector.Evidence(now).Cause, n.policy.CertainlySlow(now))
 	if n.settings.Limits.Cores < minCoreShare*n.replica.MaxCores() {
-		return jitter + smallVMDelay
+		return delay + smallVMDelay
+	}
+	return delay
+}
+
+// slowDelay returns how long a claim is delayed because the log is slow. The records of a leader that is alive then arrive late, and a
+// claim costs several slow calls. A leader that is known to have ended is replaced without delay.
+func slowDelay(cause lead.Cause, slow bool) time.Duration {
+	if slow && cause == lead.CauseSilent {
+		return slowLogDelay
 	}
-	return jitter
+	return 0
 }
 
 // shouldClaim reports whether a claim is due. A process without a configuration, or one that is stopping, does not claim.
--- a/pkg/node/groupcommit_test.go
+++ b/pkg/node/groupcommit_test.go
@@ -14,6 +14,7 @@
 	"github.com/oleanderline/oleanderline/pkg/cellfake"
 	"github.com/oleanderline/oleanderline/pkg/common"
 	"github.com/oleanderline/oleanderline/pkg/groupcommit"
+	"github.com/oleanderline/oleanderline/pkg/lead"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -52,20 +53,28 @@
 	})
 }
 
-// Guards against a leader that is replaced although it is alive, because its heartbeats are late while the log is slow, and against claims
-// that are delayed although the log is fast.
+// Guards against a leader that is replaced although it is alive, because its heartbeats are late while the log is slow.
 func TestLeaderIsKeptWhileTheLogIsSlow(t *testing.T) {
 	playSlowLog(t, func(c *testCell, queue *cellfake.AppendQueue) {
 		terms := c.terms()
 		follower := c.process((c.leaderIndex() + 1) % processCount).node
-		require.Zero(t, follower.claimDelay(0))
+		require.False(t, follower.policy.CertainlySlow(time.Now()))
 		queue.SetAnswerTime(700 * time.Millisecond)
 		time.Sleep(20 * time.Second)
-		require.Equal(t, slowLogDelay, follower.claimDelay(0))
+		require.True(t, follower.policy.CertainlySlow(time.Now()))
 		require.Equal(t, terms, c.terms())
 	})
 }
 
+// Guards against claims that are delayed although the log is fast or the leader has ended, and against claims that are not because of a slow
+// log.
+func TestClaimsWaitForASlowLog(t *testing.T) {
+	require.Equal(t, slowLogDelay, slowDelay(lead.CauseSilent, true))
+	require.Zero(t, slowDelay(lead.CauseSilent, false))
+	require.Zero(t, slowDelay(lead.CauseResigned, true))
+	require.Zero(t, slowDelay(lead.CauseDead, true))
+}
+
 // Guards against nodes that learn of a slow log only after each of them has appended for itself.
 func TestLeaderTellsOfASlowLog(t *testing.T) {
 	playSlowLog(t, func(c *testCell, _ *cellfake.AppendQueue) {
