--- a/pkg/common/event_cell.go
+++ b/pkg/common/event_cell.go
@@ -52,8 +52,4 @@
 	EventDomainAwaited       Event = "E6064" // tasks of a job wait because only workers in failure domains out of service can take them (label, size, or room for all tasks of a gang). They start once the domains are back
 	EventDomainAwaitEnds     Event = "E6065" // the tasks of a job no longer wait for a failure domain that is out of service
 	EventEvacuationsRelayed  Event = "E6066" // this process could not read the requests to evacuate failure domains from the log and has them from a peer from now on; logged once until a read succeeds. Check why the log refuses this process
-	EventAppendsShared       Event = "E6070" // the log answers slowly or refuses this process, which hands its submissions and cancellations to an appender from now on; the fields give the answer time of its appends lately (answer, 0 if there were none) and the first appender. If only one process logs this, look at its connection to the log
-	EventAppendsOwn          Event = "E6071" // this process appends its submissions and cancellations itself again
-	EventHandOverFailed      Event = "E6072" // a process has not stored a record; the fields name the record (its key ends with the job's id), the process that was asked (appender) and the seconds until its answer (took). Another one is tried unless the error says that the log answers too slowly
-	EventHandOver            Event = "E6073" // an appender has stored a record for this process; fields as in E6072
 )
