Keep the metrics page readable for any name of a failure domain

The name in an operators' record becomes a label of a metric. A space in it made oleanderctl fail to read the page.

--- a/pkg/node/evacuations.go
+++ b/pkg/node/evacuations.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
+	"regexp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,16 +59,13 @@
 	}
 }
 
-// domainMetric returns the name of a gauge that exists while a failure domain is out of service. Characters that would break the
-// metrics page are replaced.
+// unsafeInMetrics matches what is replaced in a metric: the name of a domain is whatever operators have written, and a space in it makes
+// the page unreadable.
+var unsafeInMetrics = regexp.MustCompile(`[^A-Za-z0-9_.-]`)
+
+// domainMetric returns the name of a gauge that exists while a failure domain is out of service.
 func domainMetric(domain oleanderline.DomainID) string {
-	name := strings.Map(func(r rune) rune {
-		if r == ' ' || r == '"' || r == '\\' || r == '{' || r == '}' {
-			return '_'
-		}
-		return r
-	}, string(domain))
-	return fmt.Sprintf("oleander_cell_domain_out{domain=%q}", name)
+	return fmt.Sprintf("oleander_cell_domain_out{domain=%q}", unsafeInMetrics.ReplaceAllString(string(domain), "_"))
 }
 
 // applyEvacuations applies the evacuation requests among the records of a read of the operators' stream that began at begun.
