--- a/pkg/node/evacuation_readings_test.go
+++ b/pkg/node/evacuation_readings_test.go
@@ -89,6 +89,29 @@
 	})
 }
 
+// Guards against an entry of another program that takes no domain or the wrong one out of service, hides the requests beside it, or stops
+// the reading of the stream.
+func TestMalformedRequests(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 0, commons)
+		defer c.close()
+		c.appendRecord(streamConfig, evacuationPrefix, "{}")
+		c.appendRecord(streamConfig, evacuationPrefix+"d1", "garbage")
+		c.evacuate("d2")
+		time.Sleep(learnTime)
+		for i := range c.commons {
+			require.Equal(t, []oleanderline.DomainID{"d1", "d2"}, c.domainsKnown(i))
+		}
+		c.takeBack("d1")
+		c.appendRecord(streamConfig, evacuationPrefix, "")
+		time.Sleep(learnTime)
+		for i := range c.commons {
+			require.Equal(t, []oleanderline.DomainID{"d2"}, c.domainsKnown(i))
+		}
+	})
+}
+
 // countingRunner counts the starts that one process sends.
 type countingRunner struct {
 	oleanderline.Runner
--- a/pkg/node/evacuations_test.go
+++ b/pkg/node/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -33,7 +34,11 @@
 func isTestEvacuation(key string) bool { return strings.HasPrefix(key, evacuationPrefix) }
 
 func decodeTestEvacuation(rec oleanderline.KeyedRecord) (oleanderline.DomainID, error) {
-	return oleanderline.DomainID(strings.TrimPrefix(rec.Key, evacuationPrefix)), nil
+	domain := oleanderline.DomainID(strings.TrimPrefix(rec.Key, evacuationPrefix))
+	if domain == "" || (len(rec.Value) > 0 && string(rec.Value) != "{}") {
+		return domain, errors.New("malformed")
+	}
+	return domain, nil
 }
 
 // peerEvacuations asks a process other than index for the evacuation requests.
