--- a/pkg/groupcommit/answer_time.go
+++ b/pkg/groupcommit/answer_time.go
@@ -1,8 +1,6 @@
 package groupcommit
 
-import (
-	"time"
-)
+import "time"
 
 // answerTime is a smoothed answer time.
 type answerTime struct {
--- a/pkg/groupcommit/slow.go
+++ b/pkg/groupcommit/slow.go
@@ -1,8 +1,6 @@
 package groupcommit
 
-import (
-	"time"
-)
+import "time"
 
 // Slow reports whether the log answers slowly or refuses this node, by the last calls or one that has had no answer for long.
 func (p *Policy) Slow(now time.Time) bool {
@@ -13,11 +11,14 @@
 }
 
 // CertainlySlow reports whether the log has answered slowly: appends of this node or of the leader, or a read that did not wait for
-// records. Unlike
-// Slow, it is not true for a log that has had no records to answer with.
+// records. Unlike Slow, it is not true for a log that only had no records to answer with.
 func (p *Policy) CertainlySlow(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.certainlySlow(now)
+}
+
+func (p *Policy) certainlySlow(now time.Time) bool {
 	return p.answer(now) >= SlowAnswer || now.Before(p.slowReadUntil)
 }
 
@@ -26,6 +27,5 @@
 func (p *Policy) Congested(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slow := p.answer(now) >= SlowAnswer || now.Before(p.slowReadUntil)
-	return slow && !p.own.at.IsZero() && now.Sub(p.own.at) < servedHold
+	return p.certainlySlow(now) && !p.own.at.IsZero() && now.Sub(p.own.at) < servedHold
 }
--- a/pkg/groupcommit/timing.go
+++ b/pkg/groupcommit/timing.go
@@ -1,8 +1,6 @@
 package groupcommit
 
-import (
-	"time"
-)
+import "time"
 
 // Timing and thresholds.
 const (
--- a/pkg/groupcommit/wait.go
+++ b/pkg/groupcommit/wait.go
@@ -1,8 +1,6 @@
 package groupcommit
 
-import (
-	"time"
-)
+import "time"
 
 // Timeout returns how long an append waits for its answer: long if reads are slow as well, so that its answer is probably not lost. After
 // each one without an answer the next waits twice as long, because the log may have become slower than any answer has shown.
