Ask other nodes at random while the log is fast and refuses this one

There the store turns nodes away for seconds without being slow; a node that was turned away asked the leader and the next two by rank, which may be turned away as well, and then waited for its turn.

At a log that is not known to be slow, the others are now asked at random, four nodes in all, and the own append needs no turn. The answer time that the leader tells includes an append that has had no answer for longer: else its record could take back its notice of a slow log.

--- a/pkg/groupcommit/answer_time.go
+++ b/pkg/groupcommit/answer_time.go
@@ -26,11 +26,12 @@
 	return a.value
 }
 
-// Answer returns the answer time of this node's appends, or 0 if it has none that is recent.
+// Answer returns the answer time of this node's appends, 0 if it has none that is recent, or for how long one has had no answer, if that is
+// longer.
 func (p *Policy) Answer(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.own.get(now)
+	return max(p.own.get(now), p.longestOpen(now))
 }
 
 // answer returns the answer time that the next append is expected to have.
--- a/pkg/groupcommit/choice.go
+++ b/pkg/groupcommit/choice.go
@@ -12,16 +12,29 @@
 	length time.Duration
 }
 
-// Choose returns the first of maxCandidates candidates that has not just failed, and whether there is one.
+// Choose returns the candidate that is to append next, and whether there is one that has not just failed. While the log is certainly slow
+// it is the first of maxCandidates, so that all nodes choose the same. Otherwise the log may refuse some nodes and serve others: it is the
+// first candidate, or any other at random.
 func (p *Policy) Choose(candidates []oleanderline.VMID, now time.Time) (oleanderline.VMID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, vm := range candidates[:min(len(candidates), maxCandidates)] {
+	slow := p.certainlySlow(now)
+	if slow {
+		candidates = candidates[:min(len(candidates), maxCandidates)]
+	}
+	var usable []oleanderline.VMID
+	for _, vm := range candidates {
 		if !now.Before(p.penalties[vm].until) {
-			return vm, true
+			usable = append(usable, vm)
 		}
 	}
-	return "", false
+	switch {
+	case len(usable) == 0:
+		return "", false
+	case slow || usable[0] == candidates[0]:
+		return usable[0], true
+	}
+	return usable[min(int(p.random()*float64(len(usable))), len(usable)-1)], true
 }
 
 // MayAppend reports whether this node may append for itself now, although the log is slow and appenders have not stored the record. Each of a
--- a/pkg/groupcommit/policy_test.go
+++ b/pkg/groupcommit/policy_test.go
@@ -98,6 +98,7 @@
 // Guards against an appender that is asked again and again although it does not answer, and against one that is never asked again.
 func TestChoose(t *testing.T) {
 	f := newFixture()
+	f.ObserveRead(slow, f.now.Add(time.Minute)) // the log is slow all the time
 	candidates := []oleanderline.VMID{"a", "b"}
 	choose := func() oleanderline.VMID {
 		vm, ok := f.Choose(candidates, f.now)
@@ -121,6 +122,32 @@
 	require.EqualValues(t, "a", choose())
 }
 
+// Guards against nodes that all ask the same few nodes for help although the log, which is fast, refuses these as well.
+func TestChooseSpreadsWhileTheLogIsFast(t *testing.T) {
+	candidates := []oleanderline.VMID{"a", "b", "c", "d", "e"}
+	draw := 0.0
+	p := New(func() float64 { return draw })
+	now := time.Unix(1000, 0)
+	chosen := map[oleanderline.VMID]bool{}
+	choose := func() {
+		for draw = 0; draw <= 1; draw += 0.125 {
+			vm, ok := p.Choose(candidates, now)
+			require.True(t, ok)
+			chosen[vm] = true
+		}
+	}
+	choose()
+	require.Equal(t, map[oleanderline.VMID]bool{"a": true}, chosen, "the leader comes first")
+	p.ObserveHandOver("a", HandOverFailed, fast, now)
+	clear(chosen)
+	choose()
+	require.Equal(t, map[oleanderline.VMID]bool{"b": true, "c": true, "d": true, "e": true}, chosen)
+	p.ObserveRead(slow, now)
+	clear(chosen)
+	choose()
+	require.Equal(t, map[oleanderline.VMID]bool{"b": true}, chosen, "the log is slow")
+}
+
 // Guards against a cell whose nodes fill the queue of a slow log with their own appends when the appender is lost: together they may take
 // ownShare of its time.
 func TestOwnAppendsLeaveRoomForOthers(t *testing.T) {
--- a/pkg/node/appender.go
+++ b/pkg/node/appender.go
@@ -16,7 +16,7 @@
 )
 
 // maxStoreAttempts is how many processes, this one included, try to store a record.
-const maxStoreAttempts = 3
+const maxStoreAttempts = 4
 
 // storeByPolicy stores a record: directly, or through an appender while the log answers slowly or refuses this process. It returns
 // ErrUncertain if any of the attempts may have stored the record.
@@ -44,12 +44,13 @@
 	return certainty(n.storeInTurn(ctx, rec, tried), uncertain)
 }
 
-// storeInTurn stores a record that no appender has stored, unless this process has tried that or it is not its turn.
+// storeInTurn stores a record that no appender has stored, unless this process has tried that or, at a slow log, it is not its turn.
 func (n *Node) storeInTurn(ctx context.Context, rec oleanderline.KeyedRecord, tried map[oleanderline.VMID]bool) error {
 	if tried[n.settings.VM] {
 		return oleanderline.ErrUnavailable
 	}
-	if !n.policy.MayAppend(len(n.replica.Nodes()), n.common.Clock.Now()) {
+	now := n.common.Clock.Now()
+	if n.policy.CertainlySlow(now) && !n.policy.MayAppend(len(n.replica.Nodes()), now) {
 		return relay.ErrNotInTime
 	}
 	return n.batcher.store(ctx, rec)
--- a/pkg/node/appender_test.go
+++ b/pkg/node/appender_test.go
@@ -218,6 +218,23 @@
 	}
 }
 
+// Guards against a node that gives up although another node is served, because the log refuses itself and the leader.
+func TestLogRefusesTwoNodes(t *testing.T) {
+	playAppender(t, func(t *testing.T, c *appenderCell) {
+		for _, index := range []int{c.caller, c.leader} {
+			c.process(index).store.SetFault(cellfake.FaultRefuse)
+		}
+		job := testJob(testJobID)
+		c.checker.Submitted(job)
+		require.NoError(t, c.process(c.caller).node.Submit(c.ctx, job))
+		c.checker.Accepted(job.ID)
+		for _, index := range []int{c.caller, c.leader} {
+			c.process(index).store.SetFault(cellfake.FaultNone)
+		}
+		require.Equal(t, 1, c.stored(testJobID))
+	})
+}
+
 // Guards against a record that a former leader refuses, or two appenders store twice with effect: appenders need not agree on who appends.
 func TestAnyNodeAppends(t *testing.T) {
 	playAppender(t, func(t *testing.T, c *appenderCell) {
