Place urgent tasks on workers of normal speed, and start speculative copies

Cause: a worker that was 5 to 8 times slower than others for some seconds was always free and got as many tasks as any other. Steps that allow copies never got any.

The score of a slow worker is lowered for tasks of jobs with little slack. A task has a second run as a task value of its own beside the first; reports, losses, leases and records treat both alike, and a new leader adopts both.

The model of hand-overs and the checker of the simulated cell know copies: a step that does not allow them never has two runs of a task; with them no start is sent more than a second after the end was acknowledged, and no run number is used twice. Seen to fail: TWICE in TestNoHandoverRunsATaskTwice with copies for all steps, a repeated number with numbers that ignore those of copies, and one of the unit tests with each of: no promotion of the second run, no stop of the loser, no adoption of a second run, MaxPerWorker without copies, copies while a task waits for room, copies of tasks that have failed.

--- a/job.go
+++ b/job.go
@@ -38,6 +38,11 @@
 	MaxUnavailable *int          `json:"miss,omitempty"`  // long-running tasks that the scheduler may interrupt at the same time; nil means no limit
 }
 
+// AllowsCopies reports whether two runs of a task of the step may be in progress at the same time.
+func (s *Step) AllowsCopies() bool {
+	return s.Speculative && !s.Gang && !s.LongRunning && !s.BestEffort
+}
+
 // Repeat makes the steps run several times. The zero value means that they run once and immediately.
 type Repeat struct {
 	Count int           `json:"n,omitempty"`
--- a/pkg/node/claim.go
+++ b/pkg/node/claim.go
@@ -70,6 +70,7 @@
 	settings := term.Settings{
 		Leader: leader,
 		Plan: plan.Settings{
+			IgnoreSpeed: n.settings.IgnoreSpeed, NoCopies: n.settings.NoCopies,
 			Settle:    settleTime,
 			Horizon:   horizon,
 			Majority:  majorityValidity,
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -24,6 +24,8 @@
 	Maintenance  term.Maintenance
 	// OwnAppends makes this process store all records itself, also while the log answers slowly.
 	OwnAppends bool
+	// IgnoreSpeed and NoCopies are those of plan.Settings.
+	IgnoreSpeed, NoCopies bool
 }
 
 // Ports are the external services of a node: those of a session, and the stream of the operators.
--- a/pkg/plan/completion.go
+++ b/pkg/plan/completion.go
@@ -54,6 +54,9 @@
 	g := t.group
 	p.dequeue(t)
 	t.done = true
+	if t.speculative != nil {
+		t.speculative.done = true
+	}
 	g.unfinished--
 	g.occurrence.remainingStale = true
 	g.job.progress.SetDone(g.number(), t.index, len(g.tasks))
--- a/pkg/plan/gang.go
+++ b/pkg/plan/gang.go
@@ -17,7 +17,7 @@
 		if p.mayAlreadyRun(t, unreportedMayRun) {
 			return 0
 		}
-		run = max(run, t.run)
+		run = max(run, t.run, t.highest)
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
 		}
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/runtimes"
+	"github.com/oleanderline/oleanderline/pkg/speed"
 )
 
 // group is the tasks of one step in one occurrence of its job.
@@ -23,6 +25,9 @@
 	tickets map[oleanderline.WorkerID]ticket
 	// nextIndex is the index at which the search for a ready task begins.
 	nextIndex int
+	runtimes  runtimes.Sample // of runs that have ended as done
+	typical   time.Duration   // see Planner.typical
+	typicalIn int64           // the pass in which it was computed
 }
 
 // task is one task of a group. It holds room on a worker from the decision to start it until the end of its run is known.
@@ -35,10 +40,14 @@
 	// inheritedWorkers are the unreachable workers on which the task may run, by the records of an earlier leader. There are several
 	// if the task was started elsewhere after its run on one of them had ended.
 	inheritedWorkers []*worker
-	run              int     // highest known run number
+	run              int     // number of the run in progress, or of the last one
+	highest          int     // highest known run number, copies included
 	adopted          bool    // an earlier leader has started that run
 	failures         int     // failed runs that count against the job
 	worker           *worker // on which it holds room, if any
+	// speculative is the second run of the task, if any. It is a task value of its own, of which original is this task. A task without
+	// a run has no second run.
+	speculative, original *task
 	// startUnanswered is whether a call of the start of that run had no answer, so that the worker may still carry it out.
 	// stopFirst is whether the worker has restarted since, so that only a stop makes it refuse that call.
 	startUnanswered, stopFirst bool
@@ -54,6 +63,7 @@
 	throttleOrderedAt time.Time                      // when the throttle was last ordered
 	percent           int                            // reported progress
 	progressAt        time.Time                      // when percent last changed
+	pace              speed.Run                      // of the run in progress
 	gauge             int                            // reported tail latency or CPU use, see RunStatus
 	stopOrderedAt     time.Time                      // when the stop was last ordered
 	stoppedOn         oleanderline.WorkerIncarnation // the one that answered the stop
@@ -92,6 +102,9 @@
 	return oleanderline.TaskKey{Job: t.group.job.spec.ID, Occurrence: t.group.occurrence.number, Step: t.group.stepIndex, Index: t.index}
 }
 
+// nextRun returns the number of the next run of a task.
+func (p *Planner) nextRun(t *task) int { return max(t.run, t.highest, p.runBase) + 1 }
+
 func (t *task) runKey() oleanderline.RunKey { return oleanderline.RunKey{Task: t.key(), Run: t.run} }
 
 // task returns the task of a key, or nil if there is none. Keys come from workers' reports and may be invalid.
--- a/pkg/plan/handover_leader_test.go
+++ b/pkg/plan/handover_leader_test.go
@@ -67,6 +67,9 @@
 			link.leaseEnd = common.Later(link.leaseEnd, m.now.Add(modelLeaseBound))
 		}
 		if next.order.Kind != OrderStart || link.reaches(w) {
+			if next.order.Kind == OrderStart {
+				m.checkCopy(l, next.order)
+			}
 			result = m.send(l, lateStart{next.order, l.term, w.life, m.now.Add(w.lease(link.life))}, outcome)
 		}
 	}
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -27,6 +27,9 @@
 	NoteDomainAwaited                   // a step begins to wait for failure domains that are out of service
 	NoteDomainAwaitEnds                 // a step no longer waits for them
 	NoteDomainUnknown                   // a failure domain that is out of service has no worker in the directory
+
+	NoteCopy  // a speculative copy was started; the reason compares it with the other run of the task
+	NoteSpeed // a worker has become slow, or is no longer slow
 )
 
 // Note is a decision or state change that the caller logs.
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -34,19 +34,25 @@
 	p.noteUnreportedAllowed(now)
 	p.checkRunning(now)
 	p.enqueueDue(wall)
+	maxStarts = min(maxStarts, maxStartsPerPass)
+	started := p.placeReady(now, maxStarts)
+	p.speculate(now, maxStarts-started)
+}
+
+// placeReady starts at most maxStarts ready tasks, and the rest of a gang that has begun within them. It returns how many it has started.
+func (p *Planner) placeReady(now time.Time, maxStarts int) int {
 	if len(p.ready) == 0 {
-		return
+		return 0
 	}
-	maxStarts = min(maxStarts, maxStartsPerPass)
 	unreportedMayRun := p.unreportedMayRun(now)
 	started := 0
 	for i, g := range p.firstInOrder(now, maxRankedPerPass+1) {
 		if started >= maxStarts {
 			p.startState = StartsHeld
-			return // the next pass continues
+			return started // the next pass continues
 		}
 		if i == maxRankedPerPass {
-			return // the next pass continues
+			return started // the next pass continues
 		}
 		if g.step.Gang {
 			started += p.placeGang(g, unreportedMayRun, now)
@@ -54,6 +60,7 @@
 		}
 		started += p.placeGroup(g, unreportedMayRun, now, maxStarts-started)
 	}
+	return started
 }
 
 // placeGroup starts at most maxStarts tasks of a group and returns how many it has started.
@@ -86,7 +93,7 @@
 			p.prepareAdviceRequest(g, now)
 			return started
 		}
-		p.start(t, r[i].worker, max(t.run, p.runBase)+1, now)
+		p.start(t, r[i].worker, p.nextRun(t), now)
 		p.rescore(r, i, t)
 		started++
 	}
@@ -140,6 +147,8 @@
 		if 2*t.group.onWorker(w) >= step.Count {
 			score -= scoreReplicas
 		}
+	default:
+		score -= p.slowPenalty(w, t)
 	}
 	if step.Rack != "" && step.Rack == w.entry.Rack {
 		score += scoreRack
@@ -178,6 +187,8 @@
 func (p *Planner) start(t *task, w *worker, run int, now time.Time) {
 	p.dequeue(t)
 	t.state, t.run, t.startedAt, t.progressAt, t.answeredAt = taskStarting, run, now, now, time.Time{}
+	t.noteHighest(run)
+	t.pace.Start(0, now)
 	t.throttle = throttleFull
 	t.unreported, t.adopted = false, false
 	t.startUnanswered, t.stopFirst, t.listed = false, false, false
--- a/pkg/plan/planner.go
+++ b/pkg/plan/planner.go
@@ -14,6 +14,7 @@
 
 	"github.com/oleanderline/oleanderline"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
+	"github.com/oleanderline/oleanderline/pkg/runtimes"
 )
 
 // runsPerClaim is the distance between the first run numbers of successive leaders. A leader numbers its runs above all runs of
@@ -34,6 +35,8 @@
 	MaxRecord oleanderline.ByteCount
 	// StopGrace is how long after the answer to a stop its run may continue.
 	StopGrace time.Duration
+	// IgnoreSpeed switches off that the speed of workers decides where tasks start, NoCopies that tasks get speculative copies.
+	IgnoreSpeed, NoCopies bool
 }
 
 // Planner holds the jobs, tasks and workers of one leader's term.
@@ -59,10 +62,13 @@
 	levels          map[oleanderline.QueueID]*ServiceLevel
 	headroom        map[oleanderline.PoolID]*headroom
 	meanWork        map[oleanderline.QueueID]workSum
-	pass            int64                     // number of the scheduling pass
-	consolidatedAt  time.Time                 // when consolidate last ran
-	starvedAt       time.Time                 // when best-effort tasks were last starved
-	checkedAt       time.Time                 // when checkRunning last ran
+	pass            int64     // number of the scheduling pass
+	consolidatedAt  time.Time // when consolidate last ran
+	starvedAt       time.Time // when best-effort tasks were last starved
+	checkedAt       time.Time // when checkRunning last ran
+	speculatedAt    time.Time // when speculate last searched
+	runtimes        map[oleanderline.QueueID]*runtimes.Sample
+	copies          CopyCounts
 	lastTrial       map[pairs.Image]time.Time // last trial of each image of a best-effort task, beside tasks with which it probably interferes
 	advicePending   bool                      // a request to the adviser is pending
 	adviceRequests  []AdviceRequest
@@ -101,6 +107,7 @@
 		levels:          map[oleanderline.QueueID]*ServiceLevel{},
 		headroom:        map[oleanderline.PoolID]*headroom{},
 		meanWork:        map[oleanderline.QueueID]workSum{},
+		runtimes:        map[oleanderline.QueueID]*runtimes.Sample{},
 		lastTrial:       map[pairs.Image]time.Time{},
 	}
 }
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/speed"
 )
 
 // unreadJobTimeout is how long a reported run of an unknown job is not stopped: an earlier leader may have read the job from
@@ -36,6 +37,7 @@
 	w.confirmService()
 	allEnds := p.handleEnds(w, report.Ended, now)
 	listed := p.handleRunning(w, report.Running, now)
+	p.observeSpeed(w, listed, now)
 	p.handleMissing(w, listed, allEnds, sent, now)
 	first := w.reportedAt.IsZero()
 	w.reported, w.reportedAt = w.reported || allEnds, now
@@ -48,33 +50,6 @@
 	p.controlBestEffort(w, now)
 }
 
-// isLate reports whether a report comes from an earlier incarnation and is read after one of its successor. The incarnation is the time
-// of day of the worker's start, so a lower one is not necessarily the earlier: the time of day may have been set back.
-func (w *worker) isLate(report oleanderline.WorkerReport, sent time.Time) bool {
-	if report.Life < w.incarnation {
-		return !sent.After(w.callSentAt)
-	}
-	return report.Life != w.incarnation && sent.Before(w.callSentAt)
-}
-
-// newIncarnation records a new incarnation of a worker. Nothing starts there until the worker's record is stored again: the new
-// incarnation refuses no earlier leader, so this leader first has to learn from the log that it still leads. The worker keeps its tasks,
-// and its reports decide which of them are lost: a start that was ordered from the earlier incarnation may have been carried out by
-// the new one.
-func (p *Planner) newIncarnation(w *worker, incarnation oleanderline.WorkerIncarnation) {
-	if w.incarnation != 0 {
-		p.note(NoteWorker, oleanderline.RunKey{}, w, "worker has restarted")
-	}
-	if w.incarnation != 0 {
-		w.written, w.useRecorded = false, false
-	}
-	w.incarnation, w.processed, w.acked = incarnation, 0, 0
-	w.health, w.takenDown = health{}, false
-	for t := range w.tasks {
-		t.stopFirst = t.startUnanswered
-	}
-}
-
 // handleEnds processes the ended runs in a worker's report that have not been processed yet. It reports whether these are all ends on
 // the worker.
 func (p *Planner) handleEnds(w *worker, ends []oleanderline.RunEnd, now time.Time) (all bool) {
@@ -95,15 +70,24 @@
 
 func (p *Planner) handleEnd(w *worker, t *task, end oleanderline.RunEnd, now time.Time) {
 	p.note(NoteEnd, end.Key, w, end.How.String())
-	t.run = max(t.run, end.Key.Run)
-	current := t.worker == w && t.runKey() == end.Key
-	if end.Checkpoint != "" && (current || t.worker == nil) {
+	ended := t.runningOn(w)
+	if ended != nil && ended.run != end.Key.Run {
+		ended = nil
+	}
+	t.noteEnded(end.Key.Run)
+	if end.Checkpoint != "" && (ended == t || t.worker == nil) {
 		t.checkpoint = end.Checkpoint
 	}
 	switch end.How {
 	case oleanderline.EndDone:
 		w.health.record(false, now)
 		w.rampFinished(t)
+		if ended != nil {
+			p.observeDone(ended, now)
+			if ended.original != nil && !t.done {
+				p.copies.Won++
+			}
+		}
 		if !t.group.step.LongRunning {
 			p.complete(t)
 		}
@@ -112,11 +96,12 @@
 		t.avoidWorker = w.entry.ID
 		p.countFailure(t, end.Key.Run)
 	}
+	if t.done {
+		p.stopOther(t, ended)
+	}
 	switch {
-	case current:
-		p.release(t)
-	case t.done:
-		p.stop(t, "another run of the task is done")
+	case ended != nil:
+		p.release(ended)
 	case t.worker == nil:
 		p.enqueue(t)
 	}
@@ -139,7 +124,7 @@
 			p.noteUnexpected(w, status.Key, t, notedBefore)
 			continue
 		}
-		listed[t] = struct{}{}
+		listed[t.runningOn(w)] = struct{}{}
 	}
 	return listed
 }
@@ -186,15 +171,14 @@
 
 // handleStatus processes the status of a run of a known task. It returns false if the run should be stopped.
 func (p *Planner) handleStatus(w *worker, t *task, status oleanderline.RunStatus, now time.Time) bool {
-	if t.worker == w && t.adopted && status.Key.Run > t.run {
+	if listed := t.runningOn(w); listed != nil && listed.adopted && status.Key.Run > listed.run {
 		// The worker has restarted, and an earlier leader has started the task there again.
-		p.noteLost(t, "an earlier leader has replaced the run", Loss{})
-		p.release(t)
-	}
-	if t.worker == nil && !t.done && t.group.job.active() && status.Key.Run >= t.run {
-		p.adopt(w, t, status.Key.Run, now)
+		p.noteLost(listed, "an earlier leader has replaced the run", Loss{})
+		p.release(listed)
 	}
-	if t.worker != w || t.run != status.Key.Run {
+	p.adoptIfExpected(w, t, status.Key.Run, now)
+	t = t.runningOn(w)
+	if t == nil || t.run != status.Key.Run {
 		return false
 	}
 	t.unreported, t.listed = false, true
@@ -208,6 +192,9 @@
 		t.percent, t.progressAt = status.Percent, now
 	}
 	t.gauge = status.Gauge
+	if !t.pace.Started() {
+		t.pace.Start(status.Percent, now)
+	}
 	switch {
 	case t.state == taskStarting:
 		t.state, t.answeredAt = taskRunning, now
@@ -227,6 +214,8 @@
 		p.dequeueGang(t.group) // its tasks start together, once all of them are idle
 	}
 	t.run, t.state, t.answeredAt, t.startedAt, t.progressAt = run, taskRunning, now, now, now
+	t.noteHighest(run)
+	t.pace = speed.Run{}             // its progress is known with the next status
 	t.throttle, t.adopted = -1, true // the throttle is unknown
 	t.startUnanswered, t.stopFirst, t.listed = false, false, true
 	w.adopted++
@@ -244,17 +233,6 @@
 	}
 }
 
-// stop orders the stop of a task's run, or removes a ready task from the queue.
-func (p *Planner) stop(t *task, reason string) {
-	switch t.state {
-	case taskReady:
-		p.dequeue(t)
-	case taskStarting, taskRunning:
-		p.note(NoteStop, t.runKey(), t.worker, reason)
-		p.orderStop(t, p.now)
-	}
-}
-
 func (p *Planner) orderStop(t *task, now time.Time) {
 	t.state, t.answeredAt, t.stopOrderedAt, t.stopFirst = taskStopping, time.Time{}, now, false
 	p.orders = append(p.orders, Order{Kind: OrderStop, Worker: t.worker.entry.ID, Life: t.worker.incarnation, Key: t.runKey()})
--- a/pkg/plan/result.go
+++ b/pkg/plan/result.go
@@ -11,7 +11,10 @@
 func (p *Planner) HandleResult(result Result, now time.Time) {
 	p.now = now
 	t := p.task(result.Order.Key.Task)
-	if t == nil || t.worker == nil || t.worker.entry.ID != result.Order.Worker || t.run != result.Order.Key.Run {
+	if t != nil {
+		t = t.runningOn(p.workers[result.Order.Worker])
+	}
+	if t == nil || t.run != result.Order.Key.Run {
 		return
 	}
 	if t.worker.incarnation != result.Order.Life && result.Order.Kind != OrderStart {
@@ -38,6 +41,7 @@
 	}
 	if result.Err == nil {
 		t.state, t.answeredAt, t.progressAt = taskRunning, now, now
+		t.pace.Start(0, now)
 		p.recordStart(t)
 		return
 	}
--- a/pkg/plan/worker.go
+++ b/pkg/plan/worker.go
@@ -9,6 +9,7 @@
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/ramp"
 	"github.com/oleanderline/oleanderline/pkg/record"
+	"github.com/oleanderline/oleanderline/pkg/speed"
 )
 
 // worker is what the leader knows about one worker.
@@ -54,6 +55,11 @@
 	unexpectedRuns   map[oleanderline.RunKey]struct{}        // those of them whose stop was ordered
 	backoffUntil     time.Time                               // end of the backoff after a failed start
 	health           health
+	speed            speed.Worker
+	slow             bool      // see Planner.noteSpeed
+	slowdown         float64   // see Planner.slowdown
+	slowdownIn       int64     // the pass in which it was computed
+	endedSlowdowns   []float64 // of runs that have ended in the report that is processed
 
 	throttle          throttleControl
 	worstRatio        float64                   // highest ratio of a tail latency to its target in the newest report
@@ -211,7 +217,14 @@
 	}
 	t.state = taskIdle
 	t.percent, t.gauge = 0, 0
-	p.enqueue(t)
+	switch {
+	case t.original != nil:
+		t.original.speculative = nil
+	case t.speculative != nil:
+		p.promote(t)
+	default:
+		p.enqueue(t)
+	}
 }
 
 // schedulable reports whether any new task may be placed on the worker.
@@ -238,7 +251,7 @@
 func (g *group) onWorker(w *worker) int {
 	count := 0
 	for i := range g.tasks {
-		if g.tasks[i].worker == w {
+		if g.tasks[i].runningOn(w) != nil {
 			count++
 		}
 	}
--- a/pkg/term/handle.go
+++ b/pkg/term/handle.go
@@ -102,6 +102,7 @@
 	for _, delay := range s.planner.FirstStarts() {
 		s.metrics.firstStartDelay.Update(delay.Seconds())
 	}
+	s.metrics.countCopies(s.planner.CopyCounts())
 	s.metrics.countLevels(s.planner.ServiceLevels())
 	for _, note := range s.planner.Notes() {
 		s.logNote(note)
--- a/pkg/term/metrics.go
+++ b/pkg/term/metrics.go
@@ -28,6 +28,9 @@
 	flushTime       *metrics.Histogram
 	reportAge       *metrics.Histogram
 	firstStartDelay *metrics.Histogram
+	copiesStarted   *metrics.Counter
+	copiesWon       *metrics.Counter
+	copiesStopped   *metrics.Counter
 }
 
 func newTermMetrics(set *metrics.Set) *termMetrics {
@@ -51,6 +54,9 @@
 		flushTime:       set.GetOrCreateHistogram("oleander_cell_flush_seconds"),         // duration of an append by the leader
 		reportAge:       set.GetOrCreateHistogram("oleander_cell_report_age_seconds"),    // time from sending a request to a worker to processing its report
 		firstStartDelay: set.GetOrCreateHistogram("oleander_cell_first_start_seconds"),   // time from storing a job to its first start
+		copiesStarted:   set.GetOrCreateCounter("oleander_cell_copies_started_total"),    // speculative copies of tasks that were started
+		copiesWon:       set.GetOrCreateCounter("oleander_cell_copies_won_total"),        // speculative copies that were done before the other run of their task
+		copiesStopped:   set.GetOrCreateCounter("oleander_cell_copies_stopped_total"),    // speculative copies that were stopped, because the other run was done or the job has ended
 	}
 }
 
@@ -65,6 +71,12 @@
 	}
 }
 
+func (m *termMetrics) countCopies(counts plan.CopyCounts) {
+	m.copiesStarted.Add(counts.Started)
+	m.copiesWon.Add(counts.Won)
+	m.copiesStopped.Add(counts.Stopped)
+}
+
 func (m *termMetrics) countReport(report oleanderline.WorkerReport) {
 	m.reports.Inc()
 	for _, end := range report.Ended {
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -28,6 +28,9 @@
 	plan.NoteDomainAwaited:   common.EventDomainAwaited,
 	plan.NoteDomainAwaitEnds: common.EventDomainAwaitEnds,
 	plan.NoteDomainUnknown:   common.EventDomainUnknown,
+
+	plan.NoteCopy:  common.EventCopy,
+	plan.NoteSpeed: common.EventWorkerSpeed,
 }
 
 // logNote logs a decision of the planner. Each note is one line, so that the limit of lines per second bounds them.
