--- a/pkg/plan/speculate.go
+++ b/pkg/plan/speculate.go
@@ -17,9 +17,9 @@
 	maxCopiesPerPass = 16
 	// startOverhead is the time from the decision to start a run until its worker is at work, and from its end until the leader knows.
 	startOverhead = 50 * time.Millisecond
-	// silenceBeforeCopy is how old the newest report of an unreachable worker has to be before second runs replace its runs. A call that fails
-	// once is repeated within this time.
-	silenceBeforeCopy = 800 * time.Millisecond
+	// silenceBeforeCopy is how old the newest report of an unreachable worker has to be before second runs replace its runs. A worker that has
+	// left one renewal unanswered has usually reported again by then: a renewal and its timeout take somewhat over a second.
+	silenceBeforeCopy = 1600 * time.Millisecond
 )
 
 // candidate is a run that a second run would overtake.
