--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -84,7 +84,7 @@
 		VM: settings.VM, Limits: settings.Limits, MaxLease: settings.MaxLease,
 		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention, LogLimits: settings.LogLimits,
 		Maintenance: term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
-		IgnoreSpeed: opts.IgnoreSpeed, NoCopies: opts.NoCopies,
+		IgnoreSpeed: opts.IgnoreSpeed, NoCopies: !opts.Copies,
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		OwnAppends:  opts.OwnAppends,
 	}, node.Ports{
--- a/cmd/oleander-node/main.go
+++ b/cmd/oleander-node/main.go
@@ -29,9 +29,8 @@
 	BodyMemory  int  `arg:"--body-memory,env:OLEANDER_BODY_MEMORY" help:"memory in MiB for bodies above 8 KiB that are being received; 0 derives it from the memory of the VM" default:"0"`
 	Check       bool `arg:"--check" help:"check the settings file and exit"`
 
-	// Switches to measure the worth of what they switch off.
 	IgnoreSpeed bool `arg:"--ignore-speed,env:OLEANDER_IGNORE_SPEED" help:"start urgent tasks on slow workers as on others"`
-	NoCopies    bool `arg:"--no-copies,env:OLEANDER_NO_COPIES" help:"start no speculative copies of tasks"`
+	Copies      bool `arg:"--speculative-copies,env:OLEANDER_SPECULATIVE_COPIES" help:"start speculative copies of tasks whose steps allow them"`
 }
 
 func main() {
