Bound the memory of large jobs that the cell keeps

Cause: accepted jobs stay in the memory of every node until their retention ends, and only the number of their tasks was bounded. Bodies of legal size that are sent to their end could so end all processes of a cell.

Change: a node refuses a job above 32 KiB in memory with 503 while such jobs take up a tenth of limits.memoryMb, if its records are recent enough to tell that the job is not stored. Jobs with the longest spec of the protocol and a hundred steps never count. pkg/heldjobs (pure) has the estimate, the replica the sum.

--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -85,6 +85,7 @@
 		StopGrace: settings.StopGrace, JobRetention: settings.JobRetention, LogLimits: settings.LogLimits,
 		Maintenance: term.Maintenance{Duration: settings.MaintenanceDuration, StartDelay: settings.HolderLease},
 		IgnoreSpeed: opts.IgnoreSpeed, NoCopies: !opts.Copies,
+		LargeJobs:   clientLimits(opts, &settings).HeldJobs,
 		PeerAddress: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		OwnAppends:  opts.OwnAppends,
 	}, node.Ports{
--- a/pkg/clientlimits/limits.go
+++ b/pkg/clientlimits/limits.go
@@ -14,6 +14,7 @@
 	smallJobShare   = 0.05
 	largeJobShare   = 0.07
 	headerShare     = 0.06
+	heldShare       = 0.1
 )
 
 const (
@@ -39,6 +40,7 @@
 	SmallJobs   oleanderline.ByteCount // of small jobs that are decoded and stored
 	LargeJobs   oleanderline.ByteCount // of large jobs that are decoded and stored
 	Headers     oleanderline.ByteCount // of headers that are being received, as sent
+	HeldJobs    oleanderline.ByteCount // of large jobs whose records are kept; 0 means no limit
 }
 
 // For returns the limits for a VM. memory is its limit on the memory of a process; 0 means no limit.
@@ -51,7 +53,7 @@
 	}
 	share := func(part float64) oleanderline.ByteCount { return oleanderline.ByteCount(part * float64(memory)) }
 	limits.Bodies, limits.Headers = share(bodyShare), share(headerShare)/headerFactor
-	limits.SmallJobs, limits.LargeJobs = share(smallJobShare), share(largeJobShare)
+	limits.SmallJobs, limits.LargeJobs, limits.HeldJobs = share(smallJobShare), share(largeJobShare), share(heldShare)
 	if connections := max(1, int(share(connectionShare)/connectionCost)); limits.Connections == 0 || connections < limits.Connections {
 		limits.Connections = connections
 	}
--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/heldjobs"
 )
 
 // maxIntakeAge is how long the leader's verdict on new jobs holds after it was read. The leader renews it every 0.4 s. It is the time
@@ -19,6 +22,24 @@
 	return verdict.Refuses(priority) && age < maxIntakeAge && n.isRecent()
 }
 
+// refusal returns the reason why a new job is refused, or nil.
+func (n *Node) refusal(job *oleanderline.Job) error {
+	switch {
+	case n.refuses(job.Policy.Priority):
+		return oleanderline.ErrOverloaded
+	case n.refusesLarge(job):
+		return oleanderline.ErrLargeJobs
+	}
+	return nil
+}
+
+// refusesLarge reports whether a new job is refused because it is large and such jobs take up too much memory already. Every process
+// holds all jobs. As with refuses, there is no refusal while the records are too old to tell whether the job is stored.
+func (n *Node) refusesLarge(job *oleanderline.Job) bool {
+	size := heldjobs.Size(job)
+	return n.settings.LargeJobs > 0 && size > 0 && n.replica.LargeJobs()+size > n.settings.LargeJobs && n.isRecent()
+}
+
 // backlogDelay returns after what time the leader is expected to accept jobs again, or 0 if it accepts them.
 func (n *Node) backlogDelay() time.Duration {
 	verdict, age := n.replica.Intake(n.common.Clock.Now())
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -29,12 +29,13 @@
 }
 
 func newNodeMetrics(set *metrics.Set, node *Node) *nodeMetrics {
-	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge)           // time since the last successful read of the records
-	set.GetOrCreateGauge("oleander_cell_records_age_seconds", node.recordsAge)     // time since the process had read every record of the log
-	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)                     // 1 while this process is the leader
-	set.GetOrCreateGauge("oleander_cell_domains_out_of_service", node.domainsOut)  // failure domains that operators have taken out of service, as far as this process knows
-	set.GetOrCreateGauge("oleander_cell_domain_waiting_tasks", node.domainWaiting) // on the leader: tasks that wait because only workers in such domains can take them
-	set.GetOrCreateGauge("oleander_cell_append_answer_seconds", node.appendAnswer) // answer time of this process's appends lately; 0 if there were none
+	set.GetOrCreateGauge("oleander_cell_read_age_seconds", node.readAge)                                                // time since the last successful read of the records
+	set.GetOrCreateGauge("oleander_cell_records_age_seconds", node.recordsAge)                                          // time since the process had read every record of the log
+	set.GetOrCreateGauge("oleander_cell_leads", node.isLeader)                                                          // 1 while this process is the leader
+	set.GetOrCreateGauge("oleander_cell_domains_out_of_service", node.domainsOut)                                       // failure domains that operators have taken out of service, as far as this process knows
+	set.GetOrCreateGauge("oleander_cell_domain_waiting_tasks", node.domainWaiting)                                      // on the leader: tasks that wait because only workers in such domains can take them
+	set.GetOrCreateGauge("oleander_cell_append_answer_seconds", node.appendAnswer)                                      // answer time of this process's appends lately; 0 if there were none
+	set.GetOrCreateGauge("oleander_cell_large_jobs_bytes", func() float64 { return float64(node.replica.LargeJobs()) }) // estimated memory of the large jobs whose records are kept
 	return &nodeMetrics{
 		stored:           set.GetOrCreateCounter("oleander_cell_stored_total"),             // submissions and cancellations that were stored
 		unavailable:      set.GetOrCreateCounter("oleander_cell_not_stored_total"),         // submissions and cancellations that were certainly not stored
@@ -43,7 +44,7 @@
 		handedOver:       set.GetOrCreateCounter("oleander_cell_handed_over_total"),        // submissions and cancellations that were handed to an appender, because the log answers slowly
 		handOverFailures: set.GetOrCreateCounter("oleander_cell_handover_failures_total"),  // of these, those that the appender did not store or did not answer
 		appendedForPeers: set.GetOrCreateCounter("oleander_cell_appended_for_peers_total"), // records that this process was asked to append for others
-		overloaded:       set.GetOrCreateCounter("oleander_cell_overloaded_total"),         // submissions that were refused because their tasks could not be started in time
+		overloaded:       set.GetOrCreateCounter("oleander_cell_overloaded_total"),         // submissions that were refused because their tasks could not be started in time, or because large jobs took up too much memory
 		conflicts:        set.GetOrCreateCounter("oleander_cell_conflicts_total"),          // submissions whose id is already used by a different job
 		unknown:          set.GetOrCreateCounter("oleander_cell_unknown_jobs_total"),       // calls for unknown jobs
 		notReady:         set.GetOrCreateCounter("oleander_cell_not_ready_total"),          // calls that this process could not answer because its records were missing or stale
--- a/pkg/node/service.go
+++ b/pkg/node/service.go
@@ -45,14 +45,14 @@
 	if entry, ok := n.replica.Job(job.ID); ok {
 		return n.repeated(entry, job)
 	}
-	if n.refuses(job.Policy.Priority) {
+	if err := n.refusal(&job); err != nil {
 		n.awaitRead(ctx) // another process may just have accepted the job
 		if entry, ok := n.replica.Job(job.ID); ok {
 			return n.repeated(entry, job)
 		}
 		n.metrics.overloaded.Inc()
-		n.logRefusal(callSubmit, job.ID, oleanderline.ErrOverloaded)
-		return oleanderline.ErrOverloaded
+		n.logRefusal(callSubmit, job.ID, err)
+		return err
 	}
 	job.Submitted = n.ports.Wall()
 	rec, err := record.ForJob(&job)
--- a/pkg/node/settings.go
+++ b/pkg/node/settings.go
@@ -22,6 +22,7 @@
 	JobRetention time.Duration          // how long finished jobs are kept
 	LogLimits    oleanderline.LogLimits // of Ports.Log
 	Maintenance  term.Maintenance
+	LargeJobs    oleanderline.ByteCount // memory that large jobs may take up together; 0 means no limit
 	// OwnAppends makes this process store all records itself, also while the log answers slowly.
 	OwnAppends bool
 	// IgnoreSpeed and NoCopies are those of plan.Settings.
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/heldjobs"
 	"github.com/oleanderline/oleanderline/pkg/maintenance"
 	"github.com/oleanderline/oleanderline/pkg/pairs"
 	"github.com/oleanderline/oleanderline/pkg/record"
@@ -70,7 +71,7 @@
 // applyJob keeps the first submission of a job. Another process may have stored the same one again.
 func (r *Replica) applyJob(id oleanderline.JobID, rec oleanderline.KeyedRecord) error {
 	if len(rec.Value) == 0 {
-		delete(r.jobs, id)
+		r.deleteJob(id)
 		return nil
 	}
 	if entry := r.jobs[id]; entry != nil && entry.Job.ID != "" {
@@ -85,12 +86,20 @@
 	}
 	job.ID = id
 	r.ensureEntry(id).Job = job
+	r.largeJobs += heldjobs.Size(&job)
 	return nil
 }
 
+func (r *Replica) deleteJob(id oleanderline.JobID) {
+	if entry := r.jobs[id]; entry != nil {
+		r.largeJobs -= heldjobs.Size(&entry.Job)
+		delete(r.jobs, id)
+	}
+}
+
 func (r *Replica) applyProgress(id oleanderline.JobID, rec oleanderline.KeyedRecord, now time.Time) error {
 	if len(rec.Value) == 0 {
-		delete(r.jobs, id)
+		r.deleteJob(id)
 		return nil
 	}
 	progress, err := record.Decode[record.Progress](rec)
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -71,6 +71,13 @@
 	return *r.leader.Intake, now.Sub(r.leaderAt)
 }
 
+// LargeJobs returns how much memory the large jobs take up.
+func (r *Replica) LargeJobs() oleanderline.ByteCount {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.largeJobs
+}
+
 // MaxCores returns the largest number of cores of a VM whose process has registered.
 func (r *Replica) MaxCores() float64 {
 	r.mu.RLock()
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -49,6 +49,7 @@
 type Replica struct {
 	mu          sync.RWMutex
 	jobs        map[oleanderline.JobID]*Entry
+	largeJobs   oleanderline.ByteCount // memory of the large ones among jobs
 	workers     map[oleanderline.WorkerID]record.Worker
 	leader      record.Leader
 	leaderAt    time.Time // when the newest leader record was read
@@ -89,6 +90,7 @@
 	defer r.mu.Unlock()
 	known := r.jobs
 	r.jobs = map[oleanderline.JobID]*Entry{}
+	r.largeJobs = 0
 	r.workers = map[oleanderline.WorkerID]record.Worker{}
 	r.nodes = map[oleanderline.VMID]record.Node{}
 	r.windows = map[oleanderline.WindowID]maintenance.Progress{}
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/heldjobs"
 	"github.com/oleanderline/oleanderline/pkg/record"
 )
 
@@ -100,3 +102,23 @@
 	r.Load(batch, now.Add(time.Minute), now.Add(time.Minute))
 	require.Equal(t, []oleanderline.JobID{"a"}, r.Expired(now.Add(time.Minute+1), time.Minute))
 }
+
+// Guards against memory of large jobs that still counts after they were removed, or counts twice.
+func TestLargeJobsAreCountedWhileTheyAreKept(t *testing.T) {
+	r := New(func(err error) { require.NoError(t, err) })
+	large := oleanderline.Job{ID: "1", Payload: strings.Repeat("x", 100_000), Steps: []oleanderline.Step{{Count: 1}}}
+	small := oleanderline.Job{ID: "2", Payload: "x", Steps: []oleanderline.Step{{Count: 1}}}
+	apply := func(recs ...oleanderline.KeyedRecord) {
+		r.Apply(oleanderline.KeyedBatch{Records: recs}, time.Unix(1, 0), time.Unix(1, 0))
+	}
+	first, err := record.ForJob(&large)
+	require.NoError(t, err)
+	second, err := record.ForJob(&small)
+	require.NoError(t, err)
+	apply(first, second, first)
+	require.Equal(t, heldjobs.Size(&large), r.LargeJobs())
+	r.Load(oleanderline.KeyedBatch{Records: []oleanderline.KeyedRecord{first}}, time.Unix(2, 0), time.Unix(2, 0))
+	require.Equal(t, heldjobs.Size(&large), r.LargeJobs())
+	apply(oleanderline.KeyedRecord{Key: first.Key})
+	require.Zero(t, r.LargeJobs())
+}
