--- a/cmd/oleander-node/daemon.go
+++ b/cmd/oleander-node/daemon.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -145,7 +143,6 @@
 	}
 	server := &http.Server{
 		Handler: d.closeOnStop(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: log.New(io.Discard, "", 0), // clients can cause any number of its messages
 	}
 	if address == d.settings.ClientAddress {
 		if listener, err = d.clients.listen(d.common, &d.settings, listener, server); err != nil {
