--- a/pkg/plan/speculate.go
+++ b/pkg/plan/speculate.go
@@ -28,10 +28,10 @@
 	run  speculation.Run
 }
 
-// speculate starts second runs of tasks whose runs take long, at most maxStarts. None are started in a pool in which a task that has no run
-// waits for room.
+// speculate starts second runs of tasks whose runs take long, at most maxStarts. maxStarts is negative if a gang has needed more starts than
+// the pass has. None are started in a pool in which a task that has no run waits for room.
 func (p *Planner) speculate(now time.Time, maxStarts int) {
-	if p.settings.NoCopies || now.Sub(p.speculatedAt) < speculateInterval {
+	if p.settings.NoCopies || maxStarts <= 0 || now.Sub(p.speculatedAt) < speculateInterval {
 		return
 	}
 	p.speculatedAt = now
@@ -93,15 +93,14 @@
 func (p *Planner) copyRooms(now time.Time) map[oleanderline.PoolID]*speculation.Room {
 	rooms := map[oleanderline.PoolID]*speculation.Room{}
 	for _, w := range p.workers {
-		if !w.inDirectory || !w.schedulable(now) {
-			continue
-		}
 		room := rooms[w.entry.Pool]
 		if room == nil {
 			room = &speculation.Room{}
 			rooms[w.entry.Pool] = room
 		}
-		room.Capacity = room.Capacity.Add(w.entry.Capacity)
+		if w.schedulable(now) {
+			room.Capacity = room.Capacity.Add(w.entry.Capacity)
+		}
 		for t := range w.tasks {
 			if t.original != nil {
 				room.Taken = room.Taken.Add(t.group.step.Size)
