Run the tasks of a step a few at a time while all its runs fail

A job of which every task fails by its own fault ran each task as often as its queue allows, in room that other jobs wait for, and its failures put sound workers into quarantine. pkg/breaker opens for a step once runs have failed on three workers and none has succeeded: two tasks run at a time, those with the most failures first, so the job fails after the fewest runs. The first success ends this for good.

--- a/pkg/plan/consolidate.go
+++ b/pkg/plan/consolidate.go
@@ -84,7 +84,7 @@
 
 // starvedTasks returns the number of starved best-effort tasks of a group.
 func (g *group) starvedTasks(now time.Time) int {
-	if !g.step.BestEffort {
+	if !g.step.BestEffort || g.breaker.Open() {
 		return 0
 	}
 	starved := 0
--- a/pkg/plan/group.go
+++ b/pkg/plan/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/breaker"
 	"github.com/oleanderline/oleanderline/pkg/runtimes"
 	"github.com/oleanderline/oleanderline/pkg/speed"
 )
@@ -25,6 +26,7 @@
 	tickets map[oleanderline.WorkerID]ticket
 	// nextIndex is the index at which the search for a ready task begins.
 	nextIndex int
+	breaker   breaker.Breaker // limits the tasks while every run of the step fails
 	runtimes  runtimes.Sample // of runs that have ended as done
 	typical   time.Duration   // see Planner.typical
 	typicalIn int64           // the pass in which it was computed
--- a/pkg/plan/headroom.go
+++ b/pkg/plan/headroom.go
@@ -61,7 +61,7 @@
 		pool.running += w.used.CPU - w.longRunningCPU
 	}
 	for g := range p.ready {
-		if pool := pools[g.job.queue.Pool]; pool != nil && !g.step.LongRunning && !g.step.BestEffort {
+		if pool := pools[g.job.queue.Pool]; pool != nil && !g.step.LongRunning && !g.step.BestEffort && !g.breaker.Open() {
 			pool.waiting += oleanderline.Millicores(g.readyCount) * g.step.Size.CPU
 		}
 	}
--- a/pkg/plan/note.go
+++ b/pkg/plan/note.go
@@ -28,8 +28,10 @@
 	NoteDomainAwaitEnds                 // a step no longer waits for them
 	NoteDomainUnknown                   // a failure domain that is out of service has no worker in the directory
 
-	NoteCopy  // a speculative copy was started; the reason compares it with the other run of the task
-	NoteSpeed // a worker has become slow, or is no longer slow
+	NoteCopy        // a speculative copy was started; the reason compares it with the other run of the task
+	NoteSpeed       // a worker has become slow, or is no longer slow
+	NoteBreakerOpen // every run of a step has failed, so its tasks run a few at a time
+	NoteBreakerShut // a run has completed a task of such a step, so its tasks run as usual again
 )
 
 // Note is a decision or state change that the caller logs.
--- a/pkg/plan/obstacle.go
+++ b/pkg/plan/obstacle.go
@@ -16,11 +16,12 @@
 	obstacleMoving                // images are being moved away from the workers left
 	obstacleTicket                // the adviser has permitted no worker that is left
 	obstacleHeadroom              // the room is kept for batch tasks
+	obstacleFailures              // every run of the step has failed, and enough of its tasks run again
 )
 
 // String returns the name used in logs.
 func (o obstacle) String() string {
-	return [...]string{"", "worker", "domain", "room", "interference", "exposure", "moving", "ticket", "headroom"}[o]
+	return [...]string{"", "worker", "domain", "room", "interference", "exposure", "moving", "ticket", "headroom", "failures"}[o]
 }
 
 // obstacleOn returns what keeps a task from being started on a worker now.
--- a/pkg/plan/place.go
+++ b/pkg/plan/place.go
@@ -69,8 +69,9 @@
 	var r ranking
 	started := 0
 	for started < maxStarts {
-		t := g.nextReady()
+		t := g.next()
 		if t == nil {
+			p.postponeHeld(g, now)
 			return started
 		}
 		if p.mayAlreadyRun(t, unreportedMayRun) {
--- a/pkg/plan/report.go
+++ b/pkg/plan/report.go
@@ -80,7 +80,7 @@
 	}
 	switch end.How {
 	case oleanderline.EndDone:
-		w.health.record(false, now)
+		p.recordSuccess(t, w, now)
 		w.rampFinished(t)
 		if ended != nil {
 			p.observeDone(ended, now)
@@ -92,7 +92,7 @@
 			p.complete(t)
 		}
 	case oleanderline.EndFailed:
-		w.health.record(!t.group.step.LongRunning, now)
+		p.recordFailure(t, w, now)
 		t.avoidWorker = w.entry.ID
 		p.countFailure(t, end.Key.Run)
 	}
--- a/pkg/term/metrics.go
+++ b/pkg/term/metrics.go
@@ -20,6 +20,7 @@
 	failed          *metrics.Counter
 	otherEnds       *metrics.Counter
 	runsLost        *metrics.Counter
+	failingSteps    *metrics.Counter
 	callFailures    *metrics.Counter
 	reports         *metrics.Counter
 	agentsLost      *metrics.Counter
@@ -46,6 +47,7 @@
 		failed:          set.GetOrCreateCounter("oleander_cell_runs_failed_total"),       // runs reported as failed by workers
 		otherEnds:       set.GetOrCreateCounter("oleander_cell_runs_ended_total"),        // runs reported as ended in any other way by workers
 		runsLost:        set.GetOrCreateCounter("oleander_cell_runs_lost_total"),         // runs considered over without a report of their end from the worker
+		failingSteps:    set.GetOrCreateCounter("oleander_cell_failing_steps_total"),     // steps whose tasks ran a few at a time because every run had failed
 		callFailures:    set.GetOrCreateCounter("oleander_cell_silent_total"),            // failed calls that renew the leases on a worker
 		reports:         set.GetOrCreateCounter("oleander_cell_reports_total"),           // reports received from workers
 		agentsLost:      set.GetOrCreateCounter("oleander_cell_agents_lost_total"),       // agents of this leader that were lost or are stopping
--- a/pkg/term/notes.go
+++ b/pkg/term/notes.go
@@ -29,14 +29,19 @@
 	plan.NoteDomainAwaitEnds: common.EventDomainAwaitEnds,
 	plan.NoteDomainUnknown:   common.EventDomainUnknown,
 
-	plan.NoteCopy:  common.EventCopy,
-	plan.NoteSpeed: common.EventWorkerSpeed,
+	plan.NoteCopy:        common.EventCopy,
+	plan.NoteSpeed:       common.EventWorkerSpeed,
+	plan.NoteBreakerOpen: common.EventStepFailing,
+	plan.NoteBreakerShut: common.EventStepSound,
 }
 
 // logNote logs a decision of the planner. Each note is one line, so that the limit of lines per second bounds them.
 func (s *Session) logNote(note plan.Note) {
-	if note.Kind == plan.NoteLost {
+	switch note.Kind {
+	case plan.NoteLost:
 		s.metrics.runsLost.Inc()
+	case plan.NoteBreakerOpen:
+		s.metrics.failingSteps.Inc()
 	}
 	fields := logrus.Fields{"term": s.settings.Leader.Term}
 	if note.Run.Task.Job != "" {
