Share the rate of starts among the nodes while jobs are refused, and spread the returns

While more tasks wait than the leader can start, all nodes refused all callers, also those of failure domains that send no more than usual, and every refused caller was told the same moment to return. pkg/admission gives each node a share of half of the rate of starts, within which it goes on accepting, and each refused caller a turn after the one refused before it; an OverloadedError carries it to the handler. The memory bound is marked in the verdict (full) and has no shares.

--- a/pkg/node/intake_test.go
+++ b/pkg/node/intake_test.go
@@ -155,3 +155,50 @@
 		require.NoError(t, n.Submit(c.ctx, job(4, 1)))
 	})
 }
+
+// Guards against callers of a process that are refused although they have sent less than the share of the process, against jobs accepted
+// while the leader holds as many tasks as it can, and against refused callers who return all at once.
+func TestSharesAndTurnsWhileJobsAreRefused(t *testing.T) {
+	commons := newCommons()
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, 0, commons)
+		defer c.close()
+		time.Sleep(4 * time.Second) // until there is a leader
+		n, number := c.process(0).node, 0
+		submit := func() error {
+			number++
+			j := oleanderline.Job{
+				ID: oleanderline.JobID(fmt.Sprintf("%016x", number)), Queue: testQueue.ID, Policy: testQueue, Payload: fmt.Sprint(number),
+				Steps: []oleanderline.Step{{Count: 3, Size: oleanderline.Size{CPU: 10, Memory: 5}, Estimate: time.Second}},
+			}
+			c.checker.Submitted(j)
+			return n.Submit(c.ctx, j)
+		}
+		const rate = 4 * processCount // a share of two tasks a second for each process
+		c.setVerdict(n, record.Intake{Rate: rate})
+		require.NoError(t, submit())
+		time.Sleep(5 * time.Second)
+		refusal := record.Intake{Rate: rate, Refuse: true, RetryMS: 2500}
+		c.setVerdict(n, refusal)
+		accepted, turns := 0, []time.Duration{}
+		for range 4 {
+			err := submit()
+			if err == nil {
+				accepted++
+				continue
+			}
+			var overloaded *oleanderline.OverloadedError
+			require.ErrorAs(t, err, &overloaded)
+			require.ErrorIs(t, err, oleanderline.ErrOverloaded)
+			turns = append(turns, overloaded.RetryAfter.Round(100*time.Millisecond))
+		}
+		require.Equal(t, 2, accepted, "the share of two seconds")
+		require.Len(t, turns, 2)
+		require.GreaterOrEqual(t, turns[0], 2500*time.Millisecond)
+		require.GreaterOrEqual(t, turns[1]-turns[0], 700*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		refusal.Full = true
+		c.setVerdict(n, refusal)
+		require.ErrorIs(t, submit(), oleanderline.ErrOverloaded)
+	})
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
+	"github.com/oleanderline/oleanderline/pkg/admission"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/common"
@@ -55,6 +56,9 @@
 	loggedTerm  oleanderline.Term // the newest term of a leader whose record was logged
 	recordReads outageLogger
 	metrics     *nodeMetrics
+
+	gateMu sync.Mutex
+	gate   admission.Gate // of new jobs, while the leader refuses some
 }
 
 var _ oleanderline.JobService = (*Node)(nil)
