--- a/job_service.go
+++ b/job_service.go
@@ -11,8 +11,8 @@
 	// Queue finds the queue of a request by host and the longest matching path prefix, and returns the rest of the path.
 	// It fails with ErrNotReady until the first configuration has been read, and with ErrUnknownQueue if no queue matches.
 	Queue(host, path string) (queue Queue, rest string, err error)
-	// Submit stores a job and returns nil once it is stored. ErrUnavailable, ErrNotReady and an OverloadedError mean that this call
-	// has stored nothing, ErrUncertain that it may have stored the job, and ErrConflict that the id belongs to a different job.
+	// Submit stores a job and returns nil once it is stored. ErrUnavailable and ErrNotReady mean that this call has stored
+	// nothing, ErrUncertain that it may have stored the job, and ErrConflict that the id belongs to a different job.
 	Submit(ctx context.Context, job Job) error
 	// State returns the state of a job. It fails with ErrUnknownJob if there is no such job, and with ErrNotReady if this
 	// process does not know the state.
@@ -29,17 +29,6 @@
 	MaxBody() int64
 }
 
-// OverloadedError is an ErrOverloaded that says when the caller should return.
-type OverloadedError struct {
-	RetryAfter time.Duration
-}
-
-// Error implements error.
-func (*OverloadedError) Error() string { return ErrOverloaded.Error() }
-
-// Unwrap returns ErrOverloaded.
-func (*OverloadedError) Unwrap() error { return ErrOverloaded }
-
 // Errors of a JobService.
 var (
 	ErrNotReady     = errors.New("this process cannot answer yet")
--- a/pkg/node/intake.go
+++ b/pkg/node/intake.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/pkg/admission"
 	"github.com/oleanderline/oleanderline/pkg/heldjobs"
 )
 
@@ -15,42 +14,27 @@
 // for so long claims leadership, and cannot store jobs either if the log is down.
 const maxIntakeAge = maxLogOutage
 
-// admit returns an OverloadedError if a new job is refused because the leader could not start its tasks in time. While the leader
-// refuses jobs, this process accepts those within its share of the rate of starts. A refusal says that the job was not stored, so there is
-// none while the records that this process has read are too old to tell.
-func (n *Node) admit(job *oleanderline.Job) error {
+// refuses reports whether a new job of a queue with a priority is refused because the leader could not start its tasks in time. A
+// refusal says that the job was not stored, so there is none while the records that this process has read are too old to tell.
+func (n *Node) refuses(priority int) bool {
 	now := n.common.Clock.Now()
 	verdict, age := n.replica.Intake(now)
-	refused := verdict.Refuses(job.Policy.Priority) && age < maxIntakeAge && n.isRecent()
-	part := admission.Part(verdict.Rate, n.replica.NodeCount())
-	if verdict.Full {
-		part = 0
-	}
-	tasks := 0
-	for i := range job.Steps {
-		tasks += job.Steps[i].Count
-	}
-	n.gateMu.Lock()
-	defer n.gateMu.Unlock()
-	if n.gate.Admit(tasks, refused, part, now) {
-		if refused {
-			n.metrics.shared.Inc()
-		}
-		return nil
-	}
-	return &oleanderline.OverloadedError{RetryAfter: n.gate.Turn(tasks, n.RetryAfter(), part, now)}
+	return verdict.Refuses(priority) && age < maxIntakeAge && n.isRecent()
 }
 
 // refusal returns the reason why a new job is refused, or nil.
 func (n *Node) refusal(job *oleanderline.Job) error {
-	if n.refusesLarge(job) {
+	switch {
+	case n.refuses(job.Policy.Priority):
+		return oleanderline.ErrOverloaded
+	case n.refusesLarge(job):
 		return oleanderline.ErrLargeJobs
 	}
-	return n.admit(job)
+	return nil
 }
 
 // refusesLarge reports whether a new job is refused because it is large and such jobs take up too much memory already. Every process
-// holds all jobs. As with admit, there is no refusal while the records are too old to tell whether the job is stored.
+// holds all jobs. As with refuses, there is no refusal while the records are too old to tell whether the job is stored.
 func (n *Node) refusesLarge(job *oleanderline.Job) bool {
 	size := heldjobs.Size(job)
 	return n.settings.LargeJobs > 0 && size > 0 && n.replica.LargeJobs()+size > n.settings.LargeJobs && n.isRecent()
--- a/pkg/node/metrics.go
+++ b/pkg/node/metrics.go
@@ -18,7 +18,6 @@
 	handOverFailures *metrics.Counter
 	appendedForPeers *metrics.Counter
 	overloaded       *metrics.Counter
-	shared           *metrics.Counter
 	conflicts        *metrics.Counter
 	unknown          *metrics.Counter
 	notReady         *metrics.Counter
@@ -46,7 +45,6 @@
 		handOverFailures: set.GetOrCreateCounter("oleander_cell_handover_failures_total"),  // of these, those that the appender did not store or did not answer
 		appendedForPeers: set.GetOrCreateCounter("oleander_cell_appended_for_peers_total"), // records that this process was asked to append for others
 		overloaded:       set.GetOrCreateCounter("oleander_cell_overloaded_total"),         // submissions that were refused because their tasks could not be started in time, or because large jobs took up too much memory
-		shared:           set.GetOrCreateCounter("oleander_cell_shared_total"),             // submissions that were accepted within this process's share while the leader refused jobs
 		conflicts:        set.GetOrCreateCounter("oleander_cell_conflicts_total"),          // submissions whose id is already used by a different job
 		unknown:          set.GetOrCreateCounter("oleander_cell_unknown_jobs_total"),       // calls for unknown jobs
 		notReady:         set.GetOrCreateCounter("oleander_cell_not_ready_total"),          // calls that this process could not answer because its records were missing or stale
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/oleanderline/oleanderline"
-	"github.com/oleanderline/oleanderline/pkg/admission"
 	"github.com/oleanderline/oleanderline/pkg/agent"
 	"github.com/oleanderline/oleanderline/pkg/agentrpc"
 	"github.com/oleanderline/oleanderline/pkg/common"
@@ -56,9 +55,6 @@
 	loggedTerm  oleanderline.Term // the newest term of a leader whose record was logged
 	recordReads outageLogger
 	metrics     *nodeMetrics
-
-	gateMu sync.Mutex
-	gate   admission.Gate // of new jobs, while the leader refuses some
 }
 
 var _ oleanderline.JobService = (*Node)(nil)
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -70,7 +70,6 @@
 	Rate   float64 `json:"rate,omitempty"`   // starts per second while tasks waited for nothing else; 0 if not measured
 	Refuse bool    `json:"refuse,omitempty"` // new jobs of queues with priority From and all later priorities are refused
 	From   int     `json:"from,omitempty"`
-	Full   bool    `json:"full,omitempty"` // no job is accepted beyond that, whatever the rate
 	// RetryMS is the time in milliseconds after which the tasks that wait would be few enough if no others came.
 	RetryMS int64 `json:"retryMs,omitempty"`
 }
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -96,13 +96,6 @@
 	return maps.Clone(r.nodes)
 }
 
-// NodeCount returns the number of processes that have registered.
-func (r *Replica) NodeCount() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return len(r.nodes)
-}
-
 // PeerAddresses returns the addresses of all registered processes except that of self.
 func (r *Replica) PeerAddresses(self oleanderline.VMID) []string {
 	r.mu.RLock()
--- a/pkg/term/intake.go
+++ b/pkg/term/intake.go
@@ -48,12 +48,10 @@
 	if held <= maxHeldTasks {
 		return verdict
 	}
-	verdict.Refuse, verdict.From, verdict.Full = true, 0, true
+	verdict.Refuse, verdict.From = true, 0
 	verdict.RetryMS = max(verdict.RetryMS, heldRetry.Milliseconds())
 	return verdict
 }
 
 // sameRefusal reports whether two verdicts refuse the same jobs.
-func sameRefusal(a, b record.Intake) bool {
-	return a.Refuse == b.Refuse && a.From == b.From && a.Full == b.Full
-}
+func sameRefusal(a, b record.Intake) bool { return a.Refuse == b.Refuse && a.From == b.From }
--- a/pkg/term/intake_test.go
+++ b/pkg/term/intake_test.go
@@ -18,8 +18,8 @@
 	}
 	for _, s := range []scenario{
 		{"few", record.Intake{Rate: 100}, record.Intake{Rate: 100}, maxHeldTasks},
-		{"too many", record.Intake{}, record.Intake{Refuse: true, Full: true, RetryMS: 5000}, maxHeldTasks + 1},
-		{"too many, and slow starts", record.Intake{Rate: 100, Refuse: true, From: 2, RetryMS: 9000}, record.Intake{Rate: 100, Refuse: true, Full: true, RetryMS: 9000}, maxHeldTasks + 1},
+		{"too many", record.Intake{}, record.Intake{Refuse: true, RetryMS: 5000}, maxHeldTasks + 1},
+		{"too many, and slow starts", record.Intake{Rate: 100, Refuse: true, From: 2, RetryMS: 9000}, record.Intake{Rate: 100, Refuse: true, RetryMS: 9000}, maxHeldTasks + 1},
 	} {
 		t.Run(s.name, func(t *testing.T) {
 			require.Equal(t, s.want, boundMemory(s.verdict, s.held))
