Hand records over at a fast log as well while many come

Cause: until the nodes know of a log that has become slow, each appends for itself, and at a high rate these appends fill the log's queue for seconds.

From 40 submissions and cancellations of the cell a second on, nodes hand over at a fast log too.

--- a/pkg/groupcommit/policy.go
+++ b/pkg/groupcommit/policy.go
@@ -24,7 +24,9 @@
 	nextOwn       time.Time      // when this node may append a record that no appender has stored
 	lost          int            // appends without an answer since the last one that was answered
 	slowReadUntil time.Time      // until when the last slow read counts
-	readBegun     time.Time      // when the open read was sent; zero if there is none or its answer may wait for records
+	records       int            // read since countedSince
+	countedSince  time.Time
+	readBegun     time.Time // when the open read was sent; zero if there is none or its answer may wait for records
 }
 
 // New returns a policy that has observed nothing: the log counts as fast. random returns numbers from 0 to 1.
@@ -89,6 +91,21 @@
 	}
 }
 
+// ObserveRecords records that this node has read a number of submissions and cancellations of the cell from the log.
+func (p *Policy) ObserveRecords(count int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.records += count
+	elapsed := now.Sub(p.countedSince)
+	if elapsed < rateWindow {
+		return
+	}
+	if float64(p.records) >= busyRate*min(elapsed, 2*rateWindow).Seconds() {
+		p.slowUntil = common.Later(p.slowUntil, now.Add(SlowHold))
+	}
+	p.records, p.countedSince = 0, now
+}
+
 // ObserveCell records the answer time that the leader has measured.
 func (p *Policy) ObserveCell(answer time.Duration, now time.Time) {
 	p.mu.Lock()
--- a/pkg/groupcommit/policy_test.go
+++ b/pkg/groupcommit/policy_test.go
@@ -32,6 +32,15 @@
 	end(result, f.now)
 }
 
+// read plays two seconds in which a number of records a second is read.
+func (f *fixture) read(perSecond int) {
+	f.ObserveRecords(0, f.now)
+	for range 2 {
+		f.now = f.now.Add(rateWindow)
+		f.ObserveRecords(perSecond, f.now)
+	}
+}
+
 // Guards against a node that appends for itself while the log is slow, or goes through another one while it is fast.
 func TestSlow(t *testing.T) {
 	type scenario struct {
@@ -49,6 +58,8 @@
 		{"a lost answer", func(f *fixture) { f.append(minTimeout, Lost) }, true},
 		{"the leader's appends are slow", func(f *fixture) { f.ObserveCell(slow, f.now) }, true},
 		{"the leader's appends are fast", func(f *fixture) { f.ObserveCell(fast, f.now) }, false},
+		{"many records of the cell", func(f *fixture) { f.read(busyRate) }, true},
+		{"some records of the cell", func(f *fixture) { f.read(busyRate - 1) }, false},
 		{"a slow appender", func(f *fixture) { f.ObserveHandOver("a", HandOverStored, slow, f.now) }, true},
 		{"an appender that refuses", func(f *fixture) { f.ObserveHandOver("a", HandOverNotInTime, fast, f.now) }, true},
 		{"a fast appender", func(f *fixture) { f.ObserveHandOver("a", HandOverStored, fast, f.now) }, false},
--- a/pkg/groupcommit/slow.go
+++ b/pkg/groupcommit/slow.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Slow reports whether the log answers slowly or refuses this node, by the last calls or one that has had no answer for long.
+// Slow reports whether the log answers slowly or refuses this node, by the last calls or one that has had no answer for long, or so many
+// records come that it would be slow soon after.
 func (p *Policy) Slow(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/groupcommit/timing.go
+++ b/pkg/groupcommit/timing.go
@@ -14,6 +14,11 @@
 	// long for another reason: the records that were expected have not been appended.
 	slowRead     = SlowAnswer
 	slowReadHold = time.Second
+	// busyRate is the number of submissions and cancellations of the cell a second from which on nodes hand over at a fast log as well. It
+	// takes about 100 ms until all nodes know of a log that has become slow; more than a few appends in that time fill its queue. rateWindow
+	// is the time over which they are counted.
+	busyRate   = 40
+	rateWindow = time.Second
 	// servedHold is how long after an answered append the log is known to serve this node.
 	servedHold = 3 * time.Second
 	// maxCandidates bounds the nodes that append for others at the same time, as far as different nodes choose differently.
--- a/pkg/node/appender.go
+++ b/pkg/node/appender.go
@@ -13,13 +13,14 @@
 	"github.com/oleanderline/oleanderline/pkg/groupcommit"
 	"github.com/oleanderline/oleanderline/pkg/record"
 	"github.com/oleanderline/oleanderline/pkg/relay"
+	"github.com/oleanderline/oleanderline/pkg/replica"
 )
 
 // maxStoreAttempts is how many processes, this one included, try to store a record.
 const maxStoreAttempts = 4
 
-// storeByPolicy stores a record: directly, or through an appender while the log answers slowly or refuses this process. It returns
-// ErrUncertain if any of the attempts may have stored the record.
+// storeByPolicy stores a record: directly, or through an appender while the log answers slowly, takes many records or refuses this process.
+// It returns ErrUncertain if any of the attempts may have stored the record.
 func (n *Node) storeByPolicy(ctx context.Context, rec oleanderline.KeyedRecord) error {
 	if n.settings.OwnAppends {
 		return n.storeOrRelay(ctx, rec)
@@ -119,7 +120,7 @@
 	}
 	answer := n.policy.Answer(n.common.Clock.Now()).Seconds()
 	n.common.Event(common.EventAppendsShared).WithField("answer", answer).WithField("appender", appender).
-		Info("the log answers slowly; records go through an appender")
+		Info("records go through an appender")
 }
 
 // appendAt has a process store a record, which may be this one.
@@ -183,6 +184,17 @@
 // ObserveSlow implements relay.Backend.
 func (n *Node) ObserveSlow(answer time.Duration) { n.policy.ObserveCell(answer, n.common.Clock.Now()) }
 
+// countRecords reports to the policy how many submissions and cancellations of the cell were read.
+func (n *Node) countRecords(changes []replica.Change) {
+	count := 0
+	for _, change := range changes {
+		if change.Kind == record.KindJob || change.Kind == record.KindCancel {
+			count++
+		}
+	}
+	n.policy.ObserveRecords(count, n.common.Clock.Now())
+}
+
 // announceSlow tells all processes, on the leader, that the log has become slow. The leader appends all the time and notices first; by its
 // records alone, the others would learn of it only after many of them have appended for themselves.
 func (n *Node) announceSlow(answer time.Duration) {
--- a/pkg/node/records.go
+++ b/pkg/node/records.go
@@ -38,6 +38,9 @@
 			n.sleep(readRetryDelay)
 			continue
 		}
+		if loaded {
+			n.countRecords(changes)
+		}
 		loaded = true
 		n.detector.ObserveRead(true, now)
 		n.apply(changes)
